--- /dev/null
+++ b/crates/daemon/src/fleet_duty.rs
@@ -0,0 +1,527 @@
+//! The leader's dealings with the cloud: renting, giving back, keeping the types.
+
+use std::collections::{BTreeSet, HashMap, HashSet};
+use std::time::{Duration, Instant};
+
+use cloud::{CloudError, RELEASE_MAX};
+use sched::fleet::{Coming, Demand, Offer, plan};
+use sched::placement;
+use sched::records::*;
+use sched::world::Amount;
+use store::{Outcome, Put, key};
+use tokio::time::sleep;
+use tracing::{debug, info, warn};
+use wire::{Condition, ListedMachine, MachineStatus, RentRequest};
+
+use crate::node::{Core, Node, wall_ms};
+
+#[derive(Default)]
+struct Fleet {
+    /// Offers without capacity, until when, and the pause that follows.
+    blocked: HashMap<Offer, (Instant, Duration)>,
+    idle_since: HashMap<String, Instant>,
+    listed: HashMap<String, ListedMachine>,
+    listed_at: Option<Instant>,
+    types_at: Option<Instant>,
+    requests: u64,
+    /// Released for good, so that a lagging list does not bring them back.
+    released: HashMap<String, Instant>,
+    led_since: Option<Instant>,
+    first_seen: HashMap<String, Instant>,
+}
+
+const TICK: Duration = Duration::from_millis(300);
+
+pub async fn fleet(node: Node) {
+    let mut fleet = Fleet::default();
+    loop {
+        sleep(TICK).await;
+        if !node.core().leads(&node.me) {
+            fleet = Fleet { requests: fleet.requests, ..Fleet::default() };
+            continue;
+        }
+        fleet.led_since.get_or_insert_with(Instant::now);
+        fleet.step(&node).await;
+    }
+}
+
+impl Fleet {
+    async fn step(&mut self, node: &Node) {
+        let every = |at: Option<Instant>, s: u64| at.is_none_or(|t| t.elapsed() >= Duration::from_secs(s));
+        let types_known = !node.core().world.types.is_empty();
+        if every(self.types_at, if types_known { 60 } else { 1 }) {
+            self.refresh_types(node).await;
+        }
+        if every(self.listed_at, 5) {
+            self.refresh_list(node).await;
+        }
+        self.give_back(node).await;
+        self.settle_rentals(node).await;
+        self.rent(node).await;
+    }
+
+    async fn refresh_types(&mut self, node: &Node) {
+        self.types_at = Some(Instant::now());
+        match node.cloud.machine_types().await {
+            Ok(types) => {
+                let (version, same) = {
+                    let core = node.core();
+                    let same = core.world.types.len() == types.len()
+                        && types.iter().all(|t| core.world.types.get(&t.name) == Some(t));
+                    (core.world.types_version, same)
+                };
+                if same {
+                    return;
+                }
+                let put = Put::new(key::TYPES.into(), &TypesRecord { types });
+                write(node, vec![Condition { key: key::TYPES.into(), version }], vec![put]).await;
+            }
+            Err(e) => warn!(error = %e, "the cloud's machine types could not be had"),
+        }
+    }
+
+    async fn refresh_list(&mut self, node: &Node) {
+        self.listed_at = Some(Instant::now());
+        match node.cloud.list().await {
+            Ok(list) => {
+                let now = Instant::now();
+                self.listed = list.into_iter().map(|m| (m.id.clone(), m)).collect();
+                for id in self.listed.keys() {
+                    self.first_seen.entry(id.clone()).or_insert(now);
+                }
+                self.first_seen.retain(|id, _| self.listed.contains_key(id));
+                self.released.retain(|_, t| now.saturating_duration_since(*t) < Duration::from_secs(300));
+            }
+            Err(e) => debug!(error = %e, "the cloud's list could not be had"),
+        }
+    }
+
+    /// Which machines to give back, and why.
+    fn surplus(&mut self, node: &Node, core: &Core, now: Instant) -> Vec<(String, &'static str)> {
+        let mut out = Vec::new();
+        let silent = node.silent_limit();
+        let mut silent_by_owner: HashMap<&str, (u32, u32)> = HashMap::new();
+        let mut rows = Vec::new();
+        for (id, m) in &core.world.machines {
+            let Some(owner) = core.world.owner_of(id) else { continue };
+            let (quiet, sick, notice) = if *owner == node.me {
+                match core.workers.get(id) {
+                    Some(w) => (w.silent_for(now), w.sick(), w.notice_until.is_some()),
+                    None => continue,
+                }
+            } else {
+                let view = core.peers.get(&owner.name);
+                match (core.rows.get(id), view) {
+                    (Some(r), Some(v)) if now.saturating_duration_since(v.at) < Duration::from_secs(4) => {
+                        (Duration::from_millis(r.silent_ms), r.sick, r.notice)
+                    }
+                    _ => continue,
+                }
+            };
+            let count = silent_by_owner.entry(&owner.name).or_default();
+            count.0 += 1;
+            count.1 += u32::from(quiet >= silent / 2);
+            rows.push((id, &m.value, owner.name.as_str(), quiet, sick, notice));
+        }
+        let idle: HashSet<&String> =
+            core.world.machines.keys().filter(|id| !core.world.on_machine.contains_key(*id)).collect();
+        self.idle_since.retain(|id, _| idle.contains(id));
+        for (id, record, owner, quiet, sick, notice) in rows {
+            // An owner that hears nothing of most of its machines is itself cut
+            // off, most likely: its word takes longer to count.
+            let (all, mute) = silent_by_owner.get(owner).copied().unwrap_or_default();
+            let patience = if all >= 3 && mute * 2 > all { silent * 4 } else { silent };
+            let patience = if notice { patience / 2 } else { patience };
+            if record.release {
+                out.push((id.clone(), "marked"));
+            } else if quiet >= patience {
+                out.push((id.clone(), "silent"));
+            } else if sick {
+                out.push((id.clone(), "sick"));
+            } else if idle.contains(id) {
+                let since = *self.idle_since.entry(id.clone()).or_insert(now);
+                if now.saturating_duration_since(since) >= node.operators.idle {
+                    out.push((id.clone(), "idle"));
+                }
+            }
+        }
+        // Failed by the list, or never come up.
+        let rented: HashSet<&String> = core
+            .world
+            .fleet
+            .iter()
+            .flat_map(|f| f.value.rentals.iter())
+            .filter_map(|r| r.machines.as_ref())
+            .flatten()
+            .collect();
+        for (id, m) in &self.listed {
+            if self.released.contains_key(id) {
+                continue;
+            }
+            let boot = core.world.types.get(&m.machine_type).map_or(60.0, |t| t.boot_s);
+            let known = core.world.machines.contains_key(id);
+            let age = m.age_s + self.listed_at.map_or(0.0, |t| t.elapsed().as_secs_f64());
+            let seen = self.first_seen.get(id).map_or(0.0, |t| t.elapsed().as_secs_f64());
+            if m.status == MachineStatus::Failed {
+                out.push((id.clone(), "failed"));
+            } else if !known && !rented.contains(id) && age > boot * 4.0 + 30.0 && seen > 30.0 {
+                out.push((id.clone(), "never came up"));
+            }
+        }
+        out
+    }
+
+    async fn give_back(&mut self, node: &Node) {
+        let now = Instant::now();
+        let list = {
+            let core = node.core();
+            self.surplus(node, &core, now)
+        };
+        if list.is_empty() {
+            return;
+        }
+        // A mark first, so that no placement chooses the machine meanwhile.
+        let mut marks = Vec::new();
+        let mut ready = Vec::new();
+        {
+            let core = node.core();
+            for (id, why) in list {
+                match core.world.machines.get(&id) {
+                    Some(m) if !m.value.release => marks.push((id, m.clone(), why)),
+                    // Emptied meanwhile, or not worth waiting for.
+                    _ => ready.push(id),
+                }
+            }
+        }
+        marks.truncate(node.settings.facts.state.txn_ops);
+        if !marks.is_empty() {
+            let conditions = marks
+                .iter()
+                .map(|(id, m, _)| Condition { key: key::machine(id), version: m.version })
+                .collect();
+            let puts = marks
+                .iter()
+                .map(|(id, m, _)| {
+                    Put::new(key::machine(id), &MachineRecord { release: true, ..m.value.clone() })
+                })
+                .collect();
+            if !write(node, conditions, puts).await {
+                return;
+            }
+            for (id, _, why) in marks {
+                info!(machine = id, reason = why, "giving the machine back");
+                // A task may have been placed just before the mark.
+                if why != "idle" || !node.core().world.on_machine.contains_key(&id) {
+                    ready.push(id);
+                }
+            }
+        }
+        ready.truncate(RELEASE_MAX);
+        if ready.is_empty() {
+            return;
+        }
+        match node.cloud.release(ready.clone()).await {
+            Ok(()) => {
+                info!(machines = ?ready, "released");
+                for id in &ready {
+                    self.released.insert(id.clone(), now);
+                }
+                self.forget(node, ready).await;
+            }
+            Err(e) => {
+                warn!(error = %e, "a release was not confirmed");
+                sleep(Duration::from_millis(700)).await;
+            }
+        }
+    }
+
+    /// The release is confirmed: whatever was on the machines is gone.
+    async fn forget(&mut self, node: &Node, mut machines: Vec<String>) {
+        let ops = node.settings.facts.state.txn_ops;
+        while !machines.is_empty() {
+            let rest = machines.split_off(machines.len().min(ops));
+            let known: Vec<(String, u64, String)> = {
+                let core = node.core();
+                machines
+                    .iter()
+                    .filter_map(|id| {
+                        core.world.machines.get(id).map(|m| (id.clone(), m.version, m.value.addr.clone()))
+                    })
+                    .collect()
+            };
+            if !known.is_empty() {
+                let conditions =
+                    known.iter().map(|(id, v, _)| Condition { key: key::machine(id), version: *v }).collect();
+                let puts = known.iter().map(|(id, ..)| Put::delete(key::machine(id))).collect();
+                write(node, conditions, puts).await;
+                for (_, _, addr) in &known {
+                    node.http.forget(addr);
+                }
+            }
+            machines = rest;
+        }
+    }
+
+    /// Drops rentals whose machines are all up, and gives up on those that are not.
+    async fn settle_rentals(&mut self, node: &Node) {
+        let now_ms = wall_ms();
+        let (fleet, version, late) = {
+            let core = node.core();
+            let Some(f) = &core.world.fleet else { return };
+            let mut late: Vec<String> = Vec::new();
+            let mut rentals = Vec::new();
+            for r in &f.value.rentals {
+                let boot = core.world.types.get(&r.machine_type).map_or(60.0, |t| t.boot_s);
+                let age = now_ms.saturating_sub(r.asked_ms) as f64 / 1000.0;
+                let mut r = r.clone();
+                if let Some(machines) = &mut r.machines {
+                    machines
+                        .retain(|m| !core.world.machines.contains_key(m) && !self.released.contains_key(m));
+                    if age > boot * 3.0 + 15.0 {
+                        late.append(machines);
+                    }
+                    if machines.is_empty() {
+                        continue;
+                    }
+                } else if age > 30.0 {
+                    // Never answered: whatever comes of it will report by itself.
+                    continue;
+                }
+                rentals.push(r);
+            }
+            if rentals == f.value.rentals && late.is_empty() {
+                return;
+            }
+            (FleetRecord { rentals }, f.version, late)
+        };
+        if !late.is_empty() {
+            if node.cloud.release(late.clone()).await.is_err() {
+                return;
+            }
+            info!(machines = ?late, "released: they never came up");
+            for id in &late {
+                self.released.insert(id.clone(), Instant::now());
+            }
+        }
+        let put = Put::new(key::FLEET.into(), &fleet);
+        write(node, vec![Condition { key: key::FLEET.into(), version }], vec![put]).await;
+    }
+
+    /// What is wanted beyond the room that is there or coming.
+    fn wanted(&self, node: &Node, core: &Core, now: Instant) -> Vec<Offer> {
+        let settled =
+            self.led_since.is_some_and(|t| now.saturating_duration_since(t) > Duration::from_secs(2));
+        if !settled || core.world.types.is_empty() || self.listed_at.is_none() {
+            return Vec::new();
+        }
+        let now_ms = wall_ms();
+        let mut demands = Vec::new();
+        let mut left: HashMap<&str, Amount> = HashMap::new();
+        for id in &core.world.open {
+            let Some(job) = core.world.jobs.get(id).map(|j| j.value.as_ref()) else { continue };
+            let Some(spec) = job.spec.as_deref() else { continue };
+            let waiting = placement::pending_count(job);
+            if waiting == 0 || job.errors >= 3 || now_ms.saturating_sub(job.submitted_ms) < 300 {
+                continue;
+            }
+            let Some(team) = node.team(&spec.team) else { continue };
+            let room = left.entry(&spec.team).or_insert_with(|| {
+                let used = core.world.team_use.get(&spec.team).copied().unwrap_or_default();
+                team.limit().plus(Amount { memory_gb: 0.0, ..used }, -1.0)
+            });
+            let size = Amount { memory_gb: 0.0, ..Amount::of_task(spec) };
+            let tasks = waiting.min(size.times_in(*room));
+            if tasks == 0 {
+                continue;
+            }
+            *room = room.plus(size, -f64::from(tasks));
+            let mut in_zone: HashMap<String, u32> = HashMap::new();
+            for a in &job.run {
+                if let Some(m) = core.world.machines.get(&a.machine) {
+                    *in_zone.entry(m.value.zone.clone()).or_default() += 1;
+                }
+            }
+            demands.push((job, Demand { spec, tasks, in_zone }));
+        }
+        demands.sort_by(|a, b| placement::queue_order((a.0, false), (b.0, false)));
+        let mut coming: Vec<Coming> = Vec::new();
+        let mut counted: BTreeSet<&String> = BTreeSet::new();
+        let full = |t: &str| core.world.types.get(t).map(Amount::of_type).unwrap_or_default();
+        for r in core.world.fleet.iter().flat_map(|f| f.value.rentals.iter()) {
+            let n = match &r.machines {
+                Some(list) => {
+                    counted.extend(list);
+                    list.iter().filter(|m| !core.world.machines.contains_key(*m)).count()
+                }
+                None => r.count as usize,
+            };
+            for _ in 0..n {
+                coming.push(Coming {
+                    machine_type: r.machine_type.clone(),
+                    zone: r.zone.clone(),
+                    spot: r.spot,
+                    free: full(&r.machine_type),
+                });
+            }
+        }
+        for (id, m) in &self.listed {
+            let known = core.world.machines.contains_key(id)
+                || counted.contains(id)
+                || self.released.contains_key(id);
+            if !known && m.status != MachineStatus::Failed {
+                coming.push(Coming {
+                    machine_type: m.machine_type.clone(),
+                    zone: m.zone.clone(),
+                    spot: m.spot,
+                    free: full(&m.machine_type),
+                });
+            }
+        }
+        for (id, m) in &core.world.machines {
+            let report = node.report_every();
+            if m.value.release || !core.usable(id, &node.me, report, now) {
+                continue;
+            }
+            let used = core.world.machine_use.get(id).copied().unwrap_or_default();
+            coming.push(Coming {
+                machine_type: m.value.machine_type.clone(),
+                zone: m.value.zone.clone(),
+                spot: m.value.spot,
+                free: full(&m.value.machine_type).plus(used, -1.0),
+            });
+        }
+        let demands: Vec<Demand> = demands.into_iter().map(|(_, d)| d).collect();
+        plan(&demands, &coming, &core.world.types, |o| self.blocked.get(o).is_some_and(|(t, _)| now < *t), 8)
+    }
+
+    async fn rent(&mut self, node: &Node) {
+        let now = Instant::now();
+        let wanted = {
+            let core = node.core();
+            self.wanted(node, &core, now)
+        };
+        let Some(offer) = wanted.first().cloned() else { return };
+        let count = wanted.iter().filter(|o| **o == offer).count() as u32;
+        self.requests += 1;
+        let request = format!("{}-{:x}-{}", node.me.name, node.me.incarnation, self.requests);
+        let rental = Rental {
+            request: request.clone(),
+            machine_type: offer.machine_type.clone(),
+            zone: offer.zone.clone(),
+            spot: offer.spot,
+            count,
+            asked_ms: wall_ms(),
+            machines: None,
+        };
+        // Recorded first: a successor knows what may still come.
+        if !self.put_rentals(node, |l| l.push(rental.clone())).await {
+            return;
+        }
+        let ask = RentRequest {
+            request: request.clone(),
+            machine_type: offer.machine_type.clone(),
+            zone: offer.zone.clone(),
+            spot: offer.spot,
+            count,
+        };
+        let mut answer = node.cloud.rent(&ask).await;
+        for _ in 0..2 {
+            if !matches!(answer, Err(CloudError::Net(_))) {
+                break;
+            }
+            // The same name again: it cannot rent twice.
+            sleep(Duration::from_millis(500)).await;
+            answer = node.cloud.rent(&ask).await;
+        }
+        match answer {
+            Ok(machines) => {
+                info!(
+                    request,
+                    kind = offer.machine_type,
+                    zone = offer.zone,
+                    spot = offer.spot,
+                    ?machines,
+                    "rented"
+                );
+                if (machines.len() as u32) < count {
+                    self.block(offer, now);
+                } else {
+                    self.blocked.remove(&offer);
+                }
+                self.put_rentals(node, |l| {
+                    if let Some(r) = l.iter_mut().find(|r| r.request == request) {
+                        r.machines = Some(machines.clone());
+                    }
+                })
+                .await;
+            }
+            Err(e) => {
+                debug!(request, kind = offer.machine_type, zone = offer.zone, spot = offer.spot, error = %e, "not rented");
+                let sure = !matches!(e, CloudError::Net(_) | CloudError::Answer(_));
+                if matches!(e, CloudError::NoCapacity) {
+                    self.block(offer, now);
+                } else {
+                    sleep(Duration::from_secs(1)).await;
+                }
+                if sure {
+                    self.put_rentals(node, |l| l.retain(|r| r.request != request)).await;
+                }
+            }
+        }
+    }
+
+    /// No capacity: ask again later, and ever later.
+    fn block(&mut self, offer: Offer, now: Instant) {
+        let pause = self
+            .blocked
+            .get(&offer)
+            .map_or(Duration::from_secs(8), |(_, p)| (*p * 2).min(Duration::from_secs(30)));
+        self.blocked.insert(offer, (now + pause, pause));
+    }
+
+    async fn put_rentals(&self, node: &Node, change: impl Fn(&mut Vec<Rental>)) -> bool {
+        for _ in 0..3 {
+            let (mut fleet, version) = {
+                let core = node.core();
+                core.world
+                    .fleet
+                    .as_ref()
+                    .map_or((FleetRecord::default(), 0), |f| (f.value.clone(), f.version))
+            };
+            change(&mut fleet.rentals);
+            let put = Put::new(key::FLEET.into(), &fleet);
+            if write(node, vec![Condition { key: key::FLEET.into(), version }], vec![put]).await {
+                return true;
+            }
+            if !node.core().leads(&node.me) {
+                return false;
+            }
+        }
+        false
+    }
+}
+
+/// Writes as the leader: nothing is written once the map has changed.
+async fn write(node: &Node, mut conditions: Vec<Condition>, puts: Vec<Put>) -> bool {
+    {
+        let core = node.core();
+        let Some(map) = core.world.map.as_ref().filter(|_| core.leads(&node.me)) else { return false };
+        conditions.push(Condition { key: key::MAP.into(), version: map.version });
+    }
+    node.may_write(puts.len(), 1.0).await;
+    match node.state.txn(conditions, puts).await {
+        Ok(Outcome::Committed { revision }) => node.reach(revision, Duration::from_secs(2)).await,
+        Ok(Outcome::Conflict { revision, .. }) => {
+            node.reach(revision, Duration::from_secs(2)).await;
+            false
+        }
+        Err(e) => {
+            debug!(error = %e, "not written");
+            if matches!(e, store::StoreError::Rate) {
+                node.core().writes.drained(Instant::now());
+            }
+            sleep(Duration::from_millis(200)).await;
+            false
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gossip.rs
@@ -0,0 +1,114 @@
+//! Free-room summaries among the controllers, and relayed reports.
+
+use std::time::{Duration, Instant};
+
+use net::{Reply, Request};
+use peer::{MachineRow, Message, Summary};
+use tokio::time::timeout;
+
+use crate::front;
+use crate::node::{Node, PeerView};
+
+const LARGE: usize = 1 << 20;
+
+fn summary(node: &Node) -> Summary {
+    let core = node.core();
+    let now = Instant::now();
+    let ms = |d: Duration| d.as_millis() as u64;
+    let report = node.report_every();
+    let machines = core
+        .workers
+        .iter()
+        .filter_map(|(id, w)| {
+            let record = core.world.machines.get(id)?;
+            let kind = core.world.types.get(&record.value.machine_type)?;
+            let used = core.world.machine_use.get(id).copied().unwrap_or_default();
+            Some(MachineRow {
+                id: id.clone(),
+                usable: core.usable(id, &node.me, report, now),
+                silent_ms: ms(w.silent_for(now)),
+                free_cpus: kind.cpus - used.cpus,
+                free_gpus: kind.gpus - used.gpus,
+                free_memory_gb: kind.memory_gb - used.memory_gb,
+                sick: w.sick(),
+                notice: w.notice_until.is_some(),
+            })
+        })
+        .collect();
+    Summary {
+        name: node.me.name.clone(),
+        incarnation: node.me.incarnation,
+        epoch: core.map().map_or(0, |m| m.epoch),
+        state_silent_ms: core.fresh_at.map_or(u64::MAX, |f| ms(now.saturating_duration_since(f))),
+        machines,
+    }
+}
+
+fn take(node: &Node, summary: Summary) {
+    let mut core = node.core();
+    if !node.settings.peers.iter().any(|p| p.node_name == summary.name) {
+        return;
+    }
+    for row in &summary.machines {
+        core.rows.insert(row.id.clone(), row.clone());
+    }
+    let known = |id: &String| core.world.machines.contains_key(id);
+    let gone: Vec<String> = core.rows.keys().filter(|id| !known(id)).cloned().collect();
+    for id in gone {
+        core.rows.remove(&id);
+    }
+    core.peers.insert(summary.name.clone(), PeerView { summary, at: Instant::now() });
+}
+
+/// Tells one peer about this controller's machines, and hears of its own.
+pub async fn tell(node: Node, address: String) {
+    loop {
+        let body = peer::encode(&Message::Summary(summary(&node)));
+        let answer =
+            node.http.request(&address, "POST", "/peer", body, LARGE, Duration::from_millis(900)).await;
+        if let Ok(answer) = answer
+            && let Some(Message::Summary(s)) = peer::decode(&answer.body)
+        {
+            take(&node, s);
+        }
+        let _ = timeout(Duration::from_millis(1000), node.gossip.notified()).await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
+/// Passes a worker's report on to the machine's owner.
+pub async fn relay(node: &Node, owner: &str, report: Vec<u8>) -> Option<Reply> {
+    let peer = node.settings.peers.iter().find(|p| p.node_name == owner)?;
+    let body = peer::encode(&Message::Relay(peer::Relay { report }));
+    let answer = node
+        .http
+        .request(&peer.address, "POST", "/peer", body, LARGE, Duration::from_millis(2000))
+        .await
+        .ok()?;
+    match peer::decode(&answer.body) {
+        Some(Message::Relayed { status: 200, body }) => Some(Reply { status: 200, body, retry_after: None }),
+        _ => None,
+    }
+}
+
+/// Serves the peers.
+pub async fn serve(node: Node, request: Request) -> Reply {
+    if request.path != "/peer" {
+        return Reply::error(404, "unknown path");
+    }
+    if request.method != "POST" {
+        return Reply::error(405, "POST only");
+    }
+    let answer = match peer::decode(&request.body) {
+        Some(Message::Summary(s)) => {
+            take(&node, s);
+            Message::Summary(summary(&node))
+        }
+        Some(Message::Relay(r)) => {
+            let reply = front::report(&node, &r.report, true).await;
+            Message::Relayed { status: reply.status, body: reply.body }
+        }
+        _ => return Reply::error(400, "not a message between controllers"),
+    };
+    Reply { status: 200, body: peer::encode(&answer), retry_after: None }
+}
--- /dev/null
+++ b/crates/daemon/src/node.rs
@@ -0,0 +1,251 @@
+//! What the duties of one controller share.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use cloud::CloudClient;
+use net::Client;
+use peer::{MachineRow, Summary};
+use sched::records::{MapRecord, Member};
+use sched::world::{Team, World};
+use store::{Budget, StateClient};
+use tokio::sync::{Notify, watch};
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::settings::{Operators, Settings};
+use crate::worker::Worker;
+
+/// How long a controller may be out of touch before it is no longer live.
+pub const MEMBER_TTL: Duration = Duration::from_secs(4);
+/// How old a peer's summary may be to say anything about its sender.
+const SUMMARY_FRESH: Duration = Duration::from_millis(2500);
+
+#[derive(Clone)]
+pub struct Node(Arc<Inner>);
+
+pub struct Inner {
+    pub settings: Settings,
+    pub operators: Operators,
+    pub teams: Vec<Team>,
+    pub me: Member,
+    pub state: StateClient,
+    pub cloud: CloudClient,
+    pub http: Client,
+    core: Mutex<Core>,
+    /// Something changed that a round of decisions should look at.
+    pub kick: Notify,
+    /// A free-room summary is worth sending now.
+    pub gossip: Notify,
+    pub rewatch: Notify,
+    /// The mirror's revision.
+    pub revision: watch::Sender<u64>,
+    pub verify: Notify,
+    /// Number of the last freshness request that was answered.
+    pub verified: watch::Sender<u64>,
+    pub stop: CancellationToken,
+    pub tasks: TaskTracker,
+}
+
+impl std::ops::Deref for Node {
+    type Target = Inner;
+    fn deref(&self) -> &Inner {
+        &self.0
+    }
+}
+
+pub struct PeerView {
+    pub summary: Summary,
+    pub at: Instant,
+}
+
+pub struct Core {
+    pub world: World,
+    /// The records have been read at least once.
+    pub ready: bool,
+    pub workers: HashMap<String, Worker>,
+    pub peers: HashMap<String, PeerView>,
+    /// What peers last said of their machines.
+    pub rows: HashMap<String, MachineRow>,
+    /// When the last request was sent after which the mirror was known fresh.
+    pub fresh_at: Option<Instant>,
+    pub asked: u64,
+    pub lease: Option<u64>,
+    pub writes: Budget,
+    /// Reports that came to this controller for other owners' machines.
+    pub misdirected: HashMap<String, Instant>,
+    /// Jobs pending here since, to tell when the part is too small for them.
+    pub pending_since: HashMap<String, Instant>,
+    pub preempted_at: HashMap<String, Instant>,
+}
+
+impl Node {
+    pub fn new(settings: Settings, operators: Operators, incarnation: u64) -> Self {
+        let http = Client::new();
+        let now = Instant::now();
+        let per_s = settings.facts.state.write_rps;
+        let core = Core {
+            world: World::default(),
+            ready: false,
+            workers: HashMap::new(),
+            peers: HashMap::new(),
+            rows: HashMap::new(),
+            fresh_at: None,
+            asked: 0,
+            lease: None,
+            writes: Budget::new(per_s * 0.5, per_s * 0.5, now),
+            misdirected: HashMap::new(),
+            pending_since: HashMap::new(),
+            preempted_at: HashMap::new(),
+        };
+        Self(Arc::new(Inner {
+            teams: settings.teams(),
+            me: Member { name: settings.node_name.clone(), zone: settings.zone.clone(), incarnation },
+            state: StateClient::new(http.clone(), settings.external.state.clone()),
+            cloud: CloudClient::new(http.clone(), settings.external.cloud.clone()),
+            http,
+            core: Mutex::new(core),
+            kick: Notify::new(),
+            gossip: Notify::new(),
+            rewatch: Notify::new(),
+            revision: watch::Sender::new(0),
+            verify: Notify::new(),
+            verified: watch::Sender::new(0),
+            stop: CancellationToken::new(),
+            tasks: TaskTracker::new(),
+            settings,
+            operators,
+        }))
+    }
+
+    /// Starts a duty that ends when the controller stops.
+    pub fn spawn_duty<F>(&self, duty: F)
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        let stop = self.stop.clone();
+        self.tasks.spawn(async move {
+            tokio::select! {
+                _ = stop.cancelled() => {}
+                _ = duty => {}
+            }
+        });
+    }
+}
+
+impl Inner {
+    pub fn core(&self) -> MutexGuard<'_, Core> {
+        self.core.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Waits until the mirror has reached a revision.
+    pub async fn reach(&self, revision: u64, patience: Duration) -> bool {
+        let mut seen = self.revision.subscribe();
+        timeout(patience, seen.wait_for(|r| *r >= revision)).await.is_ok_and(|r| r.is_ok())
+    }
+
+    /// Waits for a check, begun after this call, that the mirror is fresh.
+    pub async fn fresh(&self) -> bool {
+        let mine = {
+            let mut core = self.core();
+            core.asked += 1;
+            core.asked
+        };
+        self.verify.notify_one();
+        let mut verified = self.verified.subscribe();
+        timeout(Duration::from_millis(1600), verified.wait_for(|v| *v >= mine)).await.is_ok_and(|r| r.is_ok())
+    }
+
+    /// Waits until `n` changes may be written, leaving `reserve` for others.
+    pub async fn may_write(&self, n: usize, reserve: f64) {
+        let wait = self.core().writes.take(n as f64, reserve, Instant::now());
+        if !wait.is_zero() {
+            tokio::time::sleep(wait).await;
+        }
+    }
+
+    pub fn team(&self, name: &str) -> Option<&Team> {
+        self.teams.iter().find(|t| t.name == name)
+    }
+
+    /// Silence after which a machine counts as lost and is given back.
+    pub fn silent_limit(&self) -> Duration {
+        let w = &self.settings.facts.workers;
+        self.operators.silent.unwrap_or(Duration::from_secs_f64((4.0 * w.report_s).max(8.0)))
+    }
+
+    pub fn report_every(&self) -> Duration {
+        Duration::from_secs_f64(self.settings.facts.workers.report_s)
+    }
+
+    /// Most assignments that one job's record holds within a value's size.
+    pub fn run_max(&self) -> usize {
+        ((self.settings.facts.state.value_kb * 1024.0 - 2500.0) / 34.0).max(8.0) as usize
+    }
+}
+
+impl Core {
+    pub fn map(&self) -> Option<&MapRecord> {
+        self.world.map_record()
+    }
+
+    /// Whether the newest known map names this very process.
+    pub fn in_map(&self, me: &Member) -> bool {
+        self.ready && self.map().is_some_and(|m| m.holds(&me.name, me.incarnation))
+    }
+
+    pub fn leads(&self, me: &Member) -> bool {
+        self.in_map(me) && self.world.leader.as_ref().is_some_and(|l| l.value == *me)
+    }
+
+    /// Whether reports may be answered, which renews leases. Beyond the bound
+    /// this takes every peer's word that it has no state service either: then
+    /// no cancellation can have been accepted that this controller missed.
+    pub fn may_renew(&self, me: &Member, peers: usize, bound: Duration, now: Instant) -> bool {
+        let Some(map) = self.map() else { return false };
+        if !self.in_map(me) {
+            return false;
+        }
+        let ousted = |p: &PeerView| p.summary.epoch > map.epoch;
+        if self.peers.values().any(ousted) {
+            return false;
+        }
+        if self.fresh_at.is_some_and(|f| now.saturating_duration_since(f) < bound) {
+            return true;
+        }
+        let out = |p: &&PeerView| {
+            now.saturating_duration_since(p.at) < SUMMARY_FRESH && p.summary.state_silent_ms > 2500
+        };
+        peers > 0 && self.peers.values().filter(out).count() == peers
+    }
+
+    /// Whether some peer has the state service while this controller has not.
+    pub fn alone_without_state(&self, now: Instant) -> bool {
+        let silent =
+            self.fresh_at.is_none_or(|f| now.saturating_duration_since(f) > Duration::from_millis(2500));
+        silent
+            && self.peers.values().any(|p| {
+                now.saturating_duration_since(p.at) < SUMMARY_FRESH && p.summary.state_silent_ms < 2500
+            })
+    }
+
+    /// Whether placement may use a machine, by its owner's word.
+    pub fn usable(&self, machine: &str, me: &Member, report: Duration, now: Instant) -> bool {
+        match self.world.owner_of(machine) {
+            Some(owner) if owner == me => self.workers.get(machine).is_some_and(|w| {
+                w.heard.is_some()
+                    && w.silent_for(now) < report * 5 / 2
+                    && w.notice_until.is_none()
+                    && !w.sick()
+            }),
+            Some(_) => self.rows.get(machine).is_none_or(|r| r.usable),
+            None => false,
+        }
+    }
+}
+
+pub fn wall_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
+}
--- /dev/null
+++ b/crates/daemon/src/settings.rs
@@ -0,0 +1,393 @@
+//! The platform's settings (TOML) and the operators' own (HCL).
+
+use std::path::Path;
+use std::time::Duration;
+
+use sched::rescheduler::Policy;
+use sched::world::Team;
+use serde::Deserialize;
+
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    #[error("{0}: {1}")]
+    Read(String, std::io::Error),
+    #[error("{file}: {why}")]
+    Parse { file: String, why: String },
+    #[error("{file}: {field}: {why}")]
+    Field { file: String, field: String, why: String },
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Settings {
+    pub node_name: String,
+    pub zone: String,
+    pub front: String,
+    pub internal_addr: String,
+    #[serde(default)]
+    pub peers: Vec<Peer>,
+    pub external: External,
+    pub facts: Facts,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Peer {
+    pub node_name: String,
+    #[serde(default)]
+    pub zone: String,
+    pub address: String,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct External {
+    pub cloud: String,
+    pub state: String,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Facts {
+    #[serde(default)]
+    pub time_bound_ms: f64,
+    #[serde(default)]
+    pub teams: Vec<TeamSettings>,
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
+    pub workers: Workers,
+    pub state: State,
+    pub cloud: Cloud,
+    pub limits: Limits,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct TeamSettings {
+    pub name: String,
+    #[serde(default)]
+    pub cpus: f64,
+    #[serde(default)]
+    pub cpus_max: f64,
+    #[serde(default)]
+    pub gpus: f64,
+    #[serde(default)]
+    pub gpus_max: f64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Objective {
+    pub kind: String,
+    #[serde(default)]
+    pub class: Option<String>,
+    #[serde(default)]
+    pub within_s: Option<f64>,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Workers {
+    pub report_s: f64,
+    pub lease_s: f64,
+    #[serde(default)]
+    pub gang_wait_s: f64,
+    pub gang_peer_s: f64,
+    pub cancel_s: f64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct State {
+    pub rps: f64,
+    pub write_rps: f64,
+    pub value_kb: f64,
+    pub txn_ops: usize,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Cloud {
+    pub rps: f64,
+    pub list_lag_s: f64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Limits {
+    pub cores: f64,
+    pub memory_mb: f64,
+    pub max_connections: usize,
+}
+
+fn read(path: &Path) -> Result<(String, String), SettingsError> {
+    let file = path.display().to_string();
+    let text = std::fs::read_to_string(path).map_err(|e| SettingsError::Read(file.clone(), e))?;
+    Ok((file, text))
+}
+
+/// Keeps an error message on one line.
+fn one_line(text: &str) -> String {
+    text.split_whitespace().collect::<Vec<_>>().join(" ")
+}
+
+impl Settings {
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let (file, text) = read(path)?;
+        Self::parse(&file, &text)
+    }
+
+    pub fn parse(file: &str, text: &str) -> Result<Self, SettingsError> {
+        let settings: Self = toml::from_str(text).map_err(|e| SettingsError::Parse {
+            file: file.to_owned(),
+            why: match e.span() {
+                Some(span) => {
+                    let line = text[..span.start.min(text.len())].matches('\n').count() + 1;
+                    let near = text.lines().nth(line - 1).unwrap_or_default().trim();
+                    format!("line {line} (\"{near}\"): {}", one_line(e.message()))
+                }
+                None => one_line(e.message()),
+            },
+        })?;
+        settings.check(file)?;
+        Ok(settings)
+    }
+
+    fn check(&self, file: &str) -> Result<(), SettingsError> {
+        let bad = |field: &str, why: &str| {
+            Err(SettingsError::Field { file: file.to_owned(), field: field.to_owned(), why: why.to_owned() })
+        };
+        let addresses = [
+            ("front", &self.front),
+            ("internal_addr", &self.internal_addr),
+            ("external.cloud", &self.external.cloud),
+            ("external.state", &self.external.state),
+        ];
+        for (field, addr) in
+            addresses.into_iter().chain(self.peers.iter().map(|p| ("peers.address", &p.address)))
+        {
+            if addr.parse::<std::net::SocketAddr>().is_err() {
+                return bad(field, "must be an IP address and a port");
+            }
+        }
+        if self.node_name.is_empty() || self.node_name.contains(char::is_whitespace) {
+            return bad("node_name", "must be a name without spaces");
+        }
+        let f = &self.facts;
+        let positive = [
+            ("facts.workers.report_s", f.workers.report_s),
+            ("facts.workers.lease_s", f.workers.lease_s),
+            ("facts.workers.cancel_s", f.workers.cancel_s),
+            ("facts.state.rps", f.state.rps),
+            ("facts.state.write_rps", f.state.write_rps),
+            ("facts.state.value_kb", f.state.value_kb),
+            ("facts.cloud.rps", f.cloud.rps),
+            ("facts.limits.cores", f.limits.cores),
+            ("facts.limits.memory_mb", f.limits.memory_mb),
+        ];
+        for (field, value) in positive {
+            if !value.is_finite() || value <= 0.0 || value > 1e9 {
+                return bad(field, "must be a number above 0");
+            }
+        }
+        let not_negative = [
+            ("facts.workers.gang_wait_s", f.workers.gang_wait_s),
+            ("facts.workers.gang_peer_s", f.workers.gang_peer_s),
+            ("facts.cloud.list_lag_s", f.cloud.list_lag_s),
+            ("facts.time_bound_ms", f.time_bound_ms),
+        ];
+        let teams = f.teams.iter().flat_map(|t| [t.cpus, t.cpus_max, t.gpus, t.gpus_max]);
+        for (field, value) in not_negative.into_iter().chain(teams.map(|v| ("facts.teams", v))) {
+            if !value.is_finite() || !(0.0..=1e9).contains(&value) {
+                return bad(field, "must be a number of 0 or more");
+            }
+        }
+        if f.state.txn_ops < 2 {
+            return bad("facts.state.txn_ops", "must be at least 2");
+        }
+        if f.state.value_kb < 4.0 {
+            return bad("facts.state.value_kb", "must be at least 4");
+        }
+        if f.limits.max_connections < 64 {
+            return bad("facts.limits.max_connections", "must be at least 64");
+        }
+        Ok(())
+    }
+
+    pub fn teams(&self) -> Vec<Team> {
+        let team = |t: &TeamSettings| Team {
+            name: t.name.clone(),
+            cpus: t.cpus,
+            cpus_max: t.cpus_max,
+            gpus: t.gpus,
+            gpus_max: t.gpus_max,
+        };
+        self.facts.teams.iter().map(team).collect()
+    }
+
+    /// How long a controller that cannot confirm its authority still answers
+    /// reports. Everything it renews until then is over before a cancellation
+    /// that it cannot know of must have taken effect.
+    pub fn renewal_bound(&self) -> Duration {
+        let w = &self.facts.workers;
+        Duration::from_secs_f64((w.cancel_s - w.lease_s * 1.001 - 5.0).max(1.0))
+    }
+}
+
+/// The operators' own settings. Every attribute has a default.
+#[derive(Debug, Clone, PartialEq, Deserialize, Default)]
+#[serde(deny_unknown_fields, default)]
+struct HclFile {
+    rescheduler: HclRescheduler,
+    fleet: HclFleet,
+}
+
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct HclRescheduler {
+    scan_s: f64,
+    threshold: f64,
+    budget_s: f64,
+    avoid_s: f64,
+}
+
+impl Default for HclRescheduler {
+    fn default() -> Self {
+        Self { scan_s: 10.0, threshold: 0.3, budget_s: 60.0, avoid_s: 300.0 }
+    }
+}
+
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct HclFleet {
+    idle_s: f64,
+    silent_s: Option<f64>,
+}
+
+impl Default for HclFleet {
+    fn default() -> Self {
+        Self { idle_s: 20.0, silent_s: None }
+    }
+}
+
+/// Checked operators' settings.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Operators {
+    pub rescheduler: Policy,
+    /// An idle machine is given back after this long.
+    pub idle: Duration,
+    /// A machine that is silent for this long is given back; None: by the settings.
+    pub silent: Option<Duration>,
+}
+
+impl Default for Operators {
+    fn default() -> Self {
+        Self {
+            rescheduler: Policy::default(),
+            idle: Duration::from_secs_f64(HclFleet::default().idle_s),
+            silent: None,
+        }
+    }
+}
+
+impl Operators {
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let (file, text) = read(path)?;
+        Self::parse(&file, &text)
+    }
+
+    pub fn parse(file: &str, text: &str) -> Result<Self, SettingsError> {
+        let f: HclFile = hcl::from_str(text)
+            .map_err(|e| SettingsError::Parse { file: file.to_owned(), why: one_line(&e.to_string()) })?;
+        let fields = [
+            ("rescheduler.scan_s", f.rescheduler.scan_s, 1.0),
+            ("rescheduler.threshold", f.rescheduler.threshold, 0.0),
+            ("rescheduler.budget_s", f.rescheduler.budget_s, 1.0),
+            ("rescheduler.avoid_s", f.rescheduler.avoid_s, 0.0),
+            ("fleet.idle_s", f.fleet.idle_s, 0.0),
+            ("fleet.silent_s", f.fleet.silent_s.unwrap_or(10.0), 1.0),
+        ];
+        for (field, value, least) in fields {
+            if !value.is_finite() || !(least..=1e7).contains(&value) {
+                return Err(SettingsError::Field {
+                    file: file.to_owned(),
+                    field: field.to_owned(),
+                    why: format!("must be a number of {least} or more"),
+                });
+            }
+        }
+        let seconds = Duration::from_secs_f64;
+        Ok(Self {
+            rescheduler: Policy {
+                scan: seconds(f.rescheduler.scan_s),
+                threshold: f.rescheduler.threshold,
+                budget: seconds(f.rescheduler.budget_s),
+                avoid: seconds(f.rescheduler.avoid_s),
+            },
+            idle: seconds(f.fleet.idle_s),
+            silent: f.fleet.silent_s.map(seconds),
+        })
+    }
+}
+
+#[cfg(test)]
+pub(crate) mod tests {
+    use super::*;
+
+    pub const EXAMPLE: &str = r#"
+        node_name = "n-0"
+        zone = "a"
+        front = "127.0.0.1:8080"
+        internal_addr = "127.0.0.1:8081"
+        unknown = 1
+        [external]
+        cloud = "127.0.0.1:1"
+        state = "127.0.0.1:2"
+        [facts]
+        size = 1
+        [[facts.teams]]
+        name = "t"
+        cpus = 4.0
+        cpus_max = 8.0
+        [facts.workers]
+        report_s = 3.0
+        lease_s = 24.0
+        gang_peer_s = 5.0
+        cancel_s = 44.0
+        [facts.state]
+        rps = 80.0
+        write_rps = 30.0
+        value_kb = 8.0
+        txn_ops = 16
+        [facts.cloud]
+        rps = 4.0
+        list_lag_s = 10.0
+        [facts.limits]
+        cores = 0.08
+        memory_mb = 104.0
+        max_connections = 1800
+    "#;
+
+    #[test]
+    fn settings_errors_name_file_and_field() {
+        assert!(Settings::parse("s.toml", EXAMPLE).is_ok());
+        for (from, to, field) in [
+            ("rps = 80.0", "rps = -1.0", "facts.state.rps"),
+            ("lease_s = 24.0", "lease_s = \"x\"", "lease_s"),
+            ("lease_s = 24.0", "", "lease_s"),
+            ("127.0.0.1:8080", "nowhere", "front"),
+            ("cpus = 4.0", "cpus = -4.0", "facts.teams"),
+        ] {
+            let message = Settings::parse("s.toml", &EXAMPLE.replacen(from, to, 1))
+                .map(|_| ())
+                .expect_err(from)
+                .to_string();
+            assert!(message.starts_with("s.toml: ") && message.contains(field), "{message}");
+            assert!(!message.contains('\n'), "{message}");
+        }
+    }
+
+    #[test]
+    fn operators_settings_are_checked() {
+        assert_eq!(Operators::parse("o.hcl", "").expect("empty is fine"), Operators::default());
+        let some = Operators::parse("o.hcl", "rescheduler {\n threshold = 0.4\n}\nfleet {\n idle_s = 5\n}\n")
+            .expect("valid");
+        assert_eq!((some.rescheduler.threshold, some.idle), (0.4, Duration::from_secs(5)));
+        for text in
+            ["rescheduler { treshold = 1 }", "rescheduler { scan_s = 0 }", "fleet {", "fleet { idle_s = -1 }"]
+        {
+            let message = Operators::parse("o.hcl", text).expect_err(text).to_string();
+            assert!(message.starts_with("o.hcl: ") && !message.contains('\n'), "{message}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/state_duty.rs
@@ -0,0 +1,293 @@
+//! Dealings with the state service: mirror, freshness, membership, leadership.
+
+use std::time::{Duration, Instant};
+
+use sched::records::{MapRecord, Member};
+use sched::world::World;
+use store::{Outcome, Put, StoreError, decode_change, key};
+use tokio::time::{sleep, timeout};
+use tracing::{debug, info, warn};
+use wire::Condition;
+
+use crate::node::{MEMBER_TTL, Node};
+
+const WATCH: Duration = Duration::from_secs(8);
+const RETRY: Duration = Duration::from_millis(250);
+
+/// Keeps the mirror: reads all records once, then follows the changes.
+pub async fn mirror(node: Node) {
+    let mut failing = false;
+    loop {
+        let ready = node.core().ready;
+        let step = if ready { follow(&node).await } else { read_all(&node).await };
+        match step {
+            Ok(()) => failing = false,
+            Err(StoreError::TooOld) => {
+                info!("changes are too far back; reading all records again");
+                node.core().ready = false;
+            }
+            Err(e) => {
+                if !failing {
+                    warn!(error = %e, "no news from the state service");
+                }
+                failing = true;
+                sleep(RETRY).await;
+            }
+        }
+    }
+}
+
+async fn read_all(node: &Node) -> Result<(), StoreError> {
+    let mut world = World::default();
+    let mut after: Option<String> = None;
+    loop {
+        let page = node.state.list(after.as_deref()).await?;
+        if after.is_none() {
+            // Changes since the first page are followed from here, even if a
+            // later page shows them already.
+            world.revision = page.revision;
+        }
+        after = page.items.last().map(|i| i.key.clone());
+        // Machines and types come before jobs need them.
+        let mut decoded: Vec<_> =
+            page.items.into_iter().map(|i| (decode_change(&i.key, Some(i.value)), i.version)).collect();
+        decoded.sort_by_key(|((c, _), _)| matches!(c, sched::world::Change::Job(..)));
+        for ((change, bad), version) in decoded {
+            if bad {
+                warn!("a record could not be read");
+            }
+            world.apply(change, version);
+        }
+        if !page.more || after.is_none() {
+            break;
+        }
+    }
+    let revision = world.revision;
+    let (jobs, machines) = (world.jobs.len(), world.machines.len());
+    {
+        let mut core = node.core();
+        core.world = world;
+        core.ready = true;
+    }
+    info!(revision, jobs, machines, "records read");
+    node.revision.send_replace(revision);
+    node.kick.notify_one();
+    Ok(())
+}
+
+async fn follow(node: &Node) -> Result<(), StoreError> {
+    let after = node.core().world.revision;
+    let changes = tokio::select! {
+        c = node.state.watch(after, WATCH) => c?,
+        _ = node.rewatch.notified() => return Ok(()),
+    };
+    let map_before = node.core().map().map(|m| m.epoch);
+    {
+        let mut core = node.core();
+        for e in changes.events {
+            let (Some(k), value) = (match (&e.put, &e.delete) {
+                (Some(k), _) => (Some(k.clone()), e.value),
+                (None, Some(k)) => (Some(k.clone()), None),
+                _ => (None, None),
+            }) else {
+                continue;
+            };
+            let (change, bad) = decode_change(&k, value);
+            if bad {
+                warn!(key = k, "a record could not be read");
+            }
+            core.world.apply(change, e.version);
+        }
+        core.world.revision = changes.revision.max(after);
+        let revision = core.world.revision;
+        node.revision.send_replace(revision);
+        if core.map().map(|m| m.epoch) != map_before {
+            let (epoch, live) = core.map().map_or((0, 0), |m| (m.epoch, m.live.len()));
+            info!(epoch, live, entitled = core.in_map(&node.me), "new map");
+        }
+    }
+    node.kick.notify_one();
+    Ok(())
+}
+
+/// Answers freshness requests, all that wait with one check, and makes one a
+/// second by itself.
+pub async fn verifier(node: Node) {
+    let pause = Duration::from_secs_f64((8.0 / node.settings.facts.state.rps).clamp(0.02, 0.2));
+    let mut failing = false;
+    loop {
+        let _ = timeout(Duration::from_secs(1), node.verify.notified()).await;
+        let (asked, ready) = {
+            let core = node.core();
+            (core.asked, core.ready)
+        };
+        if !ready {
+            sleep(RETRY).await;
+            continue;
+        }
+        let sent = Instant::now();
+        // Compares a key with an impossible version: a conflict is as good.
+        let compare = vec![Condition { key: key::MAP.into(), version: 0 }];
+        let result = timeout(Duration::from_millis(1500), node.state.txn(compare, Vec::new())).await;
+        let revision = match result {
+            Ok(Ok(Outcome::Committed { revision } | Outcome::Conflict { revision, .. })) => revision,
+            Ok(Err(e)) => {
+                if !failing {
+                    warn!(error = %e, "the state service does not answer");
+                }
+                failing = true;
+                sleep(RETRY).await;
+                continue;
+            }
+            Err(_) => {
+                failing = true;
+                continue;
+            }
+        };
+        if failing {
+            info!("the state service answers again");
+        }
+        failing = false;
+        if node.reach(revision, Duration::from_millis(1500)).await {
+            node.core().fresh_at = Some(sent);
+            node.verified.send_replace(asked);
+        } else {
+            debug!(revision, "the watch lags; opening it again");
+            node.rewatch.notify_one();
+        }
+        sleep(pause).await;
+    }
+}
+
+/// Keeps this controller among the members, and leads when nobody does.
+pub async fn membership(node: Node) {
+    let mut touched = Instant::now();
+    loop {
+        let lease = node.core().lease;
+        let kept = match lease {
+            Some(lease) if touched.elapsed() >= MEMBER_TTL / 4 => {
+                touched = Instant::now();
+                node.state.touch(lease).await
+            }
+            Some(_) => Ok(()),
+            None => {
+                touched = Instant::now();
+                match node.state.new_lease(MEMBER_TTL).await {
+                    Ok(lease) => {
+                        node.core().lease = Some(lease);
+                        Ok(())
+                    }
+                    Err(e) => Err(e),
+                }
+            }
+        };
+        if let Err(StoreError::NoLease) = kept {
+            info!("this controller's lease has run out");
+            node.core().lease = None;
+        } else if kept.is_ok() {
+            let lease = node.core().lease;
+            if let Some(lease) = lease
+                && let Err(StoreError::NoLease) = claim(&node, lease).await
+            {
+                node.core().lease = None;
+            }
+        }
+        let moved = async {
+            let mut r = node.revision.subscribe();
+            let _ = r.changed().await;
+        };
+        let _ = timeout(Duration::from_millis(400), moved).await;
+        sleep(Duration::from_millis(40)).await;
+    }
+}
+
+enum Claim {
+    Member,
+    Leader(u64),
+    Map(MapRecord, u64, u64),
+}
+
+/// What this controller should write now for membership and leadership.
+fn next_claim(world: &World, me: &Member) -> Option<Claim> {
+    if world.members.get(&me.name).is_none_or(|m| m.value != *me) {
+        return Some(Claim::Member);
+    }
+    let leader = match &world.leader {
+        None => return Some(Claim::Leader(0)),
+        // An earlier process of this controller led; it is gone.
+        Some(l) if l.value.name == me.name && l.value != *me => return Some(Claim::Leader(l.version)),
+        Some(l) if l.value == *me => l,
+        Some(_) => return None,
+    };
+    let live: Vec<Member> = world.members.values().map(|m| m.value.clone()).collect();
+    let (old, version) =
+        world.map.as_ref().map_or((MapRecord::default(), 0), |m| (m.value.clone(), m.version));
+    (old.live != live).then(|| Claim::Map(MapRecord { epoch: old.epoch + 1, live }, version, leader.version))
+}
+
+async fn claim(node: &Node, lease: u64) -> Result<(), StoreError> {
+    let claim = {
+        let core = node.core();
+        if !core.ready {
+            return Ok(());
+        }
+        next_claim(&core.world, &node.me)
+    };
+    let (conditions, put) = match claim {
+        None => return Ok(()),
+        Some(Claim::Member) => {
+            info!(incarnation = node.me.incarnation, "joining the members");
+            (vec![], Put::leased(key::member(&node.me.name), &node.me, lease))
+        }
+        Some(Claim::Leader(version)) => (
+            vec![Condition { key: key::LEADER.into(), version }],
+            Put::leased(key::LEADER.into(), &node.me, lease),
+        ),
+        Some(Claim::Map(map, version, leader)) => {
+            info!(epoch = map.epoch, live = map.live.len(), "writing a new map");
+            let conditions = vec![
+                Condition { key: key::MAP.into(), version },
+                Condition { key: key::LEADER.into(), version: leader },
+            ];
+            (conditions, Put::new(key::MAP.into(), &map))
+        }
+    };
+    node.may_write(1, 0.0).await;
+    match node.state.txn(conditions, vec![put]).await? {
+        Outcome::Committed { revision } | Outcome::Conflict { revision, .. } => {
+            node.reach(revision, Duration::from_secs(2)).await;
+        }
+    }
+    Ok(())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use sched::world::Change;
+
+    fn member(name: &str, incarnation: u64) -> Member {
+        Member { name: name.into(), zone: "z".into(), incarnation }
+    }
+
+    #[test]
+    fn a_restarted_process_replaces_its_entry_and_the_map_gets_a_new_epoch() {
+        let mut world = World::default();
+        let (old, new) = (member("a", 1), member("a", 2));
+        world.apply(Change::Member("a".into(), Some(old.clone())), 1);
+        world.apply(Change::Leader(Some(old.clone())), 2);
+        world.apply(Change::Map(Some(MapRecord { epoch: 7, live: vec![old] })), 3);
+        assert!(matches!(next_claim(&world, &new), Some(Claim::Member)));
+        world.apply(Change::Member("a".into(), Some(new.clone())), 4);
+        assert!(matches!(next_claim(&world, &new), Some(Claim::Leader(2))));
+        world.apply(Change::Leader(Some(new.clone())), 5);
+        match next_claim(&world, &new) {
+            Some(Claim::Map(map, 3, 5)) => {
+                assert_eq!(map, MapRecord { epoch: 8, live: vec![new.clone()] });
+                world.apply(Change::Map(Some(map)), 6);
+            }
+            _ => unreachable!("a new map"),
+        }
+        assert!(next_claim(&world, &new).is_none());
+    }
+}
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,75 @@
+//! What controllers tell each other, encoded with rkyv.
+
+use rkyv::rancor;
+use rkyv::{Archive, Deserialize, Serialize};
+
+/// A machine as its owner sees it: the free-room summary's row.
+#[derive(Debug, Clone, PartialEq, Archive, Serialize, Deserialize)]
+pub struct MachineRow {
+    pub id: String,
+    /// The worker reports and is not about to be taken away.
+    pub usable: bool,
+    /// The owner has heard nothing of it for so long.
+    pub silent_ms: u64,
+    pub free_cpus: f64,
+    pub free_gpus: f64,
+    pub free_memory_gb: f64,
+    /// The machine fails what it is given, or hangs.
+    pub sick: bool,
+    /// The cloud takes it away soon.
+    pub notice: bool,
+}
+
+/// Sent to every peer about once a second and answered in kind.
+#[derive(Debug, Clone, PartialEq, Archive, Serialize, Deserialize)]
+pub struct Summary {
+    pub name: String,
+    pub incarnation: u64,
+    /// Epoch of the newest map the sender knows.
+    pub epoch: u64,
+    /// The sender's last contact with the state service was so long ago.
+    pub state_silent_ms: u64,
+    pub machines: Vec<MachineRow>,
+}
+
+/// A worker's report that reached a controller which does not own the machine,
+/// passed on because the worker cannot reach the owner. The body is as it came.
+#[derive(Debug, Clone, PartialEq, Archive, Serialize, Deserialize)]
+pub struct Relay {
+    pub report: Vec<u8>,
+}
+
+#[derive(Debug, Clone, PartialEq, Archive, Serialize, Deserialize)]
+pub enum Message {
+    Summary(Summary),
+    Relay(Relay),
+    /// The owner's answer to a relayed report.
+    Relayed {
+        status: u16,
+        body: Vec<u8>,
+    },
+}
+
+pub fn encode(message: &Message) -> Vec<u8> {
+    rkyv::to_bytes::<rancor::Error>(message).map(|b| b.to_vec()).unwrap_or_default()
+}
+
+/// Checks and reads a message; None if it is not one.
+pub fn decode(bytes: &[u8]) -> Option<Message> {
+    let mut aligned = rkyv::util::AlignedVec::<16>::with_capacity(bytes.len());
+    aligned.extend_from_slice(bytes);
+    rkyv::from_bytes::<Message, rancor::Error>(&aligned).ok()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn messages_survive_and_rubbish_is_refused() {
+        let m = Message::Relayed { status: 200, body: vec![1, 2, 3] };
+        assert_eq!(decode(&encode(&m)), Some(m));
+        assert_eq!(decode(b""), None);
+        assert_eq!(decode(&[0xff; 40]), None);
+    }
+}
--- /dev/null
+++ b/crates/sched/src/fleet.rs
@@ -0,0 +1,139 @@
+//! What to rent for the tasks that have no place.
+
+use std::collections::HashMap;
+
+use wire::{JobKind, JobSpec, MachineType};
+
+use crate::placement::{allowed, zone_limit};
+use crate::world::Amount;
+
+/// Tasks of one job that wait for room.
+#[derive(Debug, Clone)]
+pub struct Demand<'a> {
+    pub spec: &'a JobSpec,
+    pub tasks: u32,
+    /// The job's tasks already on machines, by zone.
+    pub in_zone: HashMap<String, u32>,
+}
+
+/// Room that will be there: machines that boot.
+#[derive(Debug, Clone)]
+pub struct Coming {
+    pub machine_type: String,
+    pub zone: String,
+    pub spot: bool,
+    pub free: Amount,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Offer {
+    pub machine_type: String,
+    pub zone: String,
+    pub spot: bool,
+}
+
+/// Decides what to rent: each demand first uses up machines that boot, then the
+/// offer that costs least for what the job can use of it.
+pub fn plan(
+    demands: &[Demand],
+    coming: &[Coming],
+    types: &HashMap<String, MachineType>,
+    blocked: impl Fn(&Offer) -> bool,
+    most: usize,
+) -> Vec<Offer> {
+    let mut pool: Vec<Coming> = coming.to_vec();
+    let mut out: Vec<Offer> = Vec::new();
+    for d in demands {
+        let size = Amount::of_task(d.spec);
+        let limit = zone_limit(d.spec);
+        let mut in_zone = d.in_zone.clone();
+        let mut left = d.tasks;
+        // One zone for all of a gang: the first choice fixes it.
+        let mut fixed: Option<String> = if d.spec.one_zone { in_zone.keys().next().cloned() } else { None };
+        while left > 0 {
+            let room = |z: &str, fixed: &Option<String>, in_zone: &HashMap<String, u32>| {
+                fixed.as_ref().is_none_or(|f| f == z) && in_zone.get(z).copied().unwrap_or(0) < limit
+            };
+            let ready = pool.iter().position(|c| {
+                allowed(d.spec, &c.machine_type, &c.zone, c.spot)
+                    && !(d.spec.gpus == 0.0 && c.free.gpus > 0.0)
+                    && size.fits(c.free)
+                    && room(&c.zone, &fixed, &in_zone)
+            });
+            let i = match ready {
+                Some(i) => i,
+                None => {
+                    if out.len() >= most {
+                        return out;
+                    }
+                    let best = offers(types)
+                        .filter(|(o, t)| {
+                            allowed(d.spec, &o.machine_type, &o.zone, o.spot)
+                                && size.fits(Amount::of_type(t))
+                                && !(d.spec.gpus == 0.0 && t.gpus > 0.0)
+                                && room(&o.zone, &fixed, &in_zone)
+                                && !blocked(o)
+                        })
+                        .min_by(|(a, ta), (b, tb)| {
+                            let cost = |o: &Offer, t: &MachineType| {
+                                let price = if o.spot { t.spot_price } else { t.price };
+                                let fit = size.times_in(Amount::of_type(t)).min(left).max(1);
+                                price / f64::from(fit)
+                            };
+                            let zone = |o: &Offer| {
+                                if d.spec.spread { in_zone.get(&o.zone).copied().unwrap_or(0) } else { 0 }
+                            };
+                            zone(a).cmp(&zone(b)).then(cost(a, ta).total_cmp(&cost(b, tb)))
+                        });
+                    let Some((offer, t)) = best else { break };
+                    pool.push(Coming {
+                        machine_type: offer.machine_type.clone(),
+                        zone: offer.zone.clone(),
+                        spot: offer.spot,
+                        free: Amount::of_type(t),
+                    });
+                    out.push(offer);
+                    pool.len() - 1
+                }
+            };
+            let slot = &mut pool[i];
+            let n = size
+                .times_in(slot.free)
+                .min(left)
+                .min(limit - in_zone.get(&slot.zone).copied().unwrap_or(0))
+                .max(1);
+            slot.free = slot.free.plus(size, -f64::from(n));
+            *in_zone.entry(slot.zone.clone()).or_default() += n;
+            if d.spec.one_zone {
+                fixed = Some(slot.zone.clone());
+            }
+            left -= n.min(left);
+        }
+    }
+    out
+}
+
+fn offers(types: &HashMap<String, MachineType>) -> impl Iterator<Item = (Offer, &MachineType)> {
+    types.values().flat_map(|t| {
+        t.zones.iter().flat_map(move |z| {
+            [false, true].map(|spot| (Offer { machine_type: t.name.clone(), zone: z.clone(), spot }, t))
+        })
+    })
+}
+
+/// Whether any machine type could ever hold a task of the job.
+pub fn possible(spec: &JobSpec, types: &HashMap<String, MachineType>) -> bool {
+    types.values().any(|t| {
+        Amount::of_task(spec).fits(Amount::of_type(t))
+            && spec.types.as_ref().is_none_or(|l| l.contains(&t.name))
+            && spec.zone.as_ref().is_none_or(|z| t.zones.contains(z))
+    })
+}
+
+/// Whether the job stays within a team's limit at all.
+pub fn within_limit(spec: &JobSpec, team: &crate::world::Team) -> bool {
+    let count = if spec.kind == JobKind::Array { 1 } else { spec.tasks };
+    Amount { memory_gb: 0.0, ..Amount::default() }
+        .plus(Amount { memory_gb: 0.0, ..Amount::of_task(spec) }, f64::from(count))
+        .fits(team.limit())
+}
--- /dev/null
+++ b/crates/sched/src/lib.rs
@@ -0,0 +1,9 @@
+//! The decisions of sageloom, without any input or output: callers pass in what
+//! is known and what time it is.
+
+pub mod fleet;
+pub mod placement;
+pub mod preempt;
+pub mod records;
+pub mod rescheduler;
+pub mod world;
--- /dev/null
+++ b/crates/sched/src/placement.rs
@@ -0,0 +1,269 @@
+//! Which machine a task goes to.
+
+use std::collections::{BTreeSet, HashMap};
+
+use wire::{JobKind, JobSpec};
+
+use crate::records::{Assignment, JobRecord, MapRecord, Phase, Want};
+use crate::world::{Amount, Team, World};
+
+/// A machine as placement sees it within one round.
+#[derive(Debug, Clone)]
+pub struct Slot {
+    pub id: String,
+    pub owner: String,
+    pub machine_type: String,
+    pub zone: String,
+    pub spot: bool,
+    pub whole: Amount,
+    pub used: Amount,
+}
+
+impl Slot {
+    pub fn free(&self) -> Amount {
+        self.whole.plus(self.used, -1.0)
+    }
+}
+
+/// The state of a round of decisions: machines and team use, with what the
+/// round has already given away.
+#[derive(Debug, Default)]
+pub struct Board {
+    pub slots: Vec<Slot>,
+    pub team_use: HashMap<String, Amount>,
+}
+
+impl Board {
+    /// All machines that `usable` admits, apart from those being given back.
+    pub fn new(world: &World, map: &MapRecord, usable: impl Fn(&str) -> bool) -> Self {
+        let slots = world
+            .machines
+            .iter()
+            .filter(|(id, m)| !m.value.release && usable(id))
+            .filter_map(|(id, m)| {
+                let m = &m.value;
+                let whole = Amount::of_type(world.types.get(&m.machine_type)?);
+                Some(Slot {
+                    id: id.clone(),
+                    owner: map.owner(id, &m.zone)?.name.clone(),
+                    machine_type: m.machine_type.clone(),
+                    zone: m.zone.clone(),
+                    spot: m.spot,
+                    whole,
+                    used: world.machine_use.get(id).copied().unwrap_or_default(),
+                })
+            })
+            .collect();
+        Self { slots, team_use: world.team_use.clone() }
+    }
+}
+
+/// Whether the job may use this kind of machine at all.
+pub fn allowed(spec: &JobSpec, machine_type: &str, zone: &str, spot: bool) -> bool {
+    spec.types.as_ref().is_none_or(|t| t.iter().any(|t| t == machine_type))
+        && spec.zone.as_ref().is_none_or(|z| z == zone)
+        && (spec.spot || !spot)
+}
+
+/// Most tasks of the job that one zone may hold.
+pub fn zone_limit(spec: &JobSpec) -> u32 {
+    if spec.spread { spec.tasks.div_ceil(2) } else { u32::MAX }
+}
+
+/// The tasks that wait for a place, lowest numbers first.
+pub fn pending(job: &JobRecord) -> impl Iterator<Item = u32> + '_ {
+    let count = match (&job.spec, job.phase) {
+        (Some(spec), Phase::Active) => spec.tasks,
+        _ => 0,
+    };
+    let running: BTreeSet<u32> = job.run.iter().map(|a| a.task).collect();
+    (0..count).filter(move |t| !running.contains(t) && !job.done.contains(*t))
+}
+
+pub fn pending_count(job: &JobRecord) -> u32 {
+    match (&job.spec, job.phase) {
+        (Some(spec), Phase::Active) => {
+            let running = job.run.iter().filter(|a| !job.done.contains(a.task)).count() as u32;
+            spec.tasks.saturating_sub(job.done.len() + running)
+        }
+        _ => 0,
+    }
+}
+
+/// When a job whose starts keep failing may try again: a job that was submitted
+/// with a mistake fails everywhere and must not keep machines busy.
+pub fn retry_at_ms(job: &JobRecord) -> u64 {
+    let pause = match job.errors {
+        0..=2 => 0,
+        n => 1000u64 << (n - 3).min(5),
+    };
+    job.error_ms + pause
+}
+
+/// Places as many of the job's pending tasks as there is room for, all or none
+/// for a gang, at most `most`. The job and the board are changed to match.
+pub fn place(
+    world: &World,
+    board: &mut Board,
+    job: &mut JobRecord,
+    team: &Team,
+    within: impl Fn(&Slot) -> bool,
+    most: usize,
+    now_ms: u64,
+) -> Vec<Assignment> {
+    let Some(spec) = job.spec.clone() else { return Vec::new() };
+    if job.phase != Phase::Active || retry_at_ms(job) > now_ms {
+        return Vec::new();
+    }
+    let gang = spec.kind == JobKind::Gang;
+    if gang && !job.run.is_empty() {
+        return Vec::new();
+    }
+    let size = Amount::of_task(&spec);
+    let in_use = board.team_use.get(&spec.team).copied().unwrap_or_default();
+    let quota = size.times_in(team.limit().plus(Amount { memory_gb: 0.0, ..in_use }, -1.0)) as usize;
+    let wanted: Vec<u32> = pending(job).take(most.min(quota)).collect();
+    if wanted.is_empty() || (gang && wanted.len() < spec.tasks as usize) {
+        return Vec::new();
+    }
+    let candidates: Vec<usize> = (0..board.slots.len())
+        .filter(|&i| {
+            let s = &board.slots[i];
+            allowed(&spec, &s.machine_type, &s.zone, s.spot) && within(s)
+        })
+        .collect();
+    // All tasks of a one-zone job share the zone of those that are still out.
+    let held_zone = spec.one_zone.then(|| zone_of(world, job)).flatten();
+    let zones: BTreeSet<String> = match held_zone {
+        Some(z) => [z].into(),
+        None => candidates.iter().map(|&i| board.slots[i].zone.clone()).collect(),
+    };
+    let attempt = job.attempt + 1;
+    let chosen = if spec.one_zone {
+        let tries = zones.iter().map(|z| {
+            let here: Vec<usize> =
+                candidates.iter().copied().filter(|&i| board.slots[i].zone == *z).collect();
+            choose(world, board, job, &spec, &here, &wanted, now_ms)
+        });
+        tries.max_by_key(Vec::len).unwrap_or_default()
+    } else {
+        choose(world, board, job, &spec, &candidates, &wanted, now_ms)
+    };
+    if chosen.is_empty() || (gang && chosen.len() < wanted.len()) {
+        return Vec::new();
+    }
+    let placed: Vec<Assignment> = chosen
+        .into_iter()
+        .map(|(task, i)| {
+            board.slots[i].used = board.slots[i].used.plus(size, 1.0);
+            Assignment { task, attempt, machine: board.slots[i].id.clone(), want: Want::Run }
+        })
+        .collect();
+    let used = board.team_use.entry(spec.team.clone()).or_default();
+    *used = used.plus(size, placed.len() as f64);
+    job.attempt = attempt;
+    job.run.extend(placed.iter().cloned());
+    placed
+}
+
+fn zone_of(world: &World, job: &JobRecord) -> Option<String> {
+    job.run.iter().find_map(|a| world.machines.get(&a.machine)).map(|m| m.value.zone.clone())
+}
+
+/// Chooses a machine for each task in turn, without changing the board.
+fn choose(
+    world: &World,
+    board: &Board,
+    job: &JobRecord,
+    spec: &JobSpec,
+    candidates: &[usize],
+    wanted: &[u32],
+    now_ms: u64,
+) -> Vec<(u32, usize)> {
+    let size = Amount::of_task(spec);
+    let limit = zone_limit(spec);
+    let mut in_zone: HashMap<&str, u32> = HashMap::new();
+    for a in &job.run {
+        match world.machines.get(&a.machine) {
+            Some(m) => *in_zone.entry(m.value.zone.as_str()).or_default() += 1,
+            // A machine without a record may still be in any zone.
+            None if spec.spread || spec.one_zone => return Vec::new(),
+            None => {}
+        }
+    }
+    struct Choice<'a> {
+        slot: usize,
+        zone: &'a str,
+        whole: Amount,
+        used: Amount,
+        avoided: bool,
+        gpu_wasted: bool,
+        image: bool,
+        price: f64,
+    }
+    let mut list: Vec<Choice> = candidates
+        .iter()
+        .map(|&i| {
+            let s = &board.slots[i];
+            let t = world.types.get(&s.machine_type);
+            Choice {
+                slot: i,
+                zone: &s.zone,
+                whole: s.whole,
+                used: s.used,
+                avoided: job.avoid.iter().any(|(m, until)| *m == s.id && *until > now_ms),
+                gpu_wasted: spec.gpus == 0.0 && s.whole.gpus > 0.0,
+                image: world.has_image(&s.id, &spec.image),
+                price: t.map_or(0.0, |t| if s.spot { t.spot_price } else { t.price }) / s.whole.cpus.max(1.0),
+            }
+        })
+        .collect();
+    let mut out = Vec::new();
+    for &task in wanted {
+        let best = list
+            .iter_mut()
+            .filter(|c| size.fits(c.whole.plus(c.used, -1.0)))
+            .filter(|c| in_zone.get(c.zone).copied().unwrap_or(0) < limit)
+            .min_by(|a, b| {
+                let key = |c: &Choice| {
+                    let zone = if spec.spread { in_zone.get(c.zone).copied().unwrap_or(0) } else { 0 };
+                    (c.avoided, c.gpu_wasted, zone, !c.image)
+                };
+                let share = |c: &Choice| c.used.share_of(c.whole);
+                key(a)
+                    .cmp(&key(b))
+                    .then_with(|| share(a).total_cmp(&share(b)))
+                    .then_with(|| a.price.total_cmp(&b.price))
+                    .then_with(|| a.slot.cmp(&b.slot))
+            });
+        let Some(best) = best else { break };
+        best.used = best.used.plus(size, 1.0);
+        best.image = true;
+        *in_zone.entry(best.zone).or_default() += 1;
+        out.push((task, best.slot));
+    }
+    out
+}
+
+/// The order in which jobs are served: priority, then work within its team's
+/// guarantee, then age.
+pub fn queue_order(a: (&JobRecord, bool), b: (&JobRecord, bool)) -> std::cmp::Ordering {
+    let priority = |j: &JobRecord| j.spec.as_ref().map(|s| s.priority);
+    priority(b.0).cmp(&priority(a.0)).then(b.1.cmp(&a.1)).then(a.0.submitted_ms.cmp(&b.0.submitted_ms))
+}
+
+/// Whether every one of the job's tasks fits into the room that is free.
+pub fn fits_whole(spec: &JobSpec, rooms: &[Slot]) -> bool {
+    let size = Amount::of_task(spec);
+    let mut by_zone: HashMap<&str, u32> = HashMap::new();
+    for s in rooms.iter().filter(|s| allowed(spec, &s.machine_type, &s.zone, s.spot)) {
+        let n = by_zone.entry(&s.zone).or_default();
+        *n = n.saturating_add(size.times_in(s.free()));
+    }
+    let most = zone_limit(spec);
+    if spec.one_zone {
+        by_zone.values().any(|n| *n >= spec.tasks)
+    } else {
+        by_zone.values().map(|n| u64::from((*n).min(most))).sum::<u64>() >= u64::from(spec.tasks)
+    }
+}
--- /dev/null
+++ b/crates/sched/src/preempt.rs
@@ -0,0 +1,93 @@
+//! Which tasks make way for more urgent work.
+
+use wire::{JobKind, JobSpec};
+
+use crate::placement::{Board, allowed};
+use crate::records::Want;
+use crate::world::{Amount, Team, World};
+
+/// A task to stop, and whether it is an array's (others lose more).
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Victim {
+    pub job: String,
+    pub task: u32,
+    pub attempt: u64,
+    pub machine: String,
+}
+
+/// Finds the machine on which the fewest tasks have to go so that one task of
+/// the job fits. Lower priority may always be stopped; other teams' work beyond
+/// their guarantee may be stopped for work within the guarantee.
+pub fn victims(
+    world: &World,
+    board: &Board,
+    spec: &JobSpec,
+    guaranteed: bool,
+    teams: &[Team],
+    within: impl Fn(&crate::placement::Slot) -> bool,
+) -> Option<Vec<Victim>> {
+    let size = Amount::of_task(spec);
+    let mut best: Option<(usize, Vec<Victim>)> = None;
+    for slot in &board.slots {
+        if !allowed(spec, &slot.machine_type, &slot.zone, slot.spot)
+            || !within(slot)
+            || !size.fits(slot.whole)
+        {
+            continue;
+        }
+        let mut free = slot.free();
+        // Room that is being made already counts, so that it is not made twice.
+        let mut list = Vec::new();
+        for (id, job, a) in world.assignments(&slot.id) {
+            let Some(other) = job.spec.as_deref() else { continue };
+            if !job.wants(a) {
+                free = free.plus(Amount::of_task(other), 1.0);
+                continue;
+            }
+            let beyond = teams.iter().find(|t| t.name == other.team).is_some_and(|t| {
+                let used = world.team_use.get(&t.name).copied().unwrap_or_default();
+                !Amount { memory_gb: 0.0, ..used }.fits(t.guarantee())
+            });
+            let lower = other.priority < spec.priority;
+            if lower || (guaranteed && beyond && other.team != spec.team) {
+                // Arrays lose least, services most; save what can be saved.
+                let cost = match other.kind {
+                    JobKind::Array => 0,
+                    JobKind::Gang => 1 + other.tasks,
+                    JobKind::Service => 1000,
+                };
+                list.push((cost, other.priority, id, a, Amount::of_task(other)));
+            }
+        }
+        list.sort_by(|x, y| (x.1, x.0, x.3.task).cmp(&(y.1, y.0, y.3.task)));
+        let mut cost = 0;
+        let mut chosen = Vec::new();
+        for (c, _, id, a, amount) in list {
+            if size.fits(free) {
+                break;
+            }
+            free = free.plus(amount, 1.0);
+            cost += 1 + c as usize;
+            chosen.push(Victim {
+                job: id.to_owned(),
+                task: a.task,
+                attempt: a.attempt,
+                machine: a.machine.clone(),
+            });
+        }
+        if size.fits(free) && best.as_ref().is_none_or(|(c, _)| cost < *c) {
+            best = Some((cost, chosen));
+        }
+    }
+    best.map(|(_, v)| v)
+}
+
+/// Marks a victim in its job's record; all of a gang stops together.
+pub fn mark(job: &mut crate::records::JobRecord, victim: &Victim) {
+    let gang = job.spec.as_ref().is_some_and(|s| s.kind == JobKind::Gang);
+    for a in &mut job.run {
+        if gang || (a.task == victim.task && a.attempt == victim.attempt) {
+            a.want = Want::Stop;
+        }
+    }
+}
--- /dev/null
+++ b/crates/sched/src/records.rs
@@ -0,0 +1,334 @@
+//! What is kept in the state service. These records are the truth: a task is on
+//! a machine exactly as long as its job's record holds the assignment.
+
+use serde::{Deserialize, Serialize};
+use wire::{JobKind, JobSpec, JobState, MachineType};
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Phase {
+    #[serde(rename = "a")]
+    Active,
+    #[serde(rename = "d")]
+    Done,
+    #[serde(rename = "c")]
+    Cancelled,
+}
+
+/// Whether an assignment is to go on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Want {
+    #[serde(rename = "r")]
+    Run,
+    /// Stop with enough time to save.
+    #[serde(rename = "s")]
+    Stop,
+}
+
+/// One task's place, encoded as a short list to keep job records small.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "(u32, u64, String, Want)", into = "(u32, u64, String, Want)")]
+pub struct Assignment {
+    pub task: u32,
+    pub attempt: u64,
+    pub machine: String,
+    pub want: Want,
+}
+
+impl From<(u32, u64, String, Want)> for Assignment {
+    fn from((task, attempt, machine, want): (u32, u64, String, Want)) -> Self {
+        Self { task, attempt, machine, want }
+    }
+}
+
+impl From<Assignment> for (u32, u64, String, Want) {
+    fn from(a: Assignment) -> Self {
+        (a.task, a.attempt, a.machine, a.want)
+    }
+}
+
+/// A set of task numbers as sorted, disjoint, half-open ranges.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ranges(Vec<(u32, u32)>);
+
+impl Ranges {
+    pub fn insert(&mut self, n: u32) {
+        let i = self.0.partition_point(|r| r.1 < n);
+        match self.0.get_mut(i) {
+            Some(r) if r.0 <= n && n < r.1 => return,
+            Some(r) if r.1 == n => r.1 += 1,
+            Some(r) if r.0 == n + 1 => r.0 = n,
+            _ => self.0.insert(i, (n, n + 1)),
+        }
+        if i + 1 < self.0.len() && self.0[i].1 == self.0[i + 1].0 {
+            self.0[i].1 = self.0[i + 1].1;
+            self.0.remove(i + 1);
+        }
+    }
+
+    pub fn contains(&self, n: u32) -> bool {
+        let i = self.0.partition_point(|r| r.1 <= n);
+        self.0.get(i).is_some_and(|r| r.0 <= n)
+    }
+
+    pub fn len(&self) -> u32 {
+        self.0.iter().map(|r| r.1 - r.0).sum()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    pub fn all(count: u32) -> Self {
+        Self(vec![(0, count)])
+    }
+
+    /// How many ranges the record holds.
+    pub fn pieces(&self) -> usize {
+        self.0.len()
+    }
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobRecord {
+    pub phase: Phase,
+    /// Dropped once the job is final and nothing of it is on any machine.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub spec: Option<Box<JobSpec>>,
+    /// The controller that places the job's tasks; None: the leader.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub part: Option<String>,
+    /// Time of day of the submission, in milliseconds.
+    #[serde(default)]
+    pub submitted_ms: u64,
+    /// The last attempt number given out.
+    #[serde(default)]
+    pub attempt: u64,
+    #[serde(default, skip_serializing_if = "Ranges::is_empty")]
+    pub done: Ranges,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub run: Vec<Assignment>,
+    /// Machines that placement avoids, and until what time of day.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub avoid: Vec<(String, u64)>,
+    /// When the rescheduler last took from the disruption budget.
+    #[serde(default)]
+    pub evicted_ms: u64,
+    /// Starts in a row that failed by error, and when the last one did.
+    #[serde(default)]
+    pub errors: u32,
+    #[serde(default)]
+    pub error_ms: u64,
+}
+
+impl JobRecord {
+    pub fn new(spec: JobSpec, part: Option<String>, submitted_ms: u64) -> Self {
+        Self {
+            phase: Phase::Active,
+            spec: Some(Box::new(spec)),
+            part,
+            submitted_ms,
+            attempt: 0,
+            done: Ranges::default(),
+            run: Vec::new(),
+            avoid: Vec::new(),
+            evicted_ms: 0,
+            errors: 0,
+            error_ms: 0,
+        }
+    }
+
+    pub fn state(&self) -> JobState {
+        match self.phase {
+            Phase::Done => JobState::Done,
+            Phase::Cancelled => JobState::Cancelled,
+            Phase::Active if self.run.is_empty() => JobState::Queued,
+            Phase::Active => JobState::Running,
+        }
+    }
+
+    /// Whether an assignment should be on its machine.
+    pub fn wants(&self, a: &Assignment) -> bool {
+        self.phase == Phase::Active && a.want == Want::Run
+    }
+
+    /// Removes an assignment that is proven to be over.
+    pub fn end(&mut self, task: u32, attempt: u64, how: End, now_ms: u64, avoid_s: u64) {
+        let Some(i) = self.run.iter().position(|a| a.task == task && a.attempt == attempt) else {
+            return;
+        };
+        let ended = self.run.remove(i);
+        let Some(spec) = self.spec.as_deref() else { return };
+        let gang = spec.kind == JobKind::Gang;
+        if how == End::Done && spec.kind != JobKind::Service {
+            if gang {
+                // The tasks of a gang complete together: one done means all are.
+                self.done = Ranges::all(spec.tasks);
+            } else {
+                self.done.insert(task);
+            }
+            self.errors = 0;
+            if self.phase == Phase::Active && self.done.len() == spec.tasks {
+                self.phase = Phase::Done;
+            }
+        } else if gang {
+            // What is left of this attempt cannot go on without the lost task.
+            self.run.iter_mut().for_each(|a| a.want = Want::Stop);
+        }
+        if how == End::Error {
+            self.errors = self.errors.saturating_add(1);
+            self.error_ms = now_ms;
+            self.avoid.retain(|(m, until)| *until > now_ms && *m != ended.machine);
+            self.avoid.push((ended.machine, now_ms + avoid_s * 1000));
+            let surplus = self.avoid.len().saturating_sub(AVOID_MAX);
+            self.avoid.drain(..surplus);
+        }
+        self.shrink();
+    }
+
+    /// Drops everything but the final state, once nothing else is needed.
+    pub fn shrink(&mut self) {
+        if self.phase != Phase::Active && self.run.is_empty() {
+            let done = std::mem::take(&mut self.done);
+            *self = Self {
+                phase: self.phase,
+                spec: None,
+                part: None,
+                submitted_ms: 0,
+                attempt: 0,
+                // The count is still shown to users who ask later.
+                done: if done.pieces() <= 1 { done } else { Ranges::all(done.len()) },
+                run: Vec::new(),
+                avoid: Vec::new(),
+                evicted_ms: 0,
+                errors: 0,
+                error_ms: 0,
+            };
+        }
+    }
+}
+
+/// Longest list of avoided machines in a job's record.
+pub const AVOID_MAX: usize = 8;
+
+/// How an assignment ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    Done,
+    /// Stopped, refused, or its gang broke up.
+    Stopped,
+    Error,
+    /// Proven gone without a word of its own.
+    Lost,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct MachineRecord {
+    pub addr: String,
+    pub machine_type: String,
+    pub zone: String,
+    pub spot: bool,
+    /// The machine is to be emptied and given back.
+    #[serde(default)]
+    pub release: bool,
+}
+
+/// A controller's entry in the map and among the members.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    pub name: String,
+    pub zone: String,
+    /// Drawn at the start of the process.
+    pub incarnation: u64,
+}
+
+/// Who is entitled to act. Every token given out carries the epoch.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MapRecord {
+    pub epoch: u64,
+    pub live: Vec<Member>,
+}
+
+impl MapRecord {
+    /// The owner of a machine: a hash over the live controllers of its zone, or
+    /// over all of them where the zone has none. A worker can then be reached
+    /// by its owner while zones are cut off from each other.
+    pub fn owner(&self, machine: &str, zone: &str) -> Option<&Member> {
+        let near = self.live.iter().any(|m| m.zone == zone);
+        self.live.iter().filter(|m| !near || m.zone == zone).max_by_key(|m| hash(machine, &m.name))
+    }
+
+    pub fn holds(&self, name: &str, incarnation: u64) -> bool {
+        self.live.iter().any(|m| m.name == name && m.incarnation == incarnation)
+    }
+}
+
+/// Rendezvous hash (FNV-1a with a final mix), the same on every controller.
+fn hash(machine: &str, node: &str) -> u64 {
+    let mut h = 0xcbf2_9ce4_8422_2325_u64;
+    for b in machine.bytes().chain([0]).chain(node.bytes()) {
+        h = (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3);
+    }
+    h ^= h >> 32;
+    h = h.wrapping_mul(0xd6e8_feb8_6659_fd93);
+    h ^ (h >> 32)
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct TypesRecord {
+    pub types: Vec<MachineType>,
+}
+
+/// Put by every placement that uses a team's share; its version is the fence.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TeamRecord {
+    pub placements: u64,
+}
+
+/// A rental that has been asked for and whose machines are not all up yet.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Rental {
+    pub request: String,
+    pub machine_type: String,
+    pub zone: String,
+    pub spot: bool,
+    pub count: u32,
+    pub asked_ms: u64,
+    /// None: not answered yet.
+    pub machines: Option<Vec<String>>,
+}
+
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct FleetRecord {
+    pub rentals: Vec<Rental>,
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn ranges_merge_and_count() {
+        let mut r = Ranges::default();
+        for n in [5, 3, 4, 0, 1, 2, 9, 4] {
+            r.insert(n);
+        }
+        assert_eq!(r, Ranges(vec![(0, 6), (9, 10)]));
+        assert_eq!(r.len(), 7);
+        assert!(r.contains(5) && !r.contains(6) && r.contains(9));
+    }
+
+    #[test]
+    fn owner_stays_in_the_zone_while_it_has_a_controller() {
+        let member = |n: &str, z: &str| Member { name: n.into(), zone: z.into(), incarnation: 1 };
+        let map = MapRecord { epoch: 1, live: vec![member("a", "x"), member("b", "y"), member("c", "x")] };
+        for i in 0..50 {
+            let owner = map.owner(&format!("host-{i:06}"), "y").map(|m| m.name.as_str());
+            assert_eq!(owner, Some("b"));
+        }
+        let of = |z| {
+            (0..50).filter_map(|i| map.owner(&format!("host-{i:06}"), z)).filter(|m| m.name == "a").count()
+        };
+        assert!((10..40).contains(&of("x")));
+        assert!((5..30).contains(&of("z")));
+    }
+}
--- /dev/null
+++ b/crates/sched/src/rescheduler.rs
@@ -0,0 +1,116 @@
+//! Controlled rescheduling: which service task should move, after the design's
+//! threshold-gated evictions under a disruption budget.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use wire::JobKind;
+
+use crate::placement::{Board, allowed};
+use crate::records::{AVOID_MAX, JobRecord, Want};
+use crate::world::{Amount, World};
+
+#[derive(Debug, Clone, PartialEq)]
+pub struct Policy {
+    pub scan: Duration,
+    pub threshold: f64,
+    pub budget: Duration,
+    pub avoid: Duration,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self {
+            scan: Duration::from_secs(10),
+            threshold: 0.3,
+            budget: Duration::from_secs(60),
+            avoid: Duration::from_secs(300),
+        }
+    }
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub struct Eviction {
+    pub job: String,
+    pub task: u32,
+    pub machine: String,
+    /// Why, for the log.
+    pub reason: &'static str,
+}
+
+/// Each service's budget refills on a clock of its own, so that evictions do
+/// not bunch: the budget is stretched by up to a quarter, by the job's id.
+pub fn refill_ms(id: &str, policy: &Policy) -> u64 {
+    let base = policy.budget.as_millis() as u64;
+    let spread = id.bytes().fold(7u64, |h, b| h.wrapping_mul(31).wrapping_add(u64::from(b))) % 256;
+    base + base * spread / 1024
+}
+
+/// Finds at most one eviction for each service.
+pub fn scan(world: &World, board: &Board, policy: &Policy, now_ms: u64) -> Vec<Eviction> {
+    let index: HashMap<&str, usize> =
+        board.slots.iter().enumerate().map(|(i, s)| (s.id.as_str(), i)).collect();
+    let mut board_use: Vec<Amount> = board.slots.iter().map(|s| s.used).collect();
+    let mut out = Vec::new();
+    for id in &world.open {
+        let Some(job) = world.jobs.get(id).map(|j| &j.value) else { continue };
+        let Some(spec) = job.spec.as_deref() else { continue };
+        if spec.kind != JobKind::Service || spec.tasks < 2 || job.run.len() < spec.tasks as usize {
+            continue;
+        }
+        if job.run.iter().any(|a| !job.wants(a)) || job.evicted_ms + refill_ms(id, policy) > now_ms {
+            continue;
+        }
+        let size = Amount::of_task(spec);
+        let mut in_zone: HashMap<&str, u32> = HashMap::new();
+        for a in &job.run {
+            if let Some(i) = index.get(a.machine.as_str()) {
+                *in_zone.entry(board.slots[*i].zone.as_str()).or_default() += 1;
+            }
+        }
+        let found = job.run.iter().find_map(|a| {
+            let from = *index.get(a.machine.as_str())?;
+            let here = board.slots[from].zone.as_str();
+            let mine = in_zone.get(here).copied().unwrap_or(0);
+            let share = board_use[from].share_of(board.slots[from].whole);
+            board.slots.iter().enumerate().filter(|(i, _)| *i != from).find_map(|(i, s)| {
+                if !allowed(spec, &s.machine_type, &s.zone, s.spot)
+                    || s.whole.gpus > spec.gpus && spec.gpus == 0.0
+                    || !size.fits(s.whole.plus(board_use[i], -1.0))
+                {
+                    return None;
+                }
+                let there = in_zone.get(s.zone.as_str()).copied().unwrap_or(0);
+                let better_zone = there + 1 < mine;
+                let crowded = s.zone == here || there < mine;
+                if spec.spread && better_zone {
+                    Some((a, from, i, "zone spread"))
+                } else if crowded && share - board_use[i].share_of(s.whole) > policy.threshold {
+                    Some((a, from, i, "crowded machine"))
+                } else {
+                    None
+                }
+            })
+        });
+        if let Some((a, from, to, reason)) = found {
+            board_use[from] = board_use[from].plus(size, -1.0);
+            board_use[to] = board_use[to].plus(size, 1.0);
+            out.push(Eviction { job: id.clone(), task: a.task, machine: a.machine.clone(), reason });
+        }
+    }
+    out
+}
+
+/// The record after an eviction: budget debited, avoid entry added, stop marked.
+pub fn evict(job: &mut JobRecord, eviction: &Eviction, policy: &Policy, now_ms: u64) {
+    for a in &mut job.run {
+        if a.task == eviction.task && a.machine == eviction.machine {
+            a.want = Want::Stop;
+        }
+    }
+    job.evicted_ms = now_ms;
+    job.avoid.retain(|(m, until)| *until > now_ms && *m != eviction.machine);
+    job.avoid.push((eviction.machine.clone(), now_ms + policy.avoid.as_millis() as u64));
+    let surplus = job.avoid.len().saturating_sub(AVOID_MAX);
+    job.avoid.drain(..surplus);
+}
--- /dev/null
+++ b/crates/store/src/budget.rs
@@ -0,0 +1,63 @@
+use std::time::{Duration, Instant};
+
+/// A token bucket that callers wait on before they use the state service.
+#[derive(Debug)]
+pub struct Budget {
+    per_s: f64,
+    burst: f64,
+    level: f64,
+    at: Instant,
+}
+
+impl Budget {
+    pub fn new(per_s: f64, burst: f64, now: Instant) -> Self {
+        Self { per_s, burst, level: burst, at: now }
+    }
+
+    pub fn set_rate(&mut self, per_s: f64) {
+        self.per_s = per_s;
+    }
+
+    fn fill(&mut self, now: Instant) {
+        let gained = now.saturating_duration_since(self.at).as_secs_f64() * self.per_s;
+        self.level = (self.level + gained).min(self.burst);
+        self.at = now;
+    }
+
+    /// Takes `n` units, going into debt, and tells how long to wait first.
+    /// `reserve` is left for more urgent callers.
+    pub fn take(&mut self, n: f64, reserve: f64, now: Instant) -> Duration {
+        self.fill(now);
+        let wait = ((n + reserve - self.level) / self.per_s).max(0.0);
+        self.level -= n;
+        Duration::from_secs_f64(wait.min(5.0))
+    }
+
+    /// The service refused for its rate: whatever was thought left is gone.
+    pub fn drained(&mut self, now: Instant) {
+        self.fill(now);
+        self.level = self.level.min(0.0);
+    }
+
+    /// How many units are there now.
+    pub fn level(&mut self, now: Instant) -> f64 {
+        self.fill(now);
+        self.level
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn waits_for_what_is_missing() {
+        let t = Instant::now();
+        let mut b = Budget::new(10.0, 5.0, t);
+        assert_eq!(b.take(5.0, 0.0, t), Duration::ZERO);
+        assert_eq!(b.take(1.0, 0.0, t), Duration::from_millis(100));
+        assert_eq!(b.take(1.0, 2.0, t + Duration::from_millis(200)), Duration::from_millis(200));
+        b.drained(t + Duration::from_secs(9));
+        assert!(b.level(t + Duration::from_secs(9)) <= 0.0);
+    }
+}
--- /dev/null
+++ b/crates/store/src/client.rs
@@ -0,0 +1,132 @@
+use std::time::Duration;
+
+use net::{Answer, Client, NetError};
+use rmpv::Value;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use wire::{Changes, Condition, Items, Lease, LeaseRequest, Op, Txn, TxnAnswer};
+
+use crate::codec::{Put, key};
+
+#[derive(Debug, thiserror::Error)]
+pub enum StoreError {
+    /// The request was not carried out and never will be.
+    #[error("refused with {0}")]
+    Refused(u16),
+    #[error("above the rate limit")]
+    Rate,
+    /// The request may have been carried out, or may be later.
+    #[error(transparent)]
+    Net(#[from] NetError),
+    #[error("answer not understood: {0}")]
+    Answer(#[from] wire::DecodeError),
+    #[error("changes are no longer kept that far back")]
+    TooOld,
+    #[error("the lease is over")]
+    NoLease,
+}
+
+#[derive(Debug)]
+pub enum Outcome {
+    Committed { revision: u64 },
+    Conflict { failed: Vec<String>, revision: u64 },
+}
+
+#[derive(Clone)]
+pub struct StateClient {
+    client: Client,
+    addr: String,
+}
+
+const DEADLINE: Duration = Duration::from_millis(2500);
+const LARGE: usize = 8 << 20;
+
+impl StateClient {
+    pub fn new(client: Client, addr: String) -> Self {
+        Self { client, addr }
+    }
+
+    async fn call<T: Serialize>(
+        &self,
+        method: &str,
+        path: &str,
+        body: Option<&T>,
+        deadline: Duration,
+    ) -> Result<Answer, StoreError> {
+        let body = body.map(wire::encode).unwrap_or_default();
+        let answer = self.client.request(&self.addr, method, path, body, LARGE, deadline).await?;
+        match answer.status {
+            429 => Err(StoreError::Rate),
+            503 => Err(StoreError::Refused(503)),
+            _ => Ok(answer),
+        }
+    }
+
+    fn read<T: DeserializeOwned>(answer: Answer) -> Result<T, StoreError> {
+        match answer.status {
+            200 => Ok(wire::decode(&answer.body)?),
+            s => Err(StoreError::Refused(s)),
+        }
+    }
+
+    /// One page of all the records.
+    pub async fn list(&self, after: Option<&str>) -> Result<Items<Value>, StoreError> {
+        let after = after.map(|a| format!("&after={a}")).unwrap_or_default();
+        let path = format!("/keys?prefix={}{after}&page=400", key::PREFIX);
+        Self::read(self.call::<()>("GET", &path, None, DEADLINE).await?)
+    }
+
+    /// Waits for changes of the records after a revision.
+    pub async fn watch(&self, after: u64, wait: Duration) -> Result<Changes<Value>, StoreError> {
+        let path = format!("/follow?prefix={}&after={after}&hold_ms={}", key::PREFIX, wait.as_millis());
+        let answer = self.call::<()>("GET", &path, None, wait + DEADLINE).await?;
+        if answer.status == 410 {
+            return Err(StoreError::TooOld);
+        }
+        Self::read(answer)
+    }
+
+    pub async fn txn(&self, conditions: Vec<Condition>, puts: Vec<Put>) -> Result<Outcome, StoreError> {
+        let ops = puts
+            .into_iter()
+            .map(|p| match p.value {
+                Some(value) => Op::Put { put: p.key, value, lease: p.lease },
+                None => Op::Delete { delete: p.key },
+            })
+            .collect();
+        let answer = self.call("POST", "/txn", Some(&Txn { conditions, ops }), DEADLINE).await?;
+        match answer.status {
+            200 => {
+                let a: TxnAnswer = wire::decode(&answer.body)?;
+                Ok(Outcome::Committed { revision: a.revision })
+            }
+            409 => {
+                let a: TxnAnswer = wire::decode(&answer.body)?;
+                Ok(Outcome::Conflict { failed: a.failed, revision: a.revision })
+            }
+            400 if answer.body.windows(13).any(|w| w == b"no such lease") => Err(StoreError::NoLease),
+            s => Err(StoreError::Refused(s)),
+        }
+    }
+
+    pub async fn new_lease(&self, ttl: Duration) -> Result<u64, StoreError> {
+        let body = LeaseRequest { ttl_ms: ttl.as_millis() as u64 };
+        let lease: Lease = Self::read(self.call("POST", "/leases", Some(&body), DEADLINE).await?)?;
+        Ok(lease.lease)
+    }
+
+    pub async fn touch(&self, lease: u64) -> Result<(), StoreError> {
+        let answer = self
+            .call::<()>("POST", &format!("/leases/{lease}/touch"), None, Duration::from_millis(1500))
+            .await?;
+        match answer.status {
+            200 => Ok(()),
+            404 => Err(StoreError::NoLease),
+            s => Err(StoreError::Refused(s)),
+        }
+    }
+
+    pub async fn end_lease(&self, lease: u64) -> Result<(), StoreError> {
+        self.call::<()>("DELETE", &format!("/leases/{lease}"), None, DEADLINE).await.map(|_| ())
+    }
+}
--- /dev/null
+++ b/crates/store/src/codec.rs
@@ -0,0 +1,154 @@
+//! Keys and values of the records.
+
+use rmpv::Value;
+use sched::records::*;
+use sched::world::Change;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Names of keys. Everything lies under one prefix, so one watch sees it all.
+pub mod key {
+    pub const PREFIX: &str = "sageloom/";
+    pub const LEADER: &str = "sageloom/leader";
+    pub const MAP: &str = "sageloom/map";
+    pub const TYPES: &str = "sageloom/types";
+    pub const FLEET: &str = "sageloom/fleet";
+
+    pub fn job(id: &str) -> String {
+        format!("sageloom/jobs/{id}")
+    }
+    pub fn machine(id: &str) -> String {
+        format!("sageloom/machines/{id}")
+    }
+    pub fn team(name: &str) -> String {
+        // Team names are free text; a key has no spaces.
+        format!("sageloom/teams/{}", name.replace(char::is_whitespace, "_"))
+    }
+    pub fn member(name: &str) -> String {
+        format!("sageloom/members/{name}")
+    }
+}
+
+/// One put or delete of a transaction.
+#[derive(Debug, Clone)]
+pub struct Put {
+    pub key: String,
+    /// None deletes the key.
+    pub value: Option<Value>,
+    pub lease: Option<u64>,
+}
+
+impl Put {
+    pub fn new<T: Serialize>(key: String, value: &T) -> Self {
+        // By way of bytes, so that the value is just what a reader will see.
+        let value = rmp_serde::to_vec_named(value)
+            .ok()
+            .and_then(|b| rmpv::decode::read_value(&mut b.as_slice()).ok())
+            .unwrap_or(Value::Nil);
+        Self { key, value: Some(value), lease: None }
+    }
+
+    pub fn leased<T: Serialize>(key: String, value: &T, lease: u64) -> Self {
+        Self { lease: Some(lease), ..Self::new(key, value) }
+    }
+
+    pub fn delete(key: String) -> Self {
+        Self { key, value: None, lease: None }
+    }
+}
+
+fn parse<T: DeserializeOwned>(value: Value) -> Option<T> {
+    rmpv::ext::from_value(value).ok()
+}
+
+/// Reads a record. An unreadable value is `None`, with `true` beside it.
+pub fn decode_change(key: &str, value: Option<Value>) -> (Change, bool) {
+    let Some(rest) = key.strip_prefix(key::PREFIX) else { return (Change::Other, false) };
+    let given = value.is_some();
+    let value = value.filter(|v| !v.is_nil());
+    fn read<T: DeserializeOwned>(v: Option<Value>) -> Option<T> {
+        v.and_then(parse)
+    }
+    let (change, present) = match rest.split_once('/') {
+        Some(("jobs", id)) => {
+            let r: Option<Box<JobRecord>> = read(value);
+            let p = r.is_some();
+            (Change::Job(id.to_owned(), r), p)
+        }
+        Some(("machines", id)) => {
+            let r = read(value);
+            let p = r.is_some();
+            (Change::Machine(id.to_owned(), r), p)
+        }
+        Some(("teams", id)) => {
+            let r = read(value);
+            let p = r.is_some();
+            (Change::Team(id.to_owned(), r), p)
+        }
+        Some(("members", id)) => {
+            let r = read(value);
+            let p = r.is_some();
+            (Change::Member(id.to_owned(), r), p)
+        }
+        None if rest == "leader" => {
+            let r = read(value);
+            let p = r.is_some();
+            (Change::Leader(r), p)
+        }
+        None if rest == "map" => {
+            let r = read(value);
+            let p = r.is_some();
+            (Change::Map(r), p)
+        }
+        None if rest == "types" => {
+            let r = read(value);
+            let p = r.is_some();
+            (Change::Types(r), p)
+        }
+        None if rest == "fleet" => {
+            let r = read(value);
+            let p = r.is_some();
+            (Change::Fleet(r), p)
+        }
+        _ => (Change::Other, true),
+    };
+    (change, given && !present)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn records_survive_the_round_trip() {
+        let mut job: JobRecord = rmp_serde::from_slice(
+            &rmp_serde::to_vec_named(&JobRecord {
+                phase: Phase::Active,
+                spec: None,
+                part: Some("n".into()),
+                submitted_ms: 5,
+                attempt: 2,
+                done: Ranges::all(3),
+                run: vec![Assignment { task: 4, attempt: 2, machine: "host-1".into(), want: Want::Run }],
+                avoid: vec![("host-9".into(), 77)],
+                evicted_ms: 0,
+                errors: 1,
+                error_ms: 9,
+            })
+            .unwrap_or_default(),
+        )
+        .expect("decodes");
+        job.error_ms = 10;
+        let put = Put::new(key::job("j-1"), &job);
+        let (change, bad) = decode_change(&put.key, put.value);
+        assert!(!bad);
+        let Change::Job(id, Some(back)) = change else { unreachable!("a job") };
+        assert_eq!((id.as_str(), *back), ("j-1", job));
+    }
+
+    #[test]
+    fn unreadable_values_are_flagged() {
+        assert!(decode_change(key::MAP, Some(Value::from("x"))).1);
+        assert!(!decode_change(key::MAP, None).1);
+    }
+}
--- /dev/null
+++ b/crates/wire/src/jobs.rs
@@ -0,0 +1,134 @@
+//! Users -> controllers.
+
+use serde::{Deserialize, Serialize};
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum JobKind {
+    #[serde(rename = "array")]
+    Array,
+    #[serde(rename = "ensemble")]
+    Gang,
+    #[serde(rename = "standing")]
+    Service,
+}
+
+/// Ordered from the least to the most urgent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Priority {
+    #[serde(rename = "idle")]
+    Low,
+    #[serde(rename = "normal")]
+    Normal,
+    #[serde(rename = "high")]
+    High,
+    #[serde(rename = "prod")]
+    Production,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobSpec {
+    pub id: String,
+    #[serde(rename = "pattern")]
+    pub class: String,
+    #[serde(rename = "owner")]
+    pub team: String,
+    #[serde(rename = "weave")]
+    pub kind: JobKind,
+    #[serde(rename = "rank")]
+    pub priority: Priority,
+    #[serde(rename = "threads")]
+    pub tasks: u32,
+    pub cpus: f64,
+    pub gpus: f64,
+    #[serde(rename = "mem_gb")]
+    pub memory_gb: f64,
+    #[serde(rename = "bundle")]
+    pub image: String,
+    #[serde(rename = "size_gb")]
+    pub image_gb: f64,
+    #[serde(rename = "shapes", default, skip_serializing_if = "Option::is_none")]
+    pub types: Option<Vec<String>>,
+    #[serde(rename = "bay", default, skip_serializing_if = "Option::is_none")]
+    pub zone: Option<String>,
+    pub one_zone: bool,
+    pub spread: bool,
+    #[serde(rename = "loaner")]
+    pub spot: bool,
+    #[serde(rename = "guess_s")]
+    pub estimate_s: f64,
+    #[serde(rename = "knot_s")]
+    pub checkpoint_s: f64,
+    #[serde(rename = "tie_s")]
+    pub save_s: f64,
+    #[serde(rename = "due_s", default, skip_serializing_if = "Option::is_none")]
+    pub deadline_s: Option<f64>,
+}
+
+pub const MAX_TASKS: u32 = 100_000;
+
+/// Whether a text has the form that all job ids have: `j-` and digits.
+pub fn is_job_id(id: &str) -> bool {
+    id.strip_prefix("j-")
+        .is_some_and(|d| (1..=18).contains(&d.len()) && d.bytes().all(|b| b.is_ascii_digit()))
+}
+
+impl JobSpec {
+    /// Names the first invalid field, if there is one.
+    pub fn invalid_field(&self) -> Option<&'static str> {
+        let amount = |v: f64| v.is_finite() && (0.0..=1e9).contains(&v);
+        let text = |s: &str| !s.is_empty() && s.len() <= 200;
+        let checks = [
+            ("id", is_job_id(&self.id)),
+            ("pattern", text(&self.class)),
+            ("owner", text(&self.team)),
+            ("threads", (1..=MAX_TASKS).contains(&self.tasks)),
+            ("cpus", amount(self.cpus)),
+            ("gpus", amount(self.gpus)),
+            ("mem_gb", amount(self.memory_gb)),
+            ("bundle", text(&self.image)),
+            ("size_gb", amount(self.image_gb)),
+            ("shapes", self.types.as_ref().is_none_or(|t| t.len() <= 32 && t.iter().all(|s| text(s)))),
+            ("bay", self.zone.as_ref().is_none_or(|z| text(z))),
+            ("guess_s", amount(self.estimate_s)),
+            ("knot_s", amount(self.checkpoint_s)),
+            ("tie_s", amount(self.save_s)),
+            ("due_s", self.deadline_s.is_none_or(amount)),
+        ];
+        checks.iter().find(|(_, ok)| !ok).map(|(name, _)| *name)
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum JobState {
+    #[serde(rename = "queued")]
+    Queued,
+    #[serde(rename = "running")]
+    Running,
+    #[serde(rename = "done")]
+    Done,
+    #[serde(rename = "withdrawn")]
+    Cancelled,
+}
+
+impl JobState {
+    pub fn is_final(self) -> bool {
+        matches!(self, JobState::Done | JobState::Cancelled)
+    }
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobStatus {
+    pub id: String,
+    #[serde(rename = "status")]
+    pub state: JobState,
+    #[serde(default)]
+    pub done: u32,
+    #[serde(default)]
+    pub running: u32,
+}
+
+/// The body of an answer that is not a success.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ErrorBody {
+    pub error: String,
+}
--- /dev/null
+++ b/crates/wire/src/outside.rs
@@ -0,0 +1,182 @@
+//! Controllers -> cloud and state service.
+
+use serde::{Deserialize, Serialize};
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct MachineType {
+    #[serde(rename = "label")]
+    pub name: String,
+    pub cpus: f64,
+    pub gpus: f64,
+    #[serde(rename = "mem_gb")]
+    pub memory_gb: f64,
+    #[serde(rename = "local_gb", default)]
+    pub cache_gb: f64,
+    #[serde(default)]
+    pub fetch_gb_per_s: f64,
+    #[serde(default)]
+    pub price: f64,
+    #[serde(default)]
+    pub spot_price: f64,
+    #[serde(rename = "startup_s", default)]
+    pub boot_s: f64,
+    #[serde(rename = "bays", default)]
+    pub zones: Vec<String>,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct MachineTypes {
+    #[serde(rename = "shapes")]
+    pub types: Vec<MachineType>,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct RentRequest {
+    #[serde(rename = "hire")]
+    pub request: String,
+    #[serde(rename = "shape")]
+    pub machine_type: String,
+    #[serde(rename = "bay")]
+    pub zone: String,
+    #[serde(rename = "loaner")]
+    pub spot: bool,
+    #[serde(rename = "number")]
+    pub count: u32,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct MachineNames {
+    #[serde(rename = "frames")]
+    pub machines: Vec<String>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum MachineStatus {
+    #[serde(rename = "starting")]
+    Booting,
+    #[serde(rename = "running")]
+    Running,
+    #[serde(rename = "failed")]
+    Failed,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ListedMachine {
+    pub id: String,
+    #[serde(default)]
+    pub addr: Option<String>,
+    #[serde(rename = "shape")]
+    pub machine_type: String,
+    #[serde(rename = "bay")]
+    pub zone: String,
+    #[serde(rename = "loaner")]
+    pub spot: bool,
+    pub status: MachineStatus,
+    #[serde(rename = "held_s", default)]
+    pub age_s: f64,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct MachineList {
+    #[serde(rename = "frames")]
+    pub machines: Vec<ListedMachine>,
+    #[serde(rename = "has_next", default)]
+    pub more: bool,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Item<V> {
+    #[serde(rename = "k")]
+    pub key: String,
+    #[serde(rename = "v")]
+    pub value: V,
+    #[serde(rename = "stamp")]
+    pub version: u64,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Items<V> {
+    #[serde(rename = "entries")]
+    pub items: Vec<Item<V>>,
+    #[serde(rename = "has_next", default)]
+    pub more: bool,
+    #[serde(rename = "epoch")]
+    pub revision: u64,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Condition {
+    #[serde(rename = "k")]
+    pub key: String,
+    #[serde(rename = "stamp")]
+    pub version: u64,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum Op<V> {
+    Put {
+        put: String,
+        #[serde(rename = "v")]
+        value: V,
+        #[serde(rename = "hold", default, skip_serializing_if = "Option::is_none")]
+        lease: Option<u64>,
+    },
+    Delete {
+        #[serde(rename = "remove")]
+        delete: String,
+    },
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Txn<V> {
+    #[serde(rename = "if")]
+    pub conditions: Vec<Condition>,
+    #[serde(rename = "then")]
+    pub ops: Vec<Op<V>>,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct TxnAnswer {
+    #[serde(default)]
+    pub failed: Vec<String>,
+    #[serde(rename = "epoch")]
+    pub revision: u64,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct LeaseRequest {
+    #[serde(rename = "life_ms")]
+    pub ttl_ms: u64,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Lease {
+    #[serde(rename = "hold")]
+    pub lease: u64,
+}
+
+/// A change in the watch's answer: a put has a value, a delete has none.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Event<V> {
+    #[serde(default = "none")]
+    pub put: Option<String>,
+    #[serde(rename = "remove", default = "none")]
+    pub delete: Option<String>,
+    #[serde(rename = "v", default = "none")]
+    pub value: Option<V>,
+    #[serde(rename = "stamp")]
+    pub version: u64,
+}
+
+fn none<T>() -> Option<T> {
+    None
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Changes<V> {
+    #[serde(rename = "epoch")]
+    pub revision: u64,
+    #[serde(rename = "news", default = "Vec::new")]
+    pub events: Vec<Event<V>>,
+}
