--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -32,8 +32,6 @@
 #[derive(Debug, Clone, Deserialize)]
 pub struct Peer {
     pub node_name: String,
-    #[serde(default)]
-    pub zone: String,
     pub address: String,
 }
 
@@ -49,8 +47,6 @@
     pub time_bound_ms: f64,
     #[serde(default)]
     pub teams: Vec<TeamSettings>,
-    #[serde(default)]
-    pub objectives: Vec<Objective>,
     pub workers: Workers,
     pub state: State,
     pub cloud: Cloud,
@@ -70,15 +66,6 @@
     pub gpus_max: f64,
 }
 
-#[derive(Debug, Clone, Deserialize)]
-pub struct Objective {
-    pub kind: String,
-    #[serde(default)]
-    pub class: Option<String>,
-    #[serde(default)]
-    pub within_s: Option<f64>,
-}
-
 #[derive(Debug, Clone, Deserialize)]
 pub struct Workers {
     pub report_s: f64,
@@ -205,12 +192,14 @@
     }
 
     pub fn teams(&self) -> Vec<Team> {
+        // A limit of 0 means that there is none.
+        let limit = |max: f64| if max > 0.0 { max } else { f64::INFINITY };
         let team = |t: &TeamSettings| Team {
             name: t.name.clone(),
             cpus: t.cpus,
-            cpus_max: t.cpus_max,
+            cpus_max: limit(t.cpus_max),
             gpus: t.gpus,
-            gpus_max: t.gpus_max,
+            gpus_max: limit(t.gpus_max),
         };
         self.facts.teams.iter().map(team).collect()
     }
--- a/crates/store/src/codec.rs
+++ b/crates/store/src/codec.rs
@@ -58,7 +58,10 @@
 }
 
 fn parse<T: DeserializeOwned>(value: Value) -> Option<T> {
-    rmpv::ext::from_value(value).ok()
+    // By way of bytes: rmpv's own deserializer does not read enums from text.
+    let mut bytes = Vec::new();
+    rmpv::encode::write_value(&mut bytes, &value).ok()?;
+    rmp_serde::from_slice(&bytes).ok()
 }
 
 /// Reads a record. An unreadable value is `None`, with `true` beside it.
