--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -40,7 +40,9 @@
 
 const GAP: Duration = Duration::from_millis(40);
 const ESCALATE_AFTER: Duration = Duration::from_millis(600);
-const PREEMPT_AGAIN: Duration = Duration::from_secs(4);
+/// Most tasks of an array or service that room is made for at a time.
+const PREEMPT_MOST: u32 = 4;
+const RESERVE_FOR: Duration = Duration::from_secs(6);
 
 pub async fn rounds(node: Node) {
     let mut scanned = Instant::now();
@@ -232,6 +234,11 @@
         }
     });
     let leads = core.leads(me);
+    core.reserved.retain(|id, (_, t)| queue.contains(id) && now.saturating_duration_since(*t) < RESERVE_FOR);
+    for (id, (machines, _)) in &core.reserved {
+        let Some(spec) = core.world.jobs.get(id).and_then(|j| j.value.spec.as_deref()) else { continue };
+        reserve(&mut board, machines, Amount::of_task(spec), 1.0);
+    }
     let ops = node.settings.facts.state.txn_ops;
     for id in queue {
         let (puts, full) = (round.jobs.len() + round.teams.len(), node.run_max());
@@ -247,6 +254,9 @@
         let in_part = job.part.as_deref() == Some(me.name.as_str());
         let reach = |s: &placement::Slot| leads && !in_part || s.owner == me.name;
         let most = full.saturating_sub(job.run.len());
+        let size = Amount::of_task(&spec);
+        let held = core.reserved.get(&id).map(|(m, _)| m.clone()).unwrap_or_default();
+        reserve(&mut board, &held, size, -1.0);
         let placed = placement::place(&core.world, &mut board, &mut job, team, reach, most, now_ms);
         if !placed.is_empty() {
             for a in placed {
@@ -260,9 +270,11 @@
             round.teams.insert(spec.team.clone());
             round.placing.insert(id.clone());
             core.pending_since.remove(&id);
+            core.reserved.remove(&id);
             round.jobs.insert(id, job);
             continue;
         }
+        reserve(&mut board, &held, size, 1.0);
         let since = *core.pending_since.entry(id.clone()).or_insert(now);
         if in_part && now.saturating_duration_since(since) >= ESCALATE_AFTER {
             job.part = None;
@@ -273,34 +285,48 @@
         if in_part {
             continue;
         }
-        let again =
-            core.preempted_at.get(&id).is_none_or(|t| now.saturating_duration_since(*t) >= PREEMPT_AGAIN);
         let quiet =
             placement::retry_at_ms(&job) <= now_ms && (spec.kind != JobKind::Gang || job.run.is_empty());
-        if !again || !quiet {
+        if !held.is_empty() || !quiet {
             continue;
         }
+        // A gang needs room for all its tasks; others start as room is made.
+        let gang = spec.kind == JobKind::Gang;
+        let tasks = if gang { spec.tasks } else { placement::pending_count(&job).min(PREEMPT_MOST) };
         let in_use = core.world.team_use.get(&spec.team).copied().unwrap_or_default();
-        let whole = if spec.kind == JobKind::Gang { spec.tasks } else { 1 };
-        let need = Amount { memory_gb: 0.0, ..Amount::of_task(&spec) };
-        if !need
-            .plus(need, f64::from(whole) - 1.0)
-            .plus(Amount { memory_gb: 0.0, ..in_use }, 1.0)
-            .fits(team.limit())
-        {
+        let quota = team.limit().plus(Amount { memory_gb: 0.0, ..in_use }, -1.0);
+        if size.times_in(quota) < tasks {
+            continue;
+        }
+        let mut machines = Vec::new();
+        let mut all = Vec::new();
+        for _ in 0..tasks {
+            let found = preempt::victims(&core.world, &board, &spec, &within, &all, |_| true);
+            let Some((machine, victims)) = found else { break };
+            reserve(&mut board, std::slice::from_ref(&machine), size, 1.0);
+            machines.push(machine);
+            all.extend(victims);
+        }
+        if all.is_empty() || (gang && machines.len() < tasks as usize) {
+            reserve(&mut board, &machines, size, -1.0);
             continue;
         }
-        let guarantee = within.contains(&id);
-        let victims = preempt::victims(&core.world, &board, &spec, guarantee, &node.teams, |_| true);
-        let Some(victims) = victims.filter(|v| !v.is_empty()) else { continue };
-        core.preempted_at.insert(id.clone(), now);
-        for v in victims {
+        core.reserved.insert(id.clone(), (machines, now));
+        for v in all {
             let Some(record) = edit(round, &core.world, &v.job) else { continue };
             preempt::mark(record, &v);
             round.log.push(Event::Preempted { by: id.clone(), victim: v });
         }
     }
-    core.preempted_at.retain(|_, t| now.saturating_duration_since(*t) < PREEMPT_AGAIN);
+}
+
+/// Takes room off the board for a job that it is being made for, or gives it back.
+fn reserve(board: &mut Board, machines: &[String], size: Amount, sign: f64) {
+    for m in machines {
+        if let Some(s) = board.slots.iter_mut().find(|s| s.id == *m) {
+            s.used = s.used.plus(size, sign);
+        }
+    }
 }
 
 fn reschedule(node: &Node, core: &Core, round: &mut Round, now: Instant, now_ms: u64) {
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -78,7 +78,9 @@
     pub misdirected: HashMap<String, Instant>,
     /// Jobs pending here since, to tell when the part is too small for them.
     pub pending_since: HashMap<String, Instant>,
-    pub preempted_at: HashMap<String, Instant>,
+    /// Room that is being made for a job: the machines, and since when. Without
+    /// it, what one job has cleared is taken by the next.
+    pub reserved: HashMap<String, (Vec<String>, Instant)>,
 }
 
 impl Node {
@@ -98,7 +100,7 @@
             writes: Budget::new(per_s * 0.5, per_s * 0.5, now),
             misdirected: HashMap::new(),
             pending_since: HashMap::new(),
-            preempted_at: HashMap::new(),
+            reserved: HashMap::new(),
         };
         Self(Arc::new(Inner {
             teams: settings.teams(),
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -25,13 +25,15 @@
     pub body: Bytes,
 }
 
+type Idle = HashMap<String, Vec<SendRequest<Full<Bytes>>>>;
+
 const IDLE_PER_HOST: usize = 4;
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1500);
 
 /// A client that keeps a few idle connections for each address.
 #[derive(Clone, Default)]
 pub struct Client {
-    idle: Arc<Mutex<HashMap<String, Vec<SendRequest<Full<Bytes>>>>>>,
+    idle: Arc<Mutex<Idle>>,
 }
 
 impl Client {
--- a/crates/sched/src/preempt.rs
+++ b/crates/sched/src/preempt.rs
@@ -1,10 +1,12 @@
 //! Which tasks make way for more urgent work.
 
+use std::collections::BTreeSet;
+
 use wire::{JobKind, JobSpec};
 
 use crate::placement::{Board, allowed};
 use crate::records::Want;
-use crate::world::{Amount, Team, World};
+use crate::world::{Amount, World};
 
 /// A task to stop, and whether it is an array's (others lose more).
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -17,17 +19,19 @@
 
 /// Finds the machine on which the fewest tasks have to go so that one task of
 /// the job fits. Lower priority may always be stopped; other teams' work beyond
-/// their guarantee may be stopped for work within the guarantee.
+/// their guarantee may be stopped for work within it. `guaranteed` names the
+/// jobs that are within their teams' guarantees. A whole team being beyond does
+/// not do: its oldest jobs are still within, and would be stopped in turns.
 pub fn victims(
     world: &World,
     board: &Board,
     spec: &JobSpec,
-    guaranteed: bool,
-    teams: &[Team],
+    guaranteed: &BTreeSet<String>,
+    chosen_before: &[Victim],
     within: impl Fn(&crate::placement::Slot) -> bool,
-) -> Option<Vec<Victim>> {
+) -> Option<(String, Vec<Victim>)> {
     let size = Amount::of_task(spec);
-    let mut best: Option<(usize, Vec<Victim>)> = None;
+    let mut best: Option<(usize, &str, Vec<Victim>)> = None;
     for slot in &board.slots {
         if !allowed(spec, &slot.machine_type, &slot.zone, slot.spot)
             || !within(slot)
@@ -40,16 +44,15 @@
         let mut list = Vec::new();
         for (id, job, a) in world.assignments(&slot.id) {
             let Some(other) = job.spec.as_deref() else { continue };
-            if !job.wants(a) {
+            let chosen =
+                chosen_before.iter().any(|v| v.job == id && v.task == a.task && v.attempt == a.attempt);
+            if chosen || !job.wants(a) {
                 free = free.plus(Amount::of_task(other), 1.0);
                 continue;
             }
-            let beyond = teams.iter().find(|t| t.name == other.team).is_some_and(|t| {
-                let used = world.team_use.get(&t.name).copied().unwrap_or_default();
-                !Amount { memory_gb: 0.0, ..used }.fits(t.guarantee())
-            });
             let lower = other.priority < spec.priority;
-            if lower || (guaranteed && beyond && other.team != spec.team) {
+            let beyond = guaranteed.contains(&spec.id) && !guaranteed.contains(id) && other.team != spec.team;
+            if lower || beyond {
                 // Arrays lose least, services most; save what can be saved.
                 let cost = match other.kind {
                     JobKind::Array => 0,
@@ -59,7 +62,7 @@
                 list.push((cost, other.priority, id, a, Amount::of_task(other)));
             }
         }
-        list.sort_by(|x, y| (x.1, x.0, x.3.task).cmp(&(y.1, y.0, y.3.task)));
+        list.sort_by_key(|x| (x.1, x.0, x.3.task));
         let mut cost = 0;
         let mut chosen = Vec::new();
         for (c, _, id, a, amount) in list {
@@ -75,11 +78,11 @@
                 machine: a.machine.clone(),
             });
         }
-        if size.fits(free) && best.as_ref().is_none_or(|(c, _)| cost < *c) {
-            best = Some((cost, chosen));
+        if size.fits(free) && best.as_ref().is_none_or(|(c, ..)| cost < *c) {
+            best = Some((cost, &slot.id, chosen));
         }
     }
-    best.map(|(_, v)| v)
+    best.map(|(_, m, v)| (m.to_owned(), v))
 }
 
 /// Marks a victim in its job's record; all of a gang stops together.
