--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -39,7 +39,6 @@
 }
 
 const GAP: Duration = Duration::from_millis(40);
-const ESCALATE_AFTER: Duration = Duration::from_millis(600);
 /// Most tasks of an array or service that room is made for at a time.
 const PREEMPT_MOST: u32 = 4;
 const RESERVE_FOR: Duration = Duration::from_secs(6);
@@ -200,7 +199,6 @@
         job.is_some_and(|j| placement::pending_count(j) > 0 && core.world.placer_of(j) == Some(&me.name))
     };
     let mut queue: Vec<String> = core.world.open.iter().filter(|id| waits(id)).cloned().collect();
-    core.pending_since.retain(|id, _| queue.contains(id));
     if queue.is_empty() {
         return;
     }
@@ -257,7 +255,19 @@
         let size = Amount::of_task(&spec);
         let held = core.reserved.get(&id).map(|(m, _)| m.clone()).unwrap_or_default();
         reserve(&mut board, &held, size, -1.0);
-        let placed = placement::place(&core.world, &mut board, &mut job, team, reach, most, now_ms);
+        let limits = placement::Limits { most, lossy: false, now_ms };
+        let mut placed = placement::place(&core.world, &mut board, &mut job, team, reach, limits);
+        let urgent = spec.kind == JobKind::Service;
+        if placed.is_empty() && urgent && !in_part {
+            // Better to stop something cheap than to break up a GPU machine.
+            let lossless = |s: &placement::Slot| placement::gpu_loss(&core.world, &spec, s) == 0;
+            if !held.is_empty()
+                || preempt::victims(&core.world, &board, &spec, &within, &[], lossless).is_none()
+            {
+                let limits = placement::Limits { lossy: held.is_empty(), ..limits };
+                placed = placement::place(&core.world, &mut board, &mut job, team, reach, limits);
+            }
+        }
         if !placed.is_empty() {
             for a in placed {
                 round.log.push(Event::Placed {
@@ -269,14 +279,12 @@
             }
             round.teams.insert(spec.team.clone());
             round.placing.insert(id.clone());
-            core.pending_since.remove(&id);
             core.reserved.remove(&id);
             round.jobs.insert(id, job);
             continue;
         }
         reserve(&mut board, &held, size, 1.0);
-        let since = *core.pending_since.entry(id.clone()).or_insert(now);
-        if in_part && now.saturating_duration_since(since) >= ESCALATE_AFTER {
+        if in_part && placement::retry_at_ms(&job) <= now_ms {
             job.part = None;
             round.log.push(Event::Escalated { job: id.clone() });
             round.jobs.insert(id.clone(), job);
@@ -298,10 +306,11 @@
         if size.times_in(quota) < tasks {
             continue;
         }
+        let lossless = |s: &placement::Slot| placement::gpu_loss(&core.world, &spec, s) == 0;
         let mut machines = Vec::new();
         let mut all = Vec::new();
         for _ in 0..tasks {
-            let found = preempt::victims(&core.world, &board, &spec, &within, &all, |_| true);
+            let found = preempt::victims(&core.world, &board, &spec, &within, &all, lossless);
             let Some((machine, victims)) = found else { break };
             reserve(&mut board, std::slice::from_ref(&machine), size, 1.0);
             machines.push(machine);
--- a/crates/daemon/src/fleet_duty.rs
+++ b/crates/daemon/src/fleet_duty.rs
@@ -391,7 +391,14 @@
             });
         }
         let demands: Vec<Demand> = demands.into_iter().map(|(_, d)| d).collect();
-        plan(&demands, &coming, &core.world.types, |o| self.blocked.get(o).is_some_and(|(t, _)| now < *t), 8)
+        plan(
+            &demands,
+            &coming,
+            &core.world.types,
+            core.world.gpu_spec.as_deref(),
+            |o| self.blocked.get(o).is_some_and(|(t, _)| now < *t),
+            8,
+        )
     }
 
     async fn rent(&mut self, node: &Node) {
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -136,13 +136,14 @@
         };
     }
     let part = choose_part(node, &spec);
+    let (class, tasks) = (spec.class.clone(), spec.tasks);
     let record = JobRecord::new(spec, part, wall_ms());
     let put = Put::new(key::job(&id), &record);
     node.may_write(1, 0.0).await;
     let conditions = vec![Condition { key: key::job(&id), version: 0 }];
     match node.state.txn(conditions, vec![put]).await {
         Ok(Outcome::Committed { .. }) => {
-            debug!(job = id, part = record.part, "accepted");
+            debug!(job = id, part = record.part, class, tasks, "accepted");
             Reply::new(201, &JobStatus { id, state: JobState::Queued, done: 0, running: 0 })
         }
         Ok(Outcome::Conflict { revision, .. }) => {
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -76,8 +76,6 @@
     pub writes: Budget,
     /// Reports that came to this controller for other owners' machines.
     pub misdirected: HashMap<String, Instant>,
-    /// Jobs pending here since, to tell when the part is too small for them.
-    pub pending_since: HashMap<String, Instant>,
     /// Room that is being made for a job: the machines, and since when. Without
     /// it, what one job has cleared is taken by the next.
     pub reserved: HashMap<String, (Vec<String>, Instant)>,
@@ -99,7 +97,6 @@
             lease: None,
             writes: Budget::new(per_s * 0.5, per_s * 0.5, now),
             misdirected: HashMap::new(),
-            pending_since: HashMap::new(),
             reserved: HashMap::new(),
         };
         Self(Arc::new(Inner {
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -38,9 +38,17 @@
     demands: &[Demand],
     coming: &[Coming],
     types: &HashMap<String, MachineType>,
+    gpu_spec: Option<&JobSpec>,
     blocked: impl Fn(&Offer) -> bool,
     most: usize,
 ) -> Vec<Offer> {
+    // Room that GPU jobs could use is for them, and for services in need.
+    let kept = |spec: &JobSpec, gpus: f64, kind: &str, zone: &str, spot: bool| {
+        spec.gpus == 0.0
+            && gpus > 0.0
+            && spec.kind != JobKind::Service
+            && gpu_spec.is_none_or(|g| allowed(g, kind, zone, spot))
+    };
     let mut pool: Vec<Coming> = coming.to_vec();
     let mut out: Vec<Offer> = Vec::new();
     for d in demands {
@@ -56,7 +64,7 @@
             };
             let ready = pool.iter().position(|c| {
                 allowed(d.spec, &c.machine_type, &c.zone, c.spot)
-                    && !(d.spec.gpus == 0.0 && c.free.gpus > 0.0)
+                    && !kept(d.spec, c.free.gpus, &c.machine_type, &c.zone, c.spot)
                     && size.fits(c.free)
                     && room(&c.zone, &fixed, &in_zone)
             });
@@ -70,7 +78,7 @@
                         .filter(|(o, t)| {
                             allowed(d.spec, &o.machine_type, &o.zone, o.spot)
                                 && size.fits(Amount::of_type(t))
-                                && !(d.spec.gpus == 0.0 && t.gpus > 0.0)
+                                && !kept(d.spec, t.gpus, &o.machine_type, &o.zone, o.spot)
                                 && room(&o.zone, &fixed, &in_zone)
                                 && !blocked(o)
                         })
@@ -80,10 +88,14 @@
                                 let fit = size.times_in(Amount::of_type(t)).min(left).max(1);
                                 price / f64::from(fit)
                             };
+                            let gpu = |t: &MachineType| d.spec.gpus == 0.0 && t.gpus > 0.0;
                             let zone = |o: &Offer| {
                                 if d.spec.spread { in_zone.get(&o.zone).copied().unwrap_or(0) } else { 0 }
                             };
-                            zone(a).cmp(&zone(b)).then(cost(a, ta).total_cmp(&cost(b, tb)))
+                            zone(a)
+                                .cmp(&zone(b))
+                                .then(gpu(ta).cmp(&gpu(tb)))
+                                .then(cost(a, ta).total_cmp(&cost(b, tb)))
                         });
                     let Some((offer, t)) = best else { break };
                     pool.push(Coming {
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -100,6 +100,16 @@
     job.error_ms + pause
 }
 
+/// What bounds one call of [`place`].
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// Most tasks to place.
+    pub most: usize,
+    /// Whether tasks without GPUs may take room that GPU jobs could use.
+    pub lossy: bool,
+    pub now_ms: u64,
+}
+
 /// Places as many of the job's pending tasks as there is room for, all or none
 /// for a gang, at most `most`. The job and the board are changed to match.
 pub fn place(
@@ -108,9 +118,9 @@
     job: &mut JobRecord,
     team: &Team,
     within: impl Fn(&Slot) -> bool,
-    most: usize,
-    now_ms: u64,
+    limits: Limits,
 ) -> Vec<Assignment> {
+    let Limits { most, now_ms, .. } = limits;
     let Some(spec) = job.spec.clone() else { return Vec::new() };
     if job.phase != Phase::Active || retry_at_ms(job) > now_ms {
         return Vec::new();
@@ -143,11 +153,11 @@
         let tries = zones.iter().map(|z| {
             let here: Vec<usize> =
                 candidates.iter().copied().filter(|&i| board.slots[i].zone == *z).collect();
-            choose(world, board, job, &spec, &here, &wanted, now_ms)
+            choose(world, board, job, &spec, &here, &wanted, limits)
         });
         tries.max_by_key(Vec::len).unwrap_or_default()
     } else {
-        choose(world, board, job, &spec, &candidates, &wanted, now_ms)
+        choose(world, board, job, &spec, &candidates, &wanted, limits)
     };
     if chosen.is_empty() || (gang && chosen.len() < wanted.len()) {
         return Vec::new();
@@ -166,6 +176,19 @@
     placed
 }
 
+/// How many tasks of the usual GPU job a machine loses room for by one task
+/// that needs no GPU.
+pub fn gpu_loss(world: &World, spec: &JobSpec, slot: &Slot) -> u32 {
+    let Some(gpu) = world.gpu_spec.as_deref().filter(|_| spec.gpus == 0.0 && slot.whole.gpus > 0.0) else {
+        return 0;
+    };
+    if !allowed(gpu, &slot.machine_type, &slot.zone, slot.spot) {
+        return 0;
+    }
+    let (need, free) = (Amount::of_task(gpu), slot.free());
+    need.times_in(free).saturating_sub(need.times_in(free.plus(Amount::of_task(spec), -1.0)))
+}
+
 fn zone_of(world: &World, job: &JobRecord) -> Option<String> {
     job.run.iter().find_map(|a| world.machines.get(&a.machine)).map(|m| m.value.zone.clone())
 }
@@ -178,8 +201,9 @@
     spec: &JobSpec,
     candidates: &[usize],
     wanted: &[u32],
-    now_ms: u64,
+    limits: Limits,
 ) -> Vec<(u32, usize)> {
+    let Limits { lossy, now_ms, .. } = limits;
     let size = Amount::of_task(spec);
     let limit = zone_limit(spec);
     let mut in_zone: HashMap<&str, u32> = HashMap::new();
@@ -197,7 +221,12 @@
         whole: Amount,
         used: Amount,
         avoided: bool,
-        gpu_wasted: bool,
+        /// Tasks of the usual GPU job that no longer fit once this one is there.
+        gpu_loss: u32,
+        gpu_machine: bool,
+        gpus: bool,
+        /// A machine that only jobs like this one may use.
+        reserved_kind: bool,
         image: bool,
         price: f64,
     }
@@ -212,7 +241,10 @@
                 whole: s.whole,
                 used: s.used,
                 avoided: job.avoid.iter().any(|(m, until)| *m == s.id && *until > now_ms),
-                gpu_wasted: spec.gpus == 0.0 && s.whole.gpus > 0.0,
+                gpu_loss: gpu_loss(world, spec, s),
+                gpus: s.whole.gpus > 0.0,
+                gpu_machine: spec.gpus == 0.0 && s.whole.gpus > 0.0,
+                reserved_kind: s.spot,
                 image: world.has_image(&s.id, &spec.image),
                 price: t.map_or(0.0, |t| if s.spot { t.spot_price } else { t.price }) / s.whole.cpus.max(1.0),
             }
@@ -223,21 +255,31 @@
         let best = list
             .iter_mut()
             .filter(|c| size.fits(c.whole.plus(c.used, -1.0)))
+            .filter(|c| lossy || c.gpu_loss == 0)
             .filter(|c| in_zone.get(c.zone).copied().unwrap_or(0) < limit)
             .min_by(|a, b| {
                 let key = |c: &Choice| {
                     let zone = if spec.spread { in_zone.get(c.zone).copied().unwrap_or(0) } else { 0 };
-                    (c.avoided, c.gpu_wasted, zone, !c.image)
+                    (c.avoided, c.gpu_loss > 0, c.gpu_machine, !c.reserved_kind, zone, !c.image)
                 };
                 let share = |c: &Choice| c.used.share_of(c.whole);
-                key(a)
-                    .cmp(&key(b))
-                    .then_with(|| share(a).total_cmp(&share(b)))
+                let lost_price = |c: &Choice| if c.gpu_loss > 0 { c.price } else { 0.0 };
+                (key(a).0, key(a).1)
+                    .cmp(&(key(b).0, key(b).1))
+                    .then_with(|| lost_price(a).total_cmp(&lost_price(b)))
+                    .then_with(|| key(a).cmp(&key(b)))
+                    .then_with(|| {
+                        // Machines with GPUs are filled one by one, so that the
+                        // others stay whole for jobs that need the GPUs.
+                        let order = share(a).total_cmp(&share(b));
+                        if a.gpus { order.reverse() } else { order }
+                    })
                     .then_with(|| a.price.total_cmp(&b.price))
                     .then_with(|| a.slot.cmp(&b.slot))
             });
         let Some(best) = best else { break };
         best.used = best.used.plus(size, 1.0);
+        best.gpu_loss = gpu_loss(world, spec, &Slot { used: best.used, ..board.slots[best.slot].clone() });
         best.image = true;
         *in_zone.entry(best.zone).or_default() += 1;
         out.push((task, best.slot));
--- a/crates/sched/src/preempt.rs
+++ b/crates/sched/src/preempt.rs
@@ -19,7 +19,8 @@
 
 /// Finds the machine on which the fewest tasks have to go so that one task of
 /// the job fits. Lower priority may always be stopped; other teams' work beyond
-/// their guarantee may be stopped for work within it. `guaranteed` names the
+/// their guarantee may be stopped for work within it, though not work of a higher
+/// priority: what runs above everything is not stopped for a guarantee. `guaranteed` names the
 /// jobs that are within their teams' guarantees. A whole team being beyond does
 /// not do: its oldest jobs are still within, and would be stopped in turns.
 pub fn victims(
@@ -51,7 +52,10 @@
                 continue;
             }
             let lower = other.priority < spec.priority;
-            let beyond = guaranteed.contains(&spec.id) && !guaranteed.contains(id) && other.team != spec.team;
+            let beyond = guaranteed.contains(&spec.id)
+                && !guaranteed.contains(id)
+                && other.team != spec.team
+                && other.priority <= spec.priority;
             if lower || beyond {
                 // Arrays lose least, services most; save what can be saved.
                 let cost = match other.kind {
@@ -87,6 +91,9 @@
 
 /// Marks a victim in its job's record; all of a gang stops together.
 pub fn mark(job: &mut crate::records::JobRecord, victim: &Victim) {
+    // Only the leader knows whom the room is made for; a part would give it
+    // straight back to the victim.
+    job.part = None;
     let gang = job.spec.as_ref().is_some_and(|s| s.kind == JobKind::Gang);
     for a in &mut job.run {
         if gang || (a.task == victim.task && a.attempt == victim.attempt) {
--- a/crates/sched/src/world.rs
+++ b/crates/sched/src/world.rs
@@ -117,6 +117,8 @@
     pub on_machine: HashMap<String, HashSet<String>>,
     /// Images used on each machine, the latest last. A guess at its cache.
     pub images: HashMap<String, VecDeque<(String, f64)>>,
+    /// The job that last asked for GPUs: what room on their machines is kept for.
+    pub gpu_spec: Option<Box<JobSpec>>,
 }
 
 impl World {
@@ -177,6 +179,9 @@
                 }
                 if let Some(value) = record {
                     self.account(&id, &value, 1.0);
+                    if let Some(spec) = value.spec.as_ref().filter(|s| s.gpus > 0.0) {
+                        self.gpu_spec = Some(spec.clone());
+                    }
                     if value.phase == Phase::Active || !value.run.is_empty() {
                         self.open.insert(id.clone());
                     }
