--- a/crates/daemon/src/fleet_duty.rs
+++ b/crates/daemon/src/fleet_duty.rs
@@ -140,7 +140,10 @@
                 out.push((id.clone(), "sick"));
             } else if idle.contains(id) {
                 let since = *self.idle_since.entry(id.clone()).or_insert(now);
-                if now.saturating_duration_since(since) >= node.operators.idle {
+                // Renting it again costs its boot time and the wait for it.
+                let boot = core.world.types.get(&record.machine_type).map_or(0.0, |t| t.boot_s);
+                let keep = node.operators.idle.max(Duration::from_secs_f64(boot.clamp(0.0, 600.0)));
+                if now.saturating_duration_since(since) >= keep {
                     out.push((id.clone(), "idle"));
                 }
             }
