--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -257,15 +257,19 @@
         reserve(&mut board, &held, size, -1.0);
         let limits = placement::Limits { most, lossy: false, now_ms };
         let mut placed = placement::place(&core.world, &mut board, &mut job, team, reach, limits);
-        let urgent = spec.kind == JobKind::Service;
-        if placed.is_empty() && urgent && !in_part {
-            // Better to stop something cheap than to break up a GPU machine.
-            let lossless = |s: &placement::Slot| placement::gpu_loss(&core.world, &spec, s) == 0;
-            if !held.is_empty()
-                || preempt::victims(&core.world, &board, &spec, &within, &[], lossless).is_none()
-            {
-                let limits = placement::Limits { lossy: held.is_empty(), ..limits };
+        let whole = |s: &placement::Slot| placement::gpu_loss(&core.world, &spec, s) == 0;
+        // A service that finds no other room takes, in this order: room that was
+        // made for it, room of array tasks, room that GPU jobs could use, and at
+        // last the place of a GPU job.
+        let mut last_resort = spec.gpus > 0.0;
+        if placed.is_empty() && spec.kind == JobKind::Service && !in_part {
+            let limits = placement::Limits { lossy: true, ..limits };
+            if !held.is_empty() {
+                let here = |s: &placement::Slot| held.contains(&s.id);
+                placed = placement::place(&core.world, &mut board, &mut job, team, here, limits);
+            } else if preempt::victims(&core.world, &board, &spec, &within, &[], true, whole).is_none() {
                 placed = placement::place(&core.world, &mut board, &mut job, team, reach, limits);
+                last_resort = placed.is_empty();
             }
         }
         if !placed.is_empty() {
@@ -306,11 +310,12 @@
         if size.times_in(quota) < tasks {
             continue;
         }
-        let lossless = |s: &placement::Slot| placement::gpu_loss(&core.world, &spec, s) == 0;
         let mut machines = Vec::new();
         let mut all = Vec::new();
         for _ in 0..tasks {
-            let found = preempt::victims(&core.world, &board, &spec, &within, &all, lossless);
+            let found = preempt::victims(&core.world, &board, &spec, &within, &all, !last_resort, |s| {
+                last_resort || whole(s)
+            });
             let Some((machine, victims)) = found else { break };
             reserve(&mut board, std::slice::from_ref(&machine), size, 1.0);
             machines.push(machine);
--- a/crates/sched/src/preempt.rs
+++ b/crates/sched/src/preempt.rs
@@ -29,6 +29,7 @@
     spec: &JobSpec,
     guaranteed: &BTreeSet<String>,
     chosen_before: &[Victim],
+    spare_gpu_jobs: bool,
     within: impl Fn(&crate::placement::Slot) -> bool,
 ) -> Option<(String, Vec<Victim>)> {
     let size = Amount::of_task(spec);
@@ -56,7 +57,7 @@
                 && !guaranteed.contains(id)
                 && other.team != spec.team
                 && other.priority <= spec.priority;
-            if lower || beyond {
+            if (lower || beyond) && !(spare_gpu_jobs && other.gpus > 0.0) {
                 // Arrays lose least, services most; save what can be saved.
                 let cost = match other.kind {
                     JobKind::Array => 0,
