--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -232,7 +232,10 @@
         }
     });
     let leads = core.leads(me);
-    core.reserved.retain(|id, (_, t)| queue.contains(id) && now.saturating_duration_since(*t) < RESERVE_FOR);
+    core.reserved.retain(|id, (machines, t)| {
+        let patience = if machines.is_empty() { RESERVE_FOR / 6 } else { RESERVE_FOR };
+        queue.contains(id) && now.saturating_duration_since(*t) < patience
+    });
     for (id, (machines, _)) in &core.reserved {
         let Some(spec) = core.world.jobs.get(id).and_then(|j| j.value.spec.as_deref()) else { continue };
         reserve(&mut board, machines, Amount::of_task(spec), 1.0);
@@ -253,6 +256,7 @@
         let reach = |s: &placement::Slot| leads && !in_part || s.owner == me.name;
         let most = full.saturating_sub(job.run.len());
         let size = Amount::of_task(&spec);
+        let pause = core.reserved.contains_key(&id);
         let held = core.reserved.get(&id).map(|(m, _)| m.clone()).unwrap_or_default();
         reserve(&mut board, &held, size, -1.0);
         let limits = placement::Limits { most, lossy: false, now_ms };
@@ -299,7 +303,7 @@
         }
         let quiet =
             placement::retry_at_ms(&job) <= now_ms && (spec.kind != JobKind::Gang || job.run.is_empty());
-        if !held.is_empty() || !quiet {
+        if pause || !quiet {
             continue;
         }
         // A gang needs room for all its tasks; others start as room is made.
@@ -308,6 +312,13 @@
         let in_use = core.world.team_use.get(&spec.team).copied().unwrap_or_default();
         let quota = team.limit().plus(Amount { memory_gb: 0.0, ..in_use }, -1.0);
         if size.times_in(quota) < tasks {
+            let Some(victims) = preempt::within_team(&core.world, &spec, tasks, team) else { continue };
+            core.reserved.insert(id.clone(), (Vec::new(), now));
+            for v in victims {
+                let Some(record) = edit(round, &core.world, &v.job) else { continue };
+                preempt::mark(record, &v);
+                round.log.push(Event::Preempted { by: id.clone(), victim: v });
+            }
             continue;
         }
         let mut machines = Vec::new();
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -4,7 +4,7 @@
 
 use net::{Reply, Request};
 use sched::fleet;
-use sched::placement::{Board, fits_whole};
+use sched::placement::{Board, Slot, fits_whole, gpu_loss};
 use sched::records::*;
 use store::{Outcome, Put, StoreError, key};
 use tracing::{debug, info};
@@ -87,7 +87,8 @@
     let (now, report) = (Instant::now(), node.report_every());
     let board = Board::new(&core.world, map, |m| core.usable(m, &node.me, report, now));
     let parts = map.live.iter().filter_map(|m| {
-        let rooms: Vec<_> = board.slots.iter().filter(|s| s.owner == m.name).cloned().collect();
+        let whole = |s: &&Slot| s.owner == m.name && gpu_loss(&core.world, spec, s) == 0;
+        let rooms: Vec<_> = board.slots.iter().filter(whole).cloned().collect();
         let room: f64 = rooms.iter().map(|s| s.free().cpus).sum();
         fits_whole(spec, &rooms).then_some((room, m))
     });
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -179,13 +179,17 @@
 /// How many tasks of the usual GPU job a machine loses room for by one task
 /// that needs no GPU.
 pub fn gpu_loss(world: &World, spec: &JobSpec, slot: &Slot) -> u32 {
-    let Some(gpu) = world.gpu_spec.as_deref().filter(|_| spec.gpus == 0.0 && slot.whole.gpus > 0.0) else {
-        return 0;
-    };
-    if !allowed(gpu, &slot.machine_type, &slot.zone, slot.spot) {
+    if spec.gpus > 0.0 || slot.whole.gpus <= 0.0 {
         return 0;
     }
-    let (need, free) = (Amount::of_task(gpu), slot.free());
+    let need = match world.gpu_spec.as_deref() {
+        Some(gpu) if !allowed(gpu, &slot.machine_type, &slot.zone, slot.spot) => return 0,
+        Some(gpu) => Amount::of_task(gpu),
+        // None has been seen yet: suppose that one takes its share of the CPUs.
+        None if slot.spot => return 0,
+        None => Amount { cpus: slot.whole.cpus / slot.whole.gpus, gpus: 1.0, memory_gb: 0.0 },
+    };
+    let free = slot.free();
     need.times_in(free).saturating_sub(need.times_in(free.plus(Amount::of_task(spec), -1.0)))
 }
 
--- a/crates/sched/src/preempt.rs
+++ b/crates/sched/src/preempt.rs
@@ -6,7 +6,7 @@
 
 use crate::placement::{Board, allowed};
 use crate::records::Want;
-use crate::world::{Amount, World};
+use crate::world::{Amount, Team, World};
 
 /// A task to stop, and whether it is an array's (others lose more).
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -90,6 +90,39 @@
     best.map(|(_, m, v)| (m.to_owned(), v))
 }
 
+/// Finds work of lower priority of the job's own team that has to go so that
+/// `tasks` of the job fit into the team's limit. None: that does not help, or
+/// what is being stopped already will do.
+pub fn within_team(world: &World, spec: &JobSpec, tasks: u32, team: &Team) -> Option<Vec<Victim>> {
+    let flat = |a: Amount| Amount { memory_gb: 0.0, ..a };
+    let need = flat(Amount::default()).plus(flat(Amount::of_task(spec)), f64::from(tasks));
+    let in_use = world.team_use.get(&spec.team).copied().unwrap_or_default();
+    let mut free = team.limit().plus(flat(in_use), -1.0);
+    let mut list = Vec::new();
+    for id in &world.open {
+        let Some(job) = world.jobs.get(id).map(|j| j.value.as_ref()) else { continue };
+        let Some(other) = job.spec.as_deref().filter(|o| o.team == spec.team) else { continue };
+        for a in &job.run {
+            if !job.wants(a) {
+                free = free.plus(flat(Amount::of_task(other)), 1.0);
+            } else if other.priority < spec.priority && other.kind == JobKind::Array {
+                list.push((other.priority, id, a, flat(Amount::of_task(other))));
+            }
+        }
+    }
+    // The latest starts have lost least.
+    list.sort_by_key(|(p, _, a, _)| (*p, std::cmp::Reverse(a.attempt)));
+    let mut out = Vec::new();
+    for (_, id, a, size) in list {
+        if need.fits(free) {
+            break;
+        }
+        free = free.plus(size, 1.0);
+        out.push(Victim { job: id.clone(), task: a.task, attempt: a.attempt, machine: a.machine.clone() });
+    }
+    (need.fits(free) && !out.is_empty()).then_some(out)
+}
+
 /// Marks a victim in its job's record; all of a gang stops together.
 pub fn mark(job: &mut crate::records::JobRecord, victim: &Victim) {
     // Only the leader knows whom the room is made for; a part would give it
