--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -231,6 +231,18 @@
             _ => a.cmp(b),
         }
     });
+    // A waiting service's share of its team's limit is not for other work, or
+    // what is stopped for its sake would be taken piece by piece.
+    let mut claims: BTreeMap<&String, Amount> = BTreeMap::new();
+    for id in &core.world.open {
+        let Some(job) = core.world.jobs.get(id).map(|j| &j.value) else { continue };
+        let Some(spec) = job.spec.as_deref().filter(|s| s.kind == JobKind::Service) else { continue };
+        let waiting = placement::pending_count(round.jobs.get(id).unwrap_or(job));
+        if waiting > 0 {
+            let claim = claims.entry(&spec.team).or_default();
+            *claim = claim.plus(Amount::of_task(spec), f64::from(waiting));
+        }
+    }
     let leads = core.leads(me);
     core.reserved.retain(|id, (machines, t)| {
         let patience = if machines.is_empty() { RESERVE_FOR / 6 } else { RESERVE_FOR };
@@ -260,7 +272,11 @@
         let held = core.reserved.get(&id).map(|(m, _)| m.clone()).unwrap_or_default();
         reserve(&mut board, &held, size, -1.0);
         let limits = placement::Limits { most, lossy: false, now_ms };
+        let claim =
+            claims.get(&spec.team).copied().filter(|_| spec.kind != JobKind::Service).unwrap_or_default();
+        claim_share(&mut board, &spec.team, claim, 1.0);
         let mut placed = placement::place(&core.world, &mut board, &mut job, team, reach, limits);
+        claim_share(&mut board, &spec.team, claim, -1.0);
         let whole = |s: &placement::Slot| placement::gpu_loss(&core.world, &spec, s) == 0;
         // A service that finds no other room takes, in this order: room that was
         // made for it, room of array tasks, room that GPU jobs could use, and at
@@ -345,6 +361,14 @@
     }
 }
 
+/// Counts a part of a team's limit as used, or gives it back.
+fn claim_share(board: &mut Board, team: &str, amount: Amount, sign: f64) {
+    if amount != Amount::default() {
+        let used = board.team_use.entry(team.to_owned()).or_default();
+        *used = used.plus(amount, sign);
+    }
+}
+
 /// Takes room off the board for a job that it is being made for, or gives it back.
 fn reserve(board: &mut Board, machines: &[String], size: Amount, sign: f64) {
     for m in machines {
