--- a/crates/daemon/src/fleet_duty.rs
+++ b/crates/daemon/src/fleet_duty.rs
@@ -31,6 +31,10 @@
 }
 
 const TICK: Duration = Duration::from_millis(300);
+/// Most kinds of machines asked for between two looks at what is wanted.
+const RENT_AT_ONCE: usize = 2;
+const BLOCK_FIRST: Duration = Duration::from_secs(20);
+const BLOCK_MOST: Duration = Duration::from_secs(60);
 
 pub async fn fleet(node: Node) {
     let mut fleet = Fleet::default();
@@ -228,6 +232,11 @@
                 info!(machines = ?ready, "released");
                 for id in &ready {
                     self.released.insert(id.clone(), now);
+                    // There is capacity for one of its kind again.
+                    if let Some(m) = node.core().world.machines.get(id).map(|m| m.value.clone()) {
+                        let offer = Offer { machine_type: m.machine_type, zone: m.zone, spot: m.spot };
+                        self.blocked.remove(&offer);
+                    }
                 }
                 self.forget(node, ready).await;
             }
@@ -410,8 +419,19 @@
             let core = node.core();
             self.wanted(node, &core, now)
         };
-        let Some(offer) = wanted.first().cloned() else { return };
-        let count = wanted.iter().filter(|o| **o == offer).count() as u32;
+        let mut kinds: Vec<(Offer, u32)> = Vec::new();
+        for offer in wanted {
+            match kinds.iter_mut().find(|(o, _)| *o == offer) {
+                Some((_, n)) => *n += 1,
+                None => kinds.push((offer, 1)),
+            }
+        }
+        for (offer, count) in kinds.into_iter().take(RENT_AT_ONCE) {
+            self.rent_kind(node, offer, count, now).await;
+        }
+    }
+
+    async fn rent_kind(&mut self, node: &Node, offer: Offer, count: u32, now: Instant) {
         self.requests += 1;
         let request = format!("{}-{:x}-{}", node.me.name, node.me.incarnation, self.requests);
         let rental = Rental {
@@ -482,10 +502,7 @@
 
     /// No capacity: ask again later, and ever later.
     fn block(&mut self, offer: Offer, now: Instant) {
-        let pause = self
-            .blocked
-            .get(&offer)
-            .map_or(Duration::from_secs(8), |(_, p)| (*p * 2).min(Duration::from_secs(30)));
+        let pause = self.blocked.get(&offer).map_or(BLOCK_FIRST, |(_, p)| (*p * 2).min(BLOCK_MOST));
         self.blocked.insert(offer, (now + pause, pause));
     }
 
