--- a/crates/daemon/src/fleet_duty.rs
+++ b/crates/daemon/src/fleet_duty.rs
@@ -11,7 +11,7 @@
 use store::{Outcome, Put, key};
 use tokio::time::sleep;
 use tracing::{debug, info, warn};
-use wire::{Condition, ListedMachine, MachineStatus, RentRequest};
+use wire::{Condition, JobKind, JobSpec, ListedMachine, MachineStatus, RentRequest};
 
 use crate::node::{Core, Node, wall_ms};
 
@@ -33,6 +33,8 @@
 const TICK: Duration = Duration::from_millis(300);
 /// Most kinds of machines asked for between two looks at what is wanted.
 const RENT_AT_ONCE: usize = 2;
+/// Room is kept ready for this long after the latest GPU job.
+const SPARE_FOR: Duration = Duration::from_secs(300);
 const BLOCK_FIRST: Duration = Duration::from_secs(20);
 const BLOCK_MOST: Duration = Duration::from_secs(60);
 
@@ -130,6 +132,22 @@
         let idle: HashSet<&String> =
             core.world.machines.keys().filter(|id| !core.world.on_machine.contains_key(*id)).collect();
         self.idle_since.retain(|id, _| idle.contains(id));
+        // Room for the spare tasks, which giving a machine back must not touch.
+        let spare = spare_spec(node, core);
+        let spare_room =
+            |m: &MachineRecord, used: Amount| match (spare, core.world.types.get(&m.machine_type)) {
+                (Some(spec), Some(t)) if placement::allowed(spec, &m.machine_type, &m.zone, m.spot) => {
+                    Amount::of_task(spec).times_in(Amount::of_type(t).plus(used, -1.0))
+                }
+                _ => 0,
+            };
+        let mut spare_left: u32 = core
+            .world
+            .machines
+            .iter()
+            .filter(|(_, m)| !m.value.release)
+            .map(|(id, m)| spare_room(&m.value, core.world.machine_use.get(id).copied().unwrap_or_default()))
+            .sum();
         for (id, record, owner, quiet, sick, notice) in rows {
             // An owner that hears nothing of most of its machines is itself cut
             // off, most likely: its word takes longer to count.
@@ -147,7 +165,10 @@
                 // Renting it again costs its boot time and the wait for it.
                 let boot = core.world.types.get(&record.machine_type).map_or(0.0, |t| t.boot_s);
                 let keep = node.operators.idle.max(Duration::from_secs_f64(boot.clamp(0.0, 600.0)));
-                if now.saturating_duration_since(since) >= keep {
+                let room = spare_room(record, Amount::default());
+                let spared = room > 0 && spare_left < room + node.operators.spare_gpu_tasks;
+                if now.saturating_duration_since(since) >= keep && !spared {
+                    spare_left -= room;
                     out.push((id.clone(), "idle"));
                 }
             }
@@ -402,7 +423,10 @@
                 free: full(&m.value.machine_type).plus(used, -1.0),
             });
         }
-        let demands: Vec<Demand> = demands.into_iter().map(|(_, d)| d).collect();
+        let mut demands: Vec<Demand> = demands.into_iter().map(|(_, d)| d).collect();
+        if let Some(spec) = spare_spec(node, core) {
+            demands.push(Demand { spec, tasks: node.operators.spare_gpu_tasks, in_zone: HashMap::new() });
+        }
         plan(
             &demands,
             &coming,
@@ -528,6 +552,18 @@
     }
 }
 
+/// The job whose next of a kind should find room ready.
+fn spare_spec<'a>(node: &Node, core: &'a Core) -> Option<&'a JobSpec> {
+    if wall_ms().saturating_sub(core.world.gpu_spec_ms) > SPARE_FOR.as_millis() as u64 {
+        return None;
+    }
+    core.world.gpu_spec.as_deref().filter(|s| {
+        s.kind == JobKind::Gang
+            && node.operators.spare_gpu_tasks > 0
+            && node.settings.starts_in_time(&s.class)
+    })
+}
+
 /// Writes as the leader: nothing is written once the map has changed.
 async fn write(node: &Node, mut conditions: Vec<Condition>, puts: Vec<Put>) -> bool {
     {
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -47,6 +47,8 @@
     pub time_bound_ms: f64,
     #[serde(default)]
     pub teams: Vec<TeamSettings>,
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
     pub workers: Workers,
     pub state: State,
     pub cloud: Cloud,
@@ -66,6 +68,13 @@
     pub gpus_max: f64,
 }
 
+#[derive(Debug, Clone, Deserialize)]
+pub struct Objective {
+    pub kind: String,
+    #[serde(default)]
+    pub class: Option<String>,
+}
+
 #[derive(Debug, Clone, Deserialize)]
 pub struct Workers {
     pub report_s: f64,
@@ -204,6 +213,12 @@
         self.facts.teams.iter().map(team).collect()
     }
 
+    /// Whether the class is expected to start within a time of its own.
+    pub fn starts_in_time(&self, class: &str) -> bool {
+        let of_class = |o: &&Objective| o.class.as_deref() == Some(class);
+        self.facts.objectives.iter().filter(of_class).any(|o| o.kind == "wait")
+    }
+
     /// How long a controller that cannot confirm its authority still answers
     /// reports. Everything it renews until then is over before a cancellation
     /// that it cannot know of must have taken effect.
@@ -241,11 +256,12 @@
 struct HclFleet {
     idle_s: f64,
     silent_s: Option<f64>,
+    spare_gpu_tasks: u32,
 }
 
 impl Default for HclFleet {
     fn default() -> Self {
-        Self { idle_s: 20.0, silent_s: None }
+        Self { idle_s: 20.0, silent_s: None, spare_gpu_tasks: 1 }
     }
 }
 
@@ -257,14 +273,19 @@
     pub idle: Duration,
     /// A machine that is silent for this long is given back; None: by the settings.
     pub silent: Option<Duration>,
+    /// Room kept ready for so many tasks of the latest GPU job, if its class
+    /// is expected to start in time.
+    pub spare_gpu_tasks: u32,
 }
 
 impl Default for Operators {
     fn default() -> Self {
+        let fleet = HclFleet::default();
         Self {
             rescheduler: Policy::default(),
-            idle: Duration::from_secs_f64(HclFleet::default().idle_s),
-            silent: None,
+            idle: Duration::from_secs_f64(fleet.idle_s),
+            silent: fleet.silent_s.map(Duration::from_secs_f64),
+            spare_gpu_tasks: fleet.spare_gpu_tasks,
         }
     }
 }
@@ -305,6 +326,7 @@
             },
             idle: seconds(f.fleet.idle_s),
             silent: f.fleet.silent_s.map(seconds),
+            spare_gpu_tasks: f.fleet.spare_gpu_tasks,
         })
     }
 }
--- a/crates/sched/src/world.rs
+++ b/crates/sched/src/world.rs
@@ -119,6 +119,8 @@
     pub images: HashMap<String, VecDeque<(String, f64)>>,
     /// The job that last asked for GPUs: what room on their machines is kept for.
     pub gpu_spec: Option<Box<JobSpec>>,
+    /// When it was submitted, by the time of day.
+    pub gpu_spec_ms: u64,
 }
 
 impl World {
@@ -179,8 +181,11 @@
                 }
                 if let Some(value) = record {
                     self.account(&id, &value, 1.0);
-                    if let Some(spec) = value.spec.as_ref().filter(|s| s.gpus > 0.0) {
+                    if let Some(spec) = value.spec.as_ref().filter(|s| s.gpus > 0.0)
+                        && value.submitted_ms >= self.gpu_spec_ms
+                    {
                         self.gpu_spec = Some(spec.clone());
+                        self.gpu_spec_ms = value.submitted_ms;
                     }
                     if value.phase == Phase::Active || !value.run.is_empty() {
                         self.open.insert(id.clone());
