--- a/crates/daemon/src/state_duty.rs
+++ b/crates/daemon/src/state_duty.rs
@@ -186,10 +186,14 @@
             node.core().lease = None;
         } else if kept.is_ok() {
             let lease = node.core().lease;
-            if let Some(lease) = lease
-                && let Err(StoreError::NoLease) = claim(&node, lease).await
-            {
-                node.core().lease = None;
+            if let Some(lease) = lease {
+                match claim(&node, lease).await {
+                    // Joining, leading and the map follow each other at once:
+                    // after a crash of all, workers' leases are about to end.
+                    Ok(true) => continue,
+                    Err(StoreError::NoLease) => node.core().lease = None,
+                    Ok(false) | Err(_) => {}
+                }
             }
         }
         let moved = async {
@@ -225,16 +229,17 @@
     (old.live != live).then(|| Claim::Map(MapRecord { epoch: old.epoch + 1, live }, version, leader.version))
 }
 
-async fn claim(node: &Node, lease: u64) -> Result<(), StoreError> {
+/// Makes the next claim, if there is one; true if it was committed.
+async fn claim(node: &Node, lease: u64) -> Result<bool, StoreError> {
     let claim = {
         let core = node.core();
         if !core.ready {
-            return Ok(());
+            return Ok(false);
         }
         next_claim(&core.world, &node.me)
     };
     let (conditions, put) = match claim {
-        None => return Ok(()),
+        None => return Ok(false),
         Some(Claim::Member) => {
             info!(incarnation = node.me.incarnation, "joining the members");
             (vec![], Put::leased(key::member(&node.me.name), &node.me, lease))
@@ -254,11 +259,12 @@
     };
     node.may_write(1, 0.0).await;
     match node.state.txn(conditions, vec![put]).await? {
-        Outcome::Committed { revision } | Outcome::Conflict { revision, .. } => {
+        Outcome::Committed { revision } => Ok(node.reach(revision, Duration::from_secs(2)).await),
+        Outcome::Conflict { revision, .. } => {
             node.reach(revision, Duration::from_secs(2)).await;
+            Ok(false)
         }
     }
-    Ok(())
 }
 
 #[cfg(test)]
