--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,5 +1,6 @@
 //! sageloom: a cluster scheduler.
 
+mod client;
 mod engine;
 mod fleet_duty;
 mod front;
@@ -35,6 +36,8 @@
     Serve(Files),
     /// Check the settings files and say what is wrong with them.
     Check(Files),
+    /// Submit, look at and withdraw jobs.
+    Job(client::JobArgs),
 }
 
 #[derive(clap::Args)]
@@ -55,6 +58,8 @@
     LogLevel(String),
     #[error("{field}: cannot listen on {addr}: {source}")]
     Listen { field: &'static str, addr: String, source: std::io::Error },
+    #[error(transparent)]
+    Client(#[from] client::ClientError),
     #[error("the runtime cannot start: {0}")]
     Runtime(std::io::Error),
 }
@@ -63,6 +68,7 @@
     let cli = Cli::parse();
     let outcome = match cli.command {
         Verb::Serve(files) => serve(&files),
+        Verb::Job(args) => runtime().and_then(|r| Ok(r.block_on(client::run(args))?)),
         Verb::Check(files) => load(&files).map(|_| println!("the settings are valid")),
     };
     match outcome {
@@ -104,12 +110,11 @@
 fn serve(files: &Files) -> Result<(), Failure> {
     let (settings, operators) = load(files)?;
     init_log()?;
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_io()
-        .enable_time()
-        .build()
-        .map_err(Failure::Runtime)?;
-    runtime.block_on(run(settings, operators))
+    runtime()?.block_on(run(settings, operators))
+}
+
+fn runtime() -> Result<tokio::runtime::Runtime, Failure> {
+    tokio::runtime::Builder::new_current_thread().enable_io().enable_time().build().map_err(Failure::Runtime)
 }
 
 async fn listen(field: &'static str, addr: &str) -> Result<TcpListener, Failure> {
@@ -171,5 +176,15 @@
 
 /// Waits for a termination signal, where the platform has them.
 async fn asked_to_stop() {
-    std::future::pending::<()>().await
+    use tokio::signal::unix::{SignalKind, signal};
+    let wait = async |kind| match signal(kind) {
+        Ok(mut s) => {
+            s.recv().await;
+        }
+        Err(_) => std::future::pending().await,
+    };
+    tokio::select! {
+        _ = wait(SignalKind::terminate()) => {}
+        _ = wait(SignalKind::interrupt()) => {}
+    }
 }
