--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -19,18 +19,18 @@
 
 /// What one round wants to have done.
 #[derive(Default)]
-struct Round {
-    jobs: BTreeMap<String, Box<JobRecord>>,
+pub(crate) struct Round {
+    pub(crate) jobs: BTreeMap<String, Box<JobRecord>>,
     /// Teams whose share new placements use.
     teams: BTreeSet<String>,
     /// Jobs with new placements.
     placing: BTreeSet<String>,
-    sends: Vec<(String, String, u64, Commands)>,
-    log: Vec<Event>,
+    pub(crate) sends: Vec<(String, String, Commands)>,
+    pub(crate) log: Vec<Event>,
 }
 
 /// Told in the log once the round is committed.
-enum Event {
+pub(crate) enum Event {
     Placed { job: String, machine: String, task: u32, attempt: u64 },
     Ended { job: String, task: u32, attempt: u64, how: End },
     Preempted { by: String, victim: preempt::Victim },
@@ -60,8 +60,8 @@
             sleep(GAP).await;
             continue;
         };
-        for (machine, addr, epoch, commands) in std::mem::take(&mut round.sends) {
-            send(&node, machine, addr, epoch, commands);
+        for (machine, addr, commands) in std::mem::take(&mut round.sends) {
+            send(&node, machine, addr, commands);
         }
         if !round.jobs.is_empty() {
             commit(&node, round).await;
@@ -88,7 +88,11 @@
     round.jobs.get_mut(id)
 }
 
-fn decide(node: &Node, core: &mut Core, scan: bool, now: Instant, now_ms: u64) -> Option<Round> {
+pub(crate) fn decide(node: &Node, core: &mut Core, scan: bool, now: Instant, now_ms: u64) -> Option<Round> {
+    if !core.ready {
+        // The records are being read again; the tokens given out still count.
+        return None;
+    }
     if !core.in_map(&node.me) {
         core.workers.clear();
         return None;
@@ -143,7 +147,7 @@
             let session = worker.session;
             let token = worker.begin(now);
             let commands = Commands { token, session, commands: plan.commands };
-            round.sends.push((id.clone(), worker.addr.clone(), map.epoch, commands));
+            round.sends.push((id.clone(), worker.addr.clone(), commands));
         }
     }
 }
@@ -428,7 +432,11 @@
 }
 
 /// The transaction of a round, and the jobs that it has no room for.
-fn assemble(world: &World, round: &Round, ops: usize) -> (Vec<Condition>, Vec<Put>, BTreeSet<String>) {
+pub(crate) fn assemble(
+    world: &World,
+    round: &Round,
+    ops: usize,
+) -> (Vec<Condition>, Vec<Put>, BTreeSet<String>) {
     let mut puts = Vec::new();
     let mut teams: BTreeSet<&String> = BTreeSet::new();
     let mut conditions = Vec::new();
@@ -492,7 +500,8 @@
 }
 
 /// Sends commands to a worker and takes in the report that answers them.
-fn send(node: &Node, machine: String, addr: String, epoch: u64, commands: Commands) {
+fn send(node: &Node, machine: String, addr: String, commands: Commands) {
+    let token = commands.token;
     let node = node.clone();
     let tasks = node.tasks.clone();
     tasks.spawn(async move {
@@ -516,7 +525,7 @@
             let mut core = node.core();
             if let Some(w) = core.workers.get_mut(&machine) {
                 let now = Instant::now();
-                w.finish(epoch, report.is_some(), now);
+                w.finish(token, report.is_some(), now);
                 if let Some(report) = report {
                     w.ingest(report, false, now);
                 }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -7,6 +7,8 @@
 mod gossip;
 mod node;
 mod settings;
+#[cfg(test)]
+mod sim;
 mod state_duty;
 mod worker;
 
--- a/crates/daemon/src/worker.rs
+++ b/crates/daemon/src/worker.rs
@@ -31,7 +31,8 @@
     /// The highest token given out, and the least that proves anything.
     token: u64,
     proof_token: u64,
-    in_flight: bool,
+    /// The token of the request that is not answered yet.
+    in_flight: Option<u64>,
     /// Launches went out with a report's answer: until the next report comes,
     /// they may still be executed.
     offered: bool,
@@ -80,7 +81,7 @@
             seen_token: 0,
             token: first_token(epoch),
             proof_token: first_token(epoch),
-            in_flight: false,
+            in_flight: None,
             offered: false,
             owned_since: now,
             heard: None,
@@ -105,6 +106,7 @@
             self.token = first_token(epoch);
             self.proof_token = self.token;
             self.offered = false;
+            self.in_flight = None;
         }
     }
 
@@ -146,7 +148,7 @@
 
     /// Whether absence from the last report proves that an assignment is over.
     fn absence_proves(&self) -> bool {
-        !self.in_flight && !self.offered && self.session > 0 && self.seen_token >= self.proof_token
+        self.in_flight.is_none() && !self.offered && self.session > 0 && self.seen_token >= self.proof_token
     }
 
     /// Compares what the records want with what the worker reports.
@@ -235,13 +237,13 @@
 
     /// Whether a `/commands` request may go out now.
     pub fn may_send(&self, now: Instant) -> bool {
-        !self.in_flight && self.session > 0 && self.retry_at.is_none_or(|t| now >= t)
+        self.in_flight.is_none() && self.session > 0 && self.retry_at.is_none_or(|t| now >= t)
     }
 
     /// Starts a request: its token is above all before.
     pub fn begin(&mut self, now: Instant) -> u64 {
         self.token += 1;
-        self.in_flight = true;
+        self.in_flight = Some(self.token);
         self.sent = Some(now);
         self.token
     }
@@ -251,21 +253,24 @@
         self.sent.is_none_or(|t| now.saturating_duration_since(t) >= Duration::from_secs(2))
     }
 
-    /// The request was answered, or not.
-    pub fn finish(&mut self, epoch: u64, answered: bool, now: Instant) {
-        self.in_flight = false;
+    /// The request with this token was answered, or given up. A request from
+    /// before the last change of owner is not waited for any more, and must not
+    /// end the wait for the one that is.
+    pub fn finish(&mut self, token: u64, answered: bool, now: Instant) {
+        if self.in_flight != Some(token) {
+            return;
+        }
+        self.in_flight = None;
         if answered {
             self.retry_at = None;
             return;
         }
         self.failures += 1;
         self.retry_at = Some(now + Duration::from_millis(400) * self.failures.min(6));
-        if epoch == self.epoch {
-            // What was sent may arrive minutes late, but not after the worker
-            // has seen a later token.
-            self.token += 1;
-            self.proof_token = self.token;
-        }
+        // What was sent may arrive minutes late, but not after the worker has
+        // seen a later token.
+        self.token += 1;
+        self.proof_token = self.token;
     }
 
     pub fn note_end(&mut self, job: &str, end: End) {
@@ -295,7 +300,7 @@
     /// The commands that go with the answer to a report: launches and stops.
     /// Clears never do, as they need a token above every launch.
     pub fn answer(&mut self, machine: &str, world: &World, limits: &Limits, now: Instant) -> Vec<Command> {
-        if self.in_flight {
+        if self.in_flight.is_some() {
             return Vec::new();
         }
         let mut commands = self.reconcile(machine, world, limits, now).commands;
@@ -317,3 +322,204 @@
 pub fn refused(cause: Option<Cause>) -> bool {
     matches!(cause, Some(Cause::NoRoom | Cause::Busy | Cause::Unknown))
 }
+
+#[cfg(test)]
+pub(crate) mod tests {
+    use super::*;
+    use sched::records::*;
+    use sched::world::Change;
+    use wire::{JobKind, JobSpec, Priority};
+
+    pub(crate) fn spec(id: &str, kind: JobKind) -> JobSpec {
+        JobSpec {
+            id: id.into(),
+            class: "c".into(),
+            team: "t".into(),
+            kind,
+            priority: Priority::Normal,
+            tasks: 1,
+            cpus: 1.0,
+            gpus: 0.0,
+            memory_gb: 1.0,
+            image: "i".into(),
+            image_gb: 1.0,
+            types: None,
+            zone: None,
+            one_zone: false,
+            spread: false,
+            spot: true,
+            estimate_s: 1.0,
+            checkpoint_s: 0.0,
+            save_s: 2.0,
+            deadline_s: None,
+        }
+    }
+
+    fn world(run: Vec<Assignment>, phase: Phase) -> World {
+        let mut w = World::default();
+        let machine = MachineRecord {
+            addr: "a".into(),
+            machine_type: "m".into(),
+            zone: "z".into(),
+            spot: false,
+            release: false,
+        };
+        w.apply(Change::Machine("host-1".into(), Some(machine)), 1);
+        let mut job = JobRecord::new(spec("j-1", JobKind::Array), None, 0);
+        (job.run, job.phase) = (run, phase);
+        w.apply(Change::Job("j-1".into(), Some(Box::new(job))), 2);
+        w
+    }
+
+    fn assigned(want: Want) -> Vec<Assignment> {
+        vec![Assignment { task: 0, attempt: 1, machine: "host-1".into(), want }]
+    }
+
+    fn report(seq: u64, token: u64, tasks: &[(u64, TaskState, Option<Cause>)]) -> Report {
+        Report {
+            machine: "host-1".into(),
+            addr: "a".into(),
+            machine_type: "m".into(),
+            zone: "z".into(),
+            spot: false,
+            session: 1,
+            seq,
+            token,
+            notice_s: None,
+            tasks: tasks
+                .iter()
+                .map(|(attempt, state, cause)| TaskReport {
+                    task: "j-1/0".into(),
+                    attempt: *attempt,
+                    state: *state,
+                    cause: *cause,
+                    saved: None,
+                })
+                .collect(),
+        }
+    }
+
+    fn limits(now: Instant) -> Limits {
+        Limits { gang_peer: Duration::from_secs(5), fresh_at: Some(now) }
+    }
+
+    fn ends(plan: &Plan) -> Vec<End> {
+        plan.ends.iter().map(|e| e.1).collect()
+    }
+
+    #[test]
+    fn a_new_owner_takes_absence_for_nothing_until_its_token_was_seen() {
+        let now = Instant::now();
+        let w = world(assigned(Want::Stop), Phase::Active);
+        let mut worker = Worker::new("a".into(), 5, now);
+        worker.ingest(report(1, first_token(4) + 9, &[]), true, now);
+        let plan = worker.reconcile("host-1", &w, &limits(now), now);
+        assert!(plan.ends.is_empty() && plan.poke);
+        worker.ingest(report(2, first_token(5), &[]), true, now);
+        assert_eq!(ends(&worker.reconcile("host-1", &w, &limits(now), now)), [End::Lost]);
+    }
+
+    #[test]
+    fn an_unanswered_launch_is_ruled_out_only_by_a_later_token() {
+        let now = Instant::now();
+        let mut worker = Worker::new("a".into(), 5, now);
+        worker.ingest(report(1, first_token(5), &[]), true, now);
+        let w = world(assigned(Want::Run), Phase::Active);
+        let plan = worker.reconcile("host-1", &w, &limits(now), now);
+        assert!(matches!(plan.commands[..], [Command::Start { .. }]));
+        let sent = worker.begin(now);
+        // Cancelled while the launch is on its way.
+        let w = world(assigned(Want::Run), Phase::Cancelled);
+        worker.ingest(report(2, sent, &[]), true, now);
+        assert!(worker.reconcile("host-1", &w, &limits(now), now).ends.is_empty());
+        worker.finish(sent, false, now);
+        worker.ingest(report(3, sent, &[]), true, now);
+        assert!(worker.reconcile("host-1", &w, &limits(now), now).ends.is_empty());
+        worker.ingest(report(4, worker.token(), &[]), true, now);
+        assert_eq!(ends(&worker.reconcile("host-1", &w, &limits(now), now)), [End::Lost]);
+    }
+
+    #[test]
+    fn a_request_of_an_earlier_epoch_does_not_end_the_wait_for_a_later_one() {
+        let now = Instant::now();
+        let mut worker = Worker::new("a".into(), 5, now);
+        worker.ingest(report(1, first_token(5), &[]), true, now);
+        let old = worker.begin(now);
+        worker.enter_epoch(6);
+        worker.ingest(report(2, first_token(6), &[]), true, now);
+        worker.begin(now);
+        worker.finish(old, true, now);
+        let w = world(assigned(Want::Stop), Phase::Active);
+        assert!(worker.reconcile("host-1", &w, &limits(now), now).ends.is_empty());
+    }
+
+    #[test]
+    fn launches_in_an_answer_are_open_until_the_next_report_of_its_own() {
+        let now = Instant::now();
+        let mut worker = Worker::new("a".into(), 5, now);
+        worker.ingest(report(1, first_token(5), &[]), true, now);
+        let w = world(assigned(Want::Run), Phase::Active);
+        assert_eq!(worker.answer("host-1", &w, &limits(now), now).len(), 1);
+        let w = world(assigned(Want::Run), Phase::Cancelled);
+        worker.ingest(report(2, first_token(5), &[]), false, now);
+        assert!(worker.reconcile("host-1", &w, &limits(now), now).ends.is_empty());
+        worker.ingest(report(3, first_token(5), &[]), true, now);
+        assert_eq!(ends(&worker.reconcile("host-1", &w, &limits(now), now)), [End::Lost]);
+    }
+
+    #[test]
+    fn an_older_report_changes_nothing() {
+        let now = Instant::now();
+        let mut worker = Worker::new("a".into(), 5, now);
+        assert!(worker.ingest(report(7, first_token(5), &[(1, TaskState::Running, None)]), true, now));
+        assert!(!worker.ingest(report(6, first_token(5), &[]), true, now));
+        let w = world(assigned(Want::Run), Phase::Active);
+        assert_eq!(worker.reconcile("host-1", &w, &limits(now), now), Plan::default());
+    }
+
+    #[test]
+    fn clears_wait_until_the_end_is_committed_and_the_mirror_is_newer() {
+        let start = Instant::now();
+        let mut worker = Worker::new("a".into(), 5, start);
+        worker.ingest(report(1, first_token(5), &[(1, TaskState::Exited, Some(Cause::Done))]), true, start);
+        let assigned = world(assigned(Want::Run), Phase::Active);
+        let plan = worker.reconcile("host-1", &assigned, &limits(start), start);
+        assert_eq!((ends(&plan), plan.commands.len()), (vec![End::Done], 0));
+        let gone = world(vec![], Phase::Active);
+        assert!(worker.reconcile("host-1", &gone, &limits(start), start).commands.is_empty());
+        let later = start + Duration::from_secs(3);
+        let stale = worker.reconcile("host-1", &gone, &limits(start), later);
+        assert!(stale.commands.is_empty(), "the mirror is as old as the first sight");
+        let plan = worker.reconcile("host-1", &gone, &limits(later), later);
+        assert!(matches!(plan.commands[..], [Command::Forget { attempt: 1, .. }]));
+    }
+
+    #[test]
+    fn a_machine_is_sick_by_several_jobs_but_not_by_one_bad_job() {
+        let mut worker = Worker::new("a".into(), 1, Instant::now());
+        for _ in 0..5 {
+            worker.note_end("j-1", End::Error);
+        }
+        assert!(!worker.sick());
+        worker.note_end("j-2", End::Error);
+        assert!(worker.sick());
+        worker.note_end("j-3", End::Done);
+        assert!(!worker.sick());
+    }
+
+    #[test]
+    fn cancelled_tasks_are_killed_and_others_may_save() {
+        let now = Instant::now();
+        let grace = |want, phase| {
+            let mut worker = Worker::new("a".into(), 5, now);
+            worker.ingest(report(1, first_token(5), &[(1, TaskState::Running, None)]), true, now);
+            match &worker.reconcile("host-1", &world(assigned(want), phase), &limits(now), now).commands[..] {
+                [Command::Stop { grace_s, .. }] => Some(*grace_s),
+                _ => None,
+            }
+        };
+        assert_eq!(grace(Want::Stop, Phase::Active), Some(2.0));
+        assert_eq!(grace(Want::Run, Phase::Cancelled), Some(0.0));
+        assert_eq!(grace(Want::Run, Phase::Active), None);
+    }
+}
