--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -149,3 +149,59 @@
         .plus(Amount { memory_gb: 0.0, ..Amount::of_task(spec) }, f64::from(count))
         .fits(team.limit())
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::placement::tests::{spec, team, world};
+
+    fn demand(spec: &JobSpec, tasks: u32) -> Demand<'_> {
+        Demand { spec, tasks, in_zone: HashMap::new() }
+    }
+
+    #[test]
+    fn machines_that_boot_are_used_before_more_are_rented() {
+        let types = world(&[]).types;
+        let s = spec("j-1", JobKind::Array, 6);
+        let coming = Coming {
+            machine_type: "m".into(),
+            zone: "a".into(),
+            spot: false,
+            free: Amount::of_type(&types["m"]),
+        };
+        let rented = |coming: &[Coming]| plan(&[demand(&s, 6)], coming, &types, None, |_| false, 9).len();
+        assert_eq!(
+            (rented(&[]), rented(std::slice::from_ref(&coming)), rented(&[coming.clone(), coming])),
+            (2, 1, 0)
+        );
+    }
+
+    #[test]
+    fn spread_and_blocked_offers_shape_the_plan() {
+        let types = world(&[]).types;
+        let mut s = spec("j-1", JobKind::Service, 4);
+        s.spread = true;
+        let zones = |blocked: &str| -> Vec<String> {
+            plan(&[demand(&s, 4)], &[], &types, None, |o| o.zone == blocked, 9)
+                .into_iter()
+                .map(|o| o.zone)
+                .collect()
+        };
+        let both = zones("");
+        assert!(both.contains(&"a".to_owned()) && both.contains(&"b".to_owned()));
+        assert_eq!(zones("a"), ["b"], "half of the tasks at most in one zone");
+    }
+
+    #[test]
+    fn what_can_never_run_is_told_apart() {
+        let types = world(&[]).types;
+        let mut s = spec("j-1", JobKind::Gang, 3);
+        s.cpus = 17.0;
+        assert!(!possible(&s, &types));
+        s.cpus = 16.0;
+        assert!(possible(&s, &types));
+        assert!(!within_limit(&s, &crate::world::Team { cpus_max: 47.0, ..team() }));
+        s.kind = JobKind::Array;
+        assert!(within_limit(&s, &crate::world::Team { cpus_max: 47.0, ..team() }));
+    }
+}
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -313,3 +313,176 @@
         by_zone.values().map(|n| u64::from((*n).min(most))).sum::<u64>() >= u64::from(spec.tasks)
     }
 }
+
+#[cfg(test)]
+pub(crate) mod tests {
+    use super::*;
+    use crate::records::*;
+    use crate::world::Change;
+    use wire::{MachineType, Priority};
+
+    pub fn spec(id: &str, kind: JobKind, tasks: u32) -> JobSpec {
+        JobSpec {
+            id: id.into(),
+            class: "c".into(),
+            team: "t".into(),
+            kind,
+            priority: Priority::Normal,
+            tasks,
+            cpus: 2.0,
+            gpus: 0.0,
+            memory_gb: 1.0,
+            image: "i".into(),
+            image_gb: 1.0,
+            types: None,
+            zone: None,
+            one_zone: false,
+            spread: false,
+            spot: false,
+            estimate_s: 1.0,
+            checkpoint_s: 0.0,
+            save_s: 0.0,
+            deadline_s: None,
+        }
+    }
+
+    pub fn team() -> Team {
+        Team { name: "t".into(), cpus: 4.0, cpus_max: 100.0, gpus: 0.0, gpus_max: 100.0 }
+    }
+
+    /// Machines as (name, type, zone, spot). "m" has 8 CPUs, "g" 16 and 2 GPUs.
+    pub fn world(machines: &[(&str, &str, &str, bool)]) -> World {
+        let mut w = World::default();
+        let kind = |name: &str, cpus, gpus| MachineType {
+            name: name.into(),
+            cpus,
+            gpus,
+            memory_gb: 64.0,
+            cache_gb: 10.0,
+            fetch_gb_per_s: 1.0,
+            price: cpus + 20.0 * gpus,
+            spot_price: cpus / 4.0 + 5.0 * gpus,
+            boot_s: 30.0,
+            zones: vec!["a".into(), "b".into()],
+        };
+        w.apply(
+            Change::Types(Some(TypesRecord { types: vec![kind("m", 8.0, 0.0), kind("g", 16.0, 2.0)] })),
+            1,
+        );
+        for (id, machine_type, zone, spot) in machines {
+            let record = MachineRecord {
+                addr: "x".into(),
+                machine_type: (*machine_type).into(),
+                zone: (*zone).into(),
+                spot: *spot,
+                release: false,
+            };
+            w.apply(Change::Machine((*id).into(), Some(record)), 1);
+        }
+        let me = Member { name: "n".into(), zone: "a".into(), incarnation: 1 };
+        w.apply(Change::Map(Some(MapRecord { epoch: 1, live: vec![me] })), 1);
+        w
+    }
+
+    pub fn add(w: &mut World, spec: JobSpec, run: &[(u32, &str)]) {
+        let mut job = JobRecord::new(spec.clone(), None, 0);
+        job.attempt = 1;
+        job.run = run
+            .iter()
+            .map(|(task, m)| Assignment { task: *task, attempt: 1, machine: (*m).into(), want: Want::Run })
+            .collect();
+        w.apply(Change::Job(spec.id, Some(Box::new(job))), 2);
+    }
+
+    pub fn board(w: &World) -> Board {
+        Board::new(w, w.map_record().expect("a map"), |_| true)
+    }
+
+    fn placed(w: &World, id: &str, team: &Team) -> Vec<(u32, String)> {
+        let mut job = w.jobs[id].value.as_ref().clone();
+        let limits = Limits { most: 100, lossy: false, now_ms: 1000 };
+        let list = place(w, &mut board(w), &mut job, team, |_| true, limits);
+        list.into_iter().map(|a| (a.task, a.machine)).collect()
+    }
+
+    #[test]
+    fn spread_counts_tasks_of_old_attempts_too() {
+        let mut w = world(&[("a1", "m", "a", false), ("a2", "m", "a", false), ("b1", "m", "b", false)]);
+        let mut s = spec("j-1", JobKind::Service, 3);
+        s.spread = true;
+        add(&mut w, s.clone(), &[]);
+        let zones = placed(&w, "j-1", &team()).iter().filter(|(_, m)| m.starts_with('a')).count();
+        assert_eq!(zones, 2);
+        add(&mut w, s, &[(1, "a1"), (2, "a2")]);
+        assert_eq!(placed(&w, "j-1", &team()), [(0, "b1".to_owned())]);
+    }
+
+    #[test]
+    fn a_gang_is_placed_whole_in_one_zone_or_not_at_all() {
+        let mut w = world(&[("a1", "m", "a", false), ("b1", "m", "b", false)]);
+        let mut s = spec("j-1", JobKind::Gang, 2);
+        (s.one_zone, s.cpus) = (true, 6.0);
+        add(&mut w, s.clone(), &[]);
+        assert!(placed(&w, "j-1", &team()).is_empty());
+        s.cpus = 4.0;
+        add(&mut w, s.clone(), &[]);
+        assert_eq!(placed(&w, "j-1", &team()).len(), 2);
+        add(&mut w, s, &[(0, "a1")]);
+        assert!(placed(&w, "j-1", &team()).is_empty(), "an old attempt is still out");
+    }
+
+    #[test]
+    fn a_teams_limit_bounds_what_is_placed() {
+        let mut w = world(&[("a1", "m", "a", false)]);
+        add(&mut w, spec("j-1", JobKind::Array, 9), &[]);
+        add(&mut w, spec("j-2", JobKind::Array, 1), &[(0, "a1")]);
+        assert_eq!(placed(&w, "j-1", &Team { cpus_max: 5.0, ..team() }).len(), 1);
+    }
+
+    #[test]
+    fn avoided_machines_come_last_and_kinds_not_allowed_never() {
+        let mut w = world(&[("a1", "m", "a", false), ("a2", "m", "a", false), ("a3", "m", "a", true)]);
+        add(&mut w, spec("j-2", JobKind::Array, 3), &[(0, "a2"), (1, "a2"), (2, "a2")]);
+        let mut job = JobRecord::new(spec("j-1", JobKind::Array, 6), None, 0);
+        job.avoid = vec![("a1".into(), 5000)];
+        w.apply(Change::Job("j-1".into(), Some(Box::new(job))), 3);
+        let got: Vec<String> = placed(&w, "j-1", &team()).into_iter().map(|p| p.1).collect();
+        assert_eq!(got, ["a2", "a1", "a1", "a1", "a1"]);
+    }
+
+    #[test]
+    fn gpu_machines_are_kept_whole() {
+        let mut w = world(&[("a1", "g", "a", false)]);
+        let mut gpu = spec("j-9", JobKind::Gang, 1);
+        (gpu.cpus, gpu.gpus) = (14.0, 2.0);
+        add(&mut w, gpu, &[]);
+        add(&mut w, spec("j-1", JobKind::Array, 8), &[]);
+        assert_eq!(placed(&w, "j-1", &team()).len(), 1, "only what a GPU job leaves over");
+    }
+
+    #[test]
+    fn a_job_that_fails_everywhere_pauses_ever_longer() {
+        let mut job = JobRecord::new(spec("j-1", JobKind::Array, 1), None, 0);
+        (job.errors, job.error_ms) = (2, 100);
+        assert_eq!(retry_at_ms(&job), 100);
+        job.errors = 4;
+        assert_eq!(retry_at_ms(&job), 2100);
+        job.errors = 400;
+        assert_eq!(retry_at_ms(&job), 32_100);
+    }
+
+    #[test]
+    fn a_gang_ends_together() {
+        let mut job = JobRecord::new(spec("j-1", JobKind::Gang, 2), None, 0);
+        let run = |task| Assignment { task, attempt: 1, machine: "m".into(), want: Want::Run };
+        job.run = vec![run(0), run(1)];
+        let mut lost = job.clone();
+        lost.end(0, 1, End::Lost, 0, 0);
+        assert_eq!((lost.phase, lost.run[0].want), (Phase::Active, Want::Stop));
+        job.end(0, 1, End::Done, 0, 0);
+        assert_eq!(job.phase, Phase::Done);
+        assert!(job.spec.is_some(), "the other task still takes its share");
+        job.end(1, 1, End::Lost, 0, 0);
+        assert!(job.spec.is_none() && job.done.len() == 2);
+    }
+}
