Answer at once while the state service refuses; shed writes before they queue up

A request that cannot be served is refused with Retry-After instead of waiting for the freshness check to time out.

--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -140,7 +140,9 @@
     let (class, tasks) = (spec.class.clone(), spec.tasks);
     let record = JobRecord::new(spec, part, wall_ms());
     let put = Put::new(key::job(&id), &record);
-    node.may_write(1, 0.0).await;
+    if !node.may_write_now().await {
+        return Reply::busy("too much is being written", 2);
+    }
     let conditions = vec![Condition { key: key::job(&id), version: 0 }];
     match node.state.txn(conditions, vec![put]).await {
         Ok(Outcome::Committed { .. }) => {
@@ -181,7 +183,9 @@
                 Err(reply) => return reply,
             },
         }
-        node.may_write(1, 0.0).await;
+        if !node.may_write_now().await {
+            return Reply::busy("too much is being written", 2);
+        }
         let Some((mut record, version)) =
             node.core().world.jobs.get(id).map(|j| (j.value.clone(), j.version))
         else {
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -43,8 +43,8 @@
     /// The mirror's revision.
     pub revision: watch::Sender<u64>,
     pub verify: Notify,
-    /// Number of the last freshness request that was answered.
-    pub verified: watch::Sender<u64>,
+    /// The newest freshness requests that were granted and that were refused.
+    pub verified: watch::Sender<Verdict>,
     pub stop: CancellationToken,
     pub tasks: TaskTracker,
 }
@@ -56,6 +56,12 @@
     }
 }
 
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Verdict {
+    pub granted: u64,
+    pub refused: u64,
+}
+
 pub struct PeerView {
     pub summary: Summary,
     pub at: Instant,
@@ -111,7 +117,7 @@
             rewatch: Notify::new(),
             revision: watch::Sender::new(0),
             verify: Notify::new(),
-            verified: watch::Sender::new(0),
+            verified: watch::Sender::new(Verdict::default()),
             stop: CancellationToken::new(),
             tasks: TaskTracker::new(),
             settings,
@@ -154,7 +160,13 @@
         };
         self.verify.notify_one();
         let mut verified = self.verified.subscribe();
-        timeout(Duration::from_millis(1600), verified.wait_for(|v| *v >= mine)).await.is_ok_and(|r| r.is_ok())
+        // Refused at once when the state service is: whoever asks is better off
+        // told than kept waiting.
+        let verdict = verified.wait_for(|v| v.granted >= mine || v.refused >= mine);
+        match timeout(Duration::from_millis(1600), verdict).await {
+            Ok(Ok(v)) => v.granted >= mine,
+            _ => false,
+        }
     }
 
     /// Waits until `n` changes may be written, leaving `reserve` for others.
@@ -165,6 +177,23 @@
         }
     }
 
+    /// Waits like [`Inner::may_write`] for a user's change; false at once if that
+    /// would take too long.
+    pub async fn may_write_now(&self) -> bool {
+        let wait = {
+            let mut core = self.core();
+            let now = Instant::now();
+            if core.writes.level(now) < -core.writes.per_second() {
+                return false;
+            }
+            core.writes.take(1.0, 0.0, now)
+        };
+        if !wait.is_zero() {
+            tokio::time::sleep(wait).await;
+        }
+        true
+    }
+
     pub fn team(&self, name: &str) -> Option<&Team> {
         self.teams.iter().find(|t| t.name == name)
     }
--- a/crates/daemon/src/state_duty.rs
+++ b/crates/daemon/src/state_duty.rs
@@ -136,11 +136,13 @@
                     warn!(error = %e, "the state service does not answer");
                 }
                 failing = true;
+                node.verified.send_modify(|v| v.refused = asked);
                 sleep(RETRY).await;
                 continue;
             }
             Err(_) => {
                 failing = true;
+                node.verified.send_modify(|v| v.refused = asked);
                 continue;
             }
         };
@@ -150,7 +152,7 @@
         failing = false;
         if node.reach(revision, Duration::from_millis(1500)).await {
             node.core().fresh_at = Some(sent);
-            node.verified.send_replace(asked);
+            node.verified.send_modify(|v| v.granted = asked);
         } else {
             debug!(revision, "the watch lags; opening it again");
             node.rewatch.notify_one();
--- a/crates/store/src/budget.rs
+++ b/crates/store/src/budget.rs
@@ -14,8 +14,8 @@
         Self { per_s, burst, level: burst, at: now }
     }
 
-    pub fn set_rate(&mut self, per_s: f64) {
-        self.per_s = per_s;
+    pub fn per_second(&self) -> f64 {
+        self.per_s
     }
 
     fn fill(&mut self, now: Instant) {
