Hold room only as long as saving takes; use a freed team limit at once

Cause: services waited 1.2 s for a team limit that had been free for a second, and 6 s behind a machine that had died.

--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -29,6 +29,18 @@
     pub(crate) log: Vec<Event>,
 }
 
+impl Round {
+    /// Nothing was stopped after all: no room is being made.
+    fn release(&self, node: &Node) {
+        let mut core = node.core();
+        for e in &self.log {
+            if let Event::Preempted { by, .. } = e {
+                core.reserved.remove(by);
+            }
+        }
+    }
+}
+
 /// Told in the log once the round is committed.
 pub(crate) enum Event {
     Placed { job: String, machine: String, task: u32, attempt: u64 },
@@ -41,7 +53,8 @@
 const GAP: Duration = Duration::from_millis(40);
 /// Most tasks of an array or service that room is made for at a time.
 const PREEMPT_MOST: u32 = 4;
-const RESERVE_FOR: Duration = Duration::from_secs(6);
+/// How long room is held beyond the time that its tasks need to save.
+const RESERVE_FOR: Duration = Duration::from_millis(1800);
 
 pub async fn rounds(node: Node) {
     let mut scanned = Instant::now();
@@ -248,10 +261,7 @@
         }
     }
     let leads = core.leads(me);
-    core.reserved.retain(|id, (machines, t)| {
-        let patience = if machines.is_empty() { RESERVE_FOR / 6 } else { RESERVE_FOR };
-        queue.contains(id) && now.saturating_duration_since(*t) < patience
-    });
+    core.reserved.retain(|id, (_, until)| queue.contains(id) && now < *until);
     for (id, (machines, _)) in &core.reserved {
         let Some(spec) = core.world.jobs.get(id).and_then(|j| j.value.spec.as_deref()) else { continue };
         reserve(&mut board, machines, Amount::of_task(spec), 1.0);
@@ -272,7 +282,6 @@
         let reach = |s: &placement::Slot| leads && !in_part || s.owner == me.name;
         let most = full.saturating_sub(job.run.len());
         let size = Amount::of_task(&spec);
-        let pause = core.reserved.contains_key(&id);
         let held = core.reserved.get(&id).map(|(m, _)| m.clone()).unwrap_or_default();
         reserve(&mut board, &held, size, -1.0);
         let limits = placement::Limits { most, lossy: false, now_ms };
@@ -323,7 +332,7 @@
         }
         let quiet =
             placement::retry_at_ms(&job) <= now_ms && (spec.kind != JobKind::Gang || job.run.is_empty());
-        if pause || !quiet {
+        if !held.is_empty() || !quiet {
             continue;
         }
         // A gang needs room for all its tasks; others start as room is made.
@@ -332,8 +341,13 @@
         let in_use = core.world.team_use.get(&spec.team).copied().unwrap_or_default();
         let quota = team.limit().plus(Amount { memory_gb: 0.0, ..in_use }, -1.0);
         if size.times_in(quota) < tasks {
-            let Some(victims) = preempt::within_team(&core.world, &spec, tasks, team) else { continue };
-            core.reserved.insert(id.clone(), (Vec::new(), now));
+            if core.reserved.contains_key(&id) {
+                continue;
+            }
+            let Some(victims) = preempt::within_team(&core.world, &board, &spec, tasks, team) else {
+                continue;
+            };
+            core.reserved.insert(id.clone(), (Vec::new(), now + RESERVE_FOR));
             for v in victims {
                 let Some(record) = edit(round, &core.world, &v.job) else { continue };
                 preempt::mark(record, &v);
@@ -356,7 +370,11 @@
             reserve(&mut board, &machines, size, -1.0);
             continue;
         }
-        core.reserved.insert(id.clone(), (machines, now));
+        let save = |v: &preempt::Victim| {
+            core.world.jobs.get(&v.job).and_then(|j| j.value.spec.as_ref()).map_or(0.0, |s| s.save_s)
+        };
+        let save = all.iter().map(save).fold(0.0, f64::max).min(600.0);
+        core.reserved.insert(id.clone(), (machines, now + RESERVE_FOR + Duration::from_secs_f64(save)));
         for v in all {
             let Some(record) = edit(round, &core.world, &v.job) else { continue };
             preempt::mark(record, &v);
@@ -418,10 +436,12 @@
         }
         Ok(Outcome::Conflict { failed, revision }) => {
             debug!(?failed, "a round met newer records");
+            round.release(node);
             node.reach(revision, Duration::from_secs(2)).await;
         }
         Err(e) => {
             debug!(error = %e, "a round was not committed, as far as is known");
+            round.release(node);
             if matches!(e, store::StoreError::Rate) {
                 node.core().writes.drained(Instant::now());
             }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -82,7 +82,7 @@
     pub writes: Budget,
     /// Reports that came to this controller for other owners' machines.
     pub misdirected: HashMap<String, Instant>,
-    /// Room that is being made for a job: the machines, and since when. Without
+    /// Room that is being made for a job: the machines, and until when. Without
     /// it, what one job has cleared is taken by the next.
     pub reserved: HashMap<String, (Vec<String>, Instant)>,
 }
--- a/crates/sched/src/preempt.rs
+++ b/crates/sched/src/preempt.rs
@@ -93,7 +93,15 @@
 /// Finds work of lower priority of the job's own team that has to go so that
 /// `tasks` of the job fit into the team's limit. None: that does not help, or
 /// what is being stopped already will do.
-pub fn within_team(world: &World, spec: &JobSpec, tasks: u32, team: &Team) -> Option<Vec<Victim>> {
+pub fn within_team(
+    world: &World,
+    board: &Board,
+    spec: &JobSpec,
+    tasks: u32,
+    team: &Team,
+) -> Option<Vec<Victim>> {
+    // A machine that does not answer would not stop them soon.
+    let reached: BTreeSet<&str> = board.slots.iter().map(|s| s.id.as_str()).collect();
     let flat = |a: Amount| Amount { memory_gb: 0.0, ..a };
     let need = flat(Amount::default()).plus(flat(Amount::of_task(spec)), f64::from(tasks));
     let in_use = world.team_use.get(&spec.team).copied().unwrap_or_default();
@@ -105,7 +113,10 @@
         for a in &job.run {
             if !job.wants(a) {
                 free = free.plus(flat(Amount::of_task(other)), 1.0);
-            } else if other.priority < spec.priority && other.kind == JobKind::Array {
+            } else if other.priority < spec.priority
+                && other.kind == JobKind::Array
+                && reached.contains(a.machine.as_str())
+            {
                 list.push((other.priority, id, a, flat(Amount::of_task(other))));
             }
         }
@@ -183,7 +194,7 @@
         let mut s = spec("j-2", JobKind::Service, 1);
         s.priority = Priority::Production;
         let limited = Team { cpus_max: 7.0, ..team() };
-        assert_eq!(within_team(&w, &s, 1, &limited).map(|v| v.len()), Some(1));
-        assert!(within_team(&w, &s, 1, &team()).is_none(), "there is room in the limit");
+        assert_eq!(within_team(&w, &board(&w), &s, 1, &limited).map(|v| v.len()), Some(1));
+        assert!(within_team(&w, &board(&w), &s, 1, &team()).is_none(), "there is room in the limit");
     }
 }
