--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -248,15 +248,17 @@
             _ => a.cmp(b),
         }
     });
-    // A waiting service's share of its team's limit is not for other work, or
-    // what is stopped for its sake would be taken piece by piece.
-    let mut claims: BTreeMap<&String, Amount> = BTreeMap::new();
+    // The share of its team's limit that a service or a gang waits for is not for
+    // arrays: their small tasks would take it piece by piece, for as long as one
+    // of them lasts.
+    // A gang's claim ends for an array whose own deadline comes near.
+    let mut claims: BTreeMap<(&String, bool), Amount> = BTreeMap::new();
     for id in &core.world.open {
         let Some(job) = core.world.jobs.get(id).map(|j| &j.value) else { continue };
-        let Some(spec) = job.spec.as_deref().filter(|s| s.kind == JobKind::Service) else { continue };
+        let Some(spec) = job.spec.as_deref().filter(|s| s.kind != JobKind::Array) else { continue };
         let waiting = placement::pending_count(round.jobs.get(id).unwrap_or(job));
         if waiting > 0 {
-            let claim = claims.entry(&spec.team).or_default();
+            let claim = claims.entry((&spec.team, spec.kind == JobKind::Gang)).or_default();
             *claim = claim.plus(Amount::of_task(spec), f64::from(waiting));
         }
     }
@@ -285,8 +287,12 @@
         let held = core.reserved.get(&id).map(|(m, _)| m.clone()).unwrap_or_default();
         reserve(&mut board, &held, size, -1.0);
         let limits = placement::Limits { most, lossy: false, now_ms };
-        let claim =
-            claims.get(&spec.team).copied().filter(|_| spec.kind != JobKind::Service).unwrap_or_default();
+        let claim = if spec.kind == JobKind::Array {
+            let of = |gangs| claims.get(&(&spec.team, gangs)).copied().unwrap_or_default();
+            if placement::pressed(&job, now_ms) { of(false) } else { of(false).plus(of(true), 1.0) }
+        } else {
+            Amount::default()
+        };
         claim_share(&mut board, &spec.team, claim, 1.0);
         let mut placed = placement::place(&core.world, &mut board, &mut job, team, reach, limits);
         claim_share(&mut board, &spec.team, claim, -1.0);
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -291,6 +291,15 @@
     out
 }
 
+/// Whether a job has used up so much of the time to its deadline that it should
+/// not step back for others any more.
+pub fn pressed(job: &JobRecord, now_ms: u64) -> bool {
+    let due = job.spec.as_ref().and_then(|s| s.deadline_s);
+    due.is_some_and(|due| now_ms.saturating_sub(job.submitted_ms) as f64 / 1000.0 > due * PRESSED)
+}
+
+const PRESSED: f64 = 0.35;
+
 /// The order in which jobs are served: priority, then work within its team's
 /// guarantee, then age.
 pub fn queue_order(a: (&JobRecord, bool), b: (&JobRecord, bool)) -> std::cmp::Ordering {
