--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -261,6 +261,14 @@
         if relayed || owner.name == node.me.name {
             return Disposal::Answer(elsewhere(None));
         }
+        // The worker has seen nobody of this epoch yet: after a crash of several
+        // controllers its lease may be about to end. Any live controller renews
+        // it once, with the epoch's first token; the next report is sent on.
+        let bound = node.settings.renewal_bound();
+        let token = first_token(epoch);
+        if report.token < token && core.may_renew(&node.me, node.settings.peers.len(), bound, now) {
+            return Disposal::Answer(Reply::new(200, &ReportAnswer { token, commands: Vec::new() }));
+        }
         if core.misdirected.len() > 4096 {
             core.misdirected.clear();
         }
