--- a/crates/daemon/src/fleet_duty.rs
+++ b/crates/daemon/src/fleet_duty.rs
@@ -451,6 +451,14 @@
             }
         }
         for (offer, count) in kinds.into_iter().take(RENT_AT_ONCE) {
+            let open =
+                node.core().world.fleet.as_ref().map_or(0, |f| {
+                    f.value.rentals.iter().map(|r| 160 + 20 * r.count as usize).sum::<usize>()
+                });
+            if open as f64 > node.value_bytes() * 0.8 {
+                // The record of rentals is full until some of them are up.
+                return;
+            }
             self.rent_kind(node, offer, count, now).await;
         }
     }
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -103,6 +103,9 @@
     if let Some(field) = spec.invalid_field() {
         return Reply::error(400, &format!("invalid field: {field}"));
     }
+    if body.len() as f64 > node.value_bytes() * 0.3 {
+        return Reply::error(400, "the description is too long to be kept");
+    }
     let id = spec.id.clone();
     if look(node, &id).is_some() {
         return match known(node, &id).await {
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -208,9 +208,14 @@
         Duration::from_secs_f64(self.settings.facts.workers.report_s)
     }
 
-    /// Most assignments that one job's record holds within a value's size.
+    /// Most assignments that one job's record holds within a value's size: each
+    /// takes about 34 bytes, and may part the done tasks into one more range.
     pub fn run_max(&self) -> usize {
-        ((self.settings.facts.state.value_kb * 1024.0 - 2500.0) / 34.0).max(8.0) as usize
+        ((self.value_bytes() * 0.6) / 48.0).max(4.0) as usize
+    }
+
+    pub fn value_bytes(&self) -> f64 {
+        self.settings.facts.state.value_kb * 1024.0
     }
 }
 
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -58,7 +58,8 @@
     }
 }
 
-const HEADER_TIMEOUT: Duration = Duration::from_secs(90);
+/// Also ends connections that are idle for so long.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(30);
 const BODY_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// Serves connections until cancelled. Connections above `max_connections` are
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -77,7 +77,7 @@
         _ => 0,
     };
     let running: BTreeSet<u32> = job.run.iter().map(|a| a.task).collect();
-    (0..count).filter(move |t| !running.contains(t) && !job.done.contains(*t))
+    (job.done.first_missing()..count).filter(move |t| !running.contains(t) && !job.done.contains(*t))
 }
 
 pub fn pending_count(job: &JobRecord) -> u32 {
--- a/crates/sched/src/records.rs
+++ b/crates/sched/src/records.rs
@@ -74,6 +74,11 @@
         self.0.iter().map(|r| r.1 - r.0).sum()
     }
 
+    /// The lowest number that is not in the set.
+    pub fn first_missing(&self) -> u32 {
+        self.0.first().filter(|r| r.0 == 0).map_or(0, |r| r.1)
+    }
+
     pub fn is_empty(&self) -> bool {
         self.0.is_empty()
     }
@@ -313,7 +318,7 @@
             r.insert(n);
         }
         assert_eq!(r, Ranges(vec![(0, 6), (9, 10)]));
-        assert_eq!(r.len(), 7);
+        assert_eq!((r.len(), r.first_missing()), (7, 6));
         assert!(r.contains(5) && !r.contains(6) && r.contains(9));
     }
 
--- a/crates/store/src/codec.rs
+++ b/crates/store/src/codec.rs
@@ -64,58 +64,29 @@
     rmp_serde::from_slice(&bytes).ok()
 }
 
-/// Reads a record. An unreadable value is `None`, with `true` beside it.
+fn read<T: DeserializeOwned>(value: Option<Value>, bad: &mut bool) -> Option<T> {
+    let record = parse(value?);
+    *bad = record.is_none();
+    record
+}
+
+/// Reads a change of a key; `None` is a deletion. The second part tells that
+/// there is a value, but none that can be read.
 pub fn decode_change(key: &str, value: Option<Value>) -> (Change, bool) {
+    let mut bad = false;
     let Some(rest) = key.strip_prefix(key::PREFIX) else { return (Change::Other, false) };
-    let given = value.is_some();
-    let value = value.filter(|v| !v.is_nil());
-    fn read<T: DeserializeOwned>(v: Option<Value>) -> Option<T> {
-        v.and_then(parse)
-    }
-    let (change, present) = match rest.split_once('/') {
-        Some(("jobs", id)) => {
-            let r: Option<Box<JobRecord>> = read(value);
-            let p = r.is_some();
-            (Change::Job(id.to_owned(), r), p)
-        }
-        Some(("machines", id)) => {
-            let r = read(value);
-            let p = r.is_some();
-            (Change::Machine(id.to_owned(), r), p)
-        }
-        Some(("teams", id)) => {
-            let r = read(value);
-            let p = r.is_some();
-            (Change::Team(id.to_owned(), r), p)
-        }
-        Some(("members", id)) => {
-            let r = read(value);
-            let p = r.is_some();
-            (Change::Member(id.to_owned(), r), p)
-        }
-        None if rest == "leader" => {
-            let r = read(value);
-            let p = r.is_some();
-            (Change::Leader(r), p)
-        }
-        None if rest == "map" => {
-            let r = read(value);
-            let p = r.is_some();
-            (Change::Map(r), p)
-        }
-        None if rest == "types" => {
-            let r = read(value);
-            let p = r.is_some();
-            (Change::Types(r), p)
-        }
-        None if rest == "fleet" => {
-            let r = read(value);
-            let p = r.is_some();
-            (Change::Fleet(r), p)
-        }
-        _ => (Change::Other, true),
+    let change = match rest.split_once('/') {
+        Some(("jobs", id)) => Change::Job(id.to_owned(), read(value, &mut bad)),
+        Some(("machines", id)) => Change::Machine(id.to_owned(), read(value, &mut bad)),
+        Some(("teams", id)) => Change::Team(id.to_owned(), read(value, &mut bad)),
+        Some(("members", id)) => Change::Member(id.to_owned(), read(value, &mut bad)),
+        None if rest == "leader" => Change::Leader(read(value, &mut bad)),
+        None if rest == "map" => Change::Map(read(value, &mut bad)),
+        None if rest == "types" => Change::Types(read(value, &mut bad)),
+        None if rest == "fleet" => Change::Fleet(read(value, &mut bad)),
+        _ => Change::Other,
     };
-    (change, given && !present)
+    (change, bad)
 }
 
 #[cfg(test)]
