--- a/crates/store/src/codec.rs
+++ b/crates/store/src/codec.rs
@@ -1,7 +1,6 @@
 //! Keys and values of the records.
 
 use rmpv::Value;
-use sched::records::*;
 use sched::world::Change;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -92,6 +91,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use sched::records::*;
 
     #[test]
     fn records_survive_the_round_trip() {
