--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -127,12 +127,12 @@
         let settings: Self = toml::from_str(text).map_err(|e| SettingsError::Parse {
             file: file.to_owned(),
             why: match e.span() {
-                Some(span) => {
+                Some(span) if span.start > 0 => {
                     let line = text[..span.start.min(text.len())].matches('\n').count() + 1;
                     let near = text.lines().nth(line - 1).unwrap_or_default().trim();
                     format!("line {line} (\"{near}\"): {}", one_line(e.message()))
                 }
-                None => one_line(e.message()),
+                _ => one_line(e.message()),
             },
         })?;
         settings.check(file)?;
