--- a/crates/daemon/src/fleet_duty.rs
+++ b/crates/daemon/src/fleet_duty.rs
@@ -162,8 +162,10 @@
                 out.push((id.clone(), "sick"));
             } else if idle.contains(id) {
                 let since = *self.idle_since.entry(id.clone()).or_insert(now);
-                // Renting it again costs its boot time and the wait for it.
+                // Renting it again costs its boot time and the wait for it. Spot
+                // machines serve work that can wait.
                 let boot = core.world.types.get(&record.machine_type).map_or(0.0, |t| t.boot_s);
+                let boot = if record.spot { 0.0 } else { boot };
                 let keep = node.operators.idle.max(Duration::from_secs_f64(boot.clamp(0.0, 600.0)));
                 let room = spare_room(record, Amount::default());
                 let spared = room > 0 && spare_left < room + node.operators.spare_gpu_tasks;
