--- a/crates/daemon/src/fleet_duty.rs
+++ b/crates/daemon/src/fleet_duty.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::time::{Duration, Instant};
 
-use cloud::{CloudError, RELEASE_MAX};
+use cloud::{CloudError, RELEASE_MAX, RENT_MAX};
 use sched::fleet::{Coming, Demand, Offer, plan};
 use sched::placement;
 use sched::records::*;
@@ -19,20 +19,24 @@
 struct Fleet {
     /// Offers without capacity, until when, and the pause that follows.
     blocked: HashMap<Offer, (Instant, Duration)>,
-    idle_since: HashMap<String, Instant>,
-    listed: HashMap<String, ListedMachine>,
+    idle_since: HashMap<Name, Instant>,
+    listed: HashMap<Name, ListedMachine>,
     listed_at: Option<Instant>,
     types_at: Option<Instant>,
     requests: u64,
     /// Released for good, so that a lagging list does not bring them back.
-    released: HashMap<String, Instant>,
+    released: HashMap<Name, Instant>,
     led_since: Option<Instant>,
-    first_seen: HashMap<String, Instant>,
+    first_seen: HashMap<Name, Instant>,
 }
 
 const TICK: Duration = Duration::from_millis(300);
 /// Most kinds of machines asked for between two looks at what is wanted.
-const RENT_AT_ONCE: usize = 2;
+const RENT_AT_ONCE: usize = 4;
+/// Most machines planned for at a time.
+const PLAN_MOST: usize = 400;
+/// Between its steps the duty leaves this many times the time that one took.
+const LEAVE: u32 = 8;
 /// Room is kept ready for this long after the latest GPU job.
 const SPARE_FOR: Duration = Duration::from_secs(300);
 const BLOCK_FIRST: Duration = Duration::from_secs(20);
@@ -40,19 +44,22 @@
 
 pub async fn fleet(node: Node) {
     let mut fleet = Fleet::default();
+    let mut cost = Duration::ZERO;
     loop {
-        sleep(TICK).await;
+        sleep(TICK.max(cost * LEAVE)).await;
+        cost = Duration::ZERO;
         if !node.core().leads(&node.me) {
             fleet = Fleet { requests: fleet.requests, ..Fleet::default() };
             continue;
         }
         fleet.led_since.get_or_insert_with(Instant::now);
-        fleet.step(&node).await;
+        cost = fleet.step(&node).await;
     }
 }
 
 impl Fleet {
-    async fn step(&mut self, node: &Node) {
+    /// One look at everything; tells how long the planning took.
+    async fn step(&mut self, node: &Node) -> Duration {
         let every = |at: Option<Instant>, s: u64| at.is_none_or(|t| t.elapsed() >= Duration::from_secs(s));
         let types_known = !node.core().world.types.is_empty();
         if every(self.types_at, if types_known { 60 } else { 1 }) {
@@ -63,7 +70,7 @@
         }
         self.give_back(node).await;
         self.settle_rentals(node).await;
-        self.rent(node).await;
+        self.rent(node).await
     }
 
     async fn refresh_types(&mut self, node: &Node) {
@@ -91,7 +98,7 @@
         match node.cloud.list().await {
             Ok(list) => {
                 let now = Instant::now();
-                self.listed = list.into_iter().map(|m| (m.id.clone(), m)).collect();
+                self.listed = list.into_iter().map(|m| (m.id.as_str().into(), m)).collect();
                 for id in self.listed.keys() {
                     self.first_seen.entry(id.clone()).or_insert(now);
                 }
@@ -103,7 +110,7 @@
     }
 
     /// Which machines to give back, and why.
-    fn surplus(&mut self, node: &Node, core: &Core, now: Instant) -> Vec<(String, &'static str)> {
+    fn surplus(&mut self, node: &Node, core: &Core, now: Instant) -> Vec<(Name, &'static str)> {
         let mut out = Vec::new();
         let silent = node.silent_limit();
         let mut silent_by_owner: HashMap<&str, (u32, u32)> = HashMap::new();
@@ -129,13 +136,13 @@
             count.1 += u32::from(quiet >= silent / 2);
             rows.push((id, &m.value, owner.name.as_str(), quiet, sick, notice));
         }
-        let idle: HashSet<&String> =
+        let idle: HashSet<&Name> =
             core.world.machines.keys().filter(|id| !core.world.on_machine.contains_key(*id)).collect();
         self.idle_since.retain(|id, _| idle.contains(id));
         // Room for the spare tasks, which giving a machine back must not touch.
         let spare = spare_spec(node, core);
         let spare_room =
-            |m: &MachineRecord, used: Amount| match (spare, core.world.types.get(&m.machine_type)) {
+            |m: &MachineRecord, used: Amount| match (spare, core.world.types.get(&*m.machine_type)) {
                 (Some(spec), Some(t)) if placement::allowed(spec, &m.machine_type, &m.zone, m.spot) => {
                     Amount::of_task(spec).times_in(Amount::of_type(t).plus(used, -1.0))
                 }
@@ -164,7 +171,7 @@
                 let since = *self.idle_since.entry(id.clone()).or_insert(now);
                 // Renting it again costs its boot time and the wait for it. Spot
                 // machines serve work that can wait.
-                let boot = core.world.types.get(&record.machine_type).map_or(0.0, |t| t.boot_s);
+                let boot = core.world.types.get(&*record.machine_type).map_or(0.0, |t| t.boot_s);
                 let boot = if record.spot { 0.0 } else { boot };
                 let keep = node.operators.idle.max(Duration::from_secs_f64(boot.clamp(0.0, 600.0)));
                 let room = spare_room(record, Amount::default());
@@ -176,7 +183,7 @@
             }
         }
         // Failed by the list, or never come up.
-        let rented: HashSet<&String> = core
+        let rented: HashSet<&Name> = core
             .world
             .fleet
             .iter()
@@ -239,7 +246,7 @@
                 return;
             }
             for (id, _, why) in marks {
-                info!(machine = id, reason = why, "giving the machine back");
+                info!(machine = &*id, reason = why, "giving the machine back");
                 // A task may have been placed just before the mark.
                 if why != "idle" || !node.core().world.on_machine.contains_key(&id) {
                     ready.push(id);
@@ -250,7 +257,7 @@
         if ready.is_empty() {
             return;
         }
-        match node.cloud.release(ready.clone()).await {
+        match node.cloud.release(names(&ready)).await {
             Ok(()) => {
                 info!(machines = ?ready, "released");
                 for id in &ready {
@@ -271,11 +278,11 @@
     }
 
     /// The release is confirmed: whatever was on the machines is gone.
-    async fn forget(&mut self, node: &Node, mut machines: Vec<String>) {
+    async fn forget(&mut self, node: &Node, mut machines: Vec<Name>) {
         let ops = node.settings.facts.state.txn_ops;
         while !machines.is_empty() {
             let rest = machines.split_off(machines.len().min(ops));
-            let known: Vec<(String, u64, String)> = {
+            let known: Vec<(Name, u64, String)> = {
                 let core = node.core();
                 machines
                     .iter()
@@ -303,10 +310,10 @@
         let (fleet, version, late) = {
             let core = node.core();
             let Some(f) = &core.world.fleet else { return };
-            let mut late: Vec<String> = Vec::new();
+            let mut late: Vec<Name> = Vec::new();
             let mut rentals = Vec::new();
             for r in &f.value.rentals {
-                let boot = core.world.types.get(&r.machine_type).map_or(60.0, |t| t.boot_s);
+                let boot = core.world.types.get(&*r.machine_type).map_or(60.0, |t| t.boot_s);
                 let age = now_ms.saturating_sub(r.asked_ms) as f64 / 1000.0;
                 let mut r = r.clone();
                 if let Some(machines) = &mut r.machines {
@@ -330,7 +337,7 @@
             (FleetRecord { rentals }, f.version, late)
         };
         if !late.is_empty() {
-            if node.cloud.release(late.clone()).await.is_err() {
+            if node.cloud.release(names(&late)).await.is_err() {
                 return;
             }
             info!(machines = ?late, "released: they never came up");
@@ -370,7 +377,7 @@
                 continue;
             }
             *room = room.plus(size, -f64::from(tasks));
-            let mut in_zone: HashMap<String, u32> = HashMap::new();
+            let mut in_zone: HashMap<Name, u32> = HashMap::new();
             for a in &job.run {
                 if let Some(m) = core.world.machines.get(&a.machine) {
                     *in_zone.entry(m.value.zone.clone()).or_default() += 1;
@@ -380,7 +387,7 @@
         }
         demands.sort_by(|a, b| placement::queue_order((a.0, false), (b.0, false)));
         let mut coming: Vec<Coming> = Vec::new();
-        let mut counted: BTreeSet<&String> = BTreeSet::new();
+        let mut counted: BTreeSet<&Name> = BTreeSet::new();
         let full = |t: &str| core.world.types.get(t).map(Amount::of_type).unwrap_or_default();
         for r in core.world.fleet.iter().flat_map(|f| f.value.rentals.iter()) {
             let n = match &r.machines {
@@ -405,8 +412,8 @@
                 || self.released.contains_key(id);
             if !known && m.status != MachineStatus::Failed {
                 coming.push(Coming {
-                    machine_type: m.machine_type.clone(),
-                    zone: m.zone.clone(),
+                    machine_type: m.machine_type.as_str().into(),
+                    zone: m.zone.as_str().into(),
                     spot: m.spot,
                     free: full(&m.machine_type),
                 });
@@ -435,20 +442,21 @@
             &core.world.types,
             core.world.gpu_spec.as_deref(),
             |o| self.blocked.get(o).is_some_and(|(t, _)| now < *t),
-            8,
+            PLAN_MOST,
         )
     }
 
-    async fn rent(&mut self, node: &Node) {
+    async fn rent(&mut self, node: &Node) -> Duration {
         let now = Instant::now();
         let wanted = {
             let core = node.core();
             self.wanted(node, &core, now)
         };
+        let cost = now.elapsed();
         let mut kinds: Vec<(Offer, u32)> = Vec::new();
         for offer in wanted {
             match kinds.iter_mut().find(|(o, _)| *o == offer) {
-                Some((_, n)) => *n += 1,
+                Some((_, n)) => *n = (*n + 1).min(RENT_MAX),
                 None => kinds.push((offer, 1)),
             }
         }
@@ -459,10 +467,11 @@
                 });
             if open as f64 > node.value_bytes() * 0.8 {
                 // The record of rentals is full until some of them are up.
-                return;
+                break;
             }
             self.rent_kind(node, offer, count, now).await;
         }
+        cost
     }
 
     async fn rent_kind(&mut self, node: &Node, offer: Offer, count: u32, now: Instant) {
@@ -483,8 +492,8 @@
         }
         let ask = RentRequest {
             request: request.clone(),
-            machine_type: offer.machine_type.clone(),
-            zone: offer.zone.clone(),
+            machine_type: offer.machine_type.to_string(),
+            zone: offer.zone.to_string(),
             spot: offer.spot,
             count,
         };
@@ -499,11 +508,13 @@
         }
         match answer {
             Ok(machines) => {
+                let machines: Vec<Name> = machines.iter().map(|m| m.as_str().into()).collect();
                 info!(
                     request,
-                    kind = offer.machine_type,
-                    zone = offer.zone,
+                    kind = &*offer.machine_type,
+                    zone = &*offer.zone,
                     spot = offer.spot,
+                    asked = count,
                     ?machines,
                     "rented"
                 );
@@ -520,7 +531,7 @@
                 .await;
             }
             Err(e) => {
-                debug!(request, kind = offer.machine_type, zone = offer.zone, spot = offer.spot, error = %e, "not rented");
+                debug!(request, kind = &*offer.machine_type, zone = &*offer.zone, spot = offer.spot, error = %e, "not rented");
                 let sure = !matches!(e, CloudError::Net(_) | CloudError::Answer(_));
                 if matches!(e, CloudError::NoCapacity) {
                     self.block(offer, now);
@@ -562,6 +573,10 @@
     }
 }
 
+fn names(machines: &[Name]) -> Vec<String> {
+    machines.iter().map(|m| m.to_string()).collect()
+}
+
 /// The job whose next of a kind should find room ready.
 fn spare_spec<'a>(node: &Node, core: &'a Core) -> Option<&'a JobSpec> {
     if wall_ms().saturating_sub(core.world.gpu_spec_ms) > SPARE_FOR.as_millis() as u64 {
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -6,13 +6,15 @@
 use sched::fleet;
 use sched::placement::{Board, Slot, fits_whole, gpu_loss};
 use sched::records::*;
+use sched::world::Change;
 use store::{Outcome, Put, StoreError, key};
+use tokio::time::sleep;
 use tracing::{debug, info};
 use wire::{Condition, JobSpec, JobState, JobStatus, Redirect, Report, ReportAnswer};
 
 use crate::gossip;
-use crate::node::{Node, wall_ms};
-use crate::worker::{Limits, Worker, first_token};
+use crate::node::{Core, Node, wall_ms};
+use crate::worker::{Worker, first_token};
 
 pub async fn serve(node: Node, request: Request) -> Reply {
     let path = request.path.split('?').next().unwrap_or_default();
@@ -85,9 +87,9 @@
     let core = node.core();
     let map = core.map()?;
     let (now, report) = (Instant::now(), node.report_every());
-    let board = Board::new(&core.world, map, |m| core.usable(m, &node.me, report, now));
+    let board = Board::new(&core.world, |m| core.usable(m, &node.me, report, now));
     let parts = map.live.iter().filter_map(|m| {
-        let whole = |s: &&Slot| s.owner == m.name && gpu_loss(&core.world, spec, s) == 0;
+        let whole = |s: &&Slot| s.owner == m.incarnation && gpu_loss(&core.world, spec, s) == 0;
         let rooms: Vec<_> = board.slots.iter().filter(whole).cloned().collect();
         let room: f64 = rooms.iter().map(|s| s.free().cpus).sum();
         fits_whole(spec, &rooms).then_some((room, m))
@@ -243,8 +245,8 @@
             gossip::relay(node, &owner, body.to_vec()).await.unwrap_or_else(|| elsewhere(None))
         }
         Disposal::Adopt(epoch) => {
-            // Nobody knows this machine yet: record it before anything is launched.
-            adopt_machine(node, &report).await;
+            // Nobody knows this machine yet: it is recorded before anything is launched.
+            arrived(node, &report);
             Reply::new(200, &ReportAnswer { token: first_token(epoch), commands: Vec::new() })
         }
     }
@@ -256,7 +258,8 @@
     let mut guard = node.core();
     let core = &mut *guard;
     let Some(map) = core.world.map_record() else { return Disposal::Answer(elsewhere(None)) };
-    let Some(owner) = map.owner(machine, &report.zone).cloned() else {
+    let known = core.world.owner_of(machine);
+    let Some(owner) = known.or_else(|| map.owner(machine, &report.zone)).cloned() else {
         return Disposal::Answer(elsewhere(None));
     };
     let epoch = map.epoch;
@@ -288,44 +291,112 @@
     if !core.may_renew(&node.me, node.settings.peers.len(), bound, now) {
         return Disposal::Answer(elsewhere(None));
     }
-    if !core.world.machines.contains_key(machine) {
+    if !core.world.machines.contains_key(machine.as_str()) {
         return Disposal::Adopt(epoch);
     }
-    let worker =
-        core.workers.entry(machine.clone()).or_insert_with(|| Worker::new(report.addr.clone(), epoch, now));
+    let limits = node.worker_limits(core.fresh_at);
+    let worker = core
+        .workers
+        .entry(machine.as_str().into())
+        .or_insert_with(|| Worker::new(report.addr.clone(), epoch, now));
     worker.enter_epoch(epoch);
     if worker.overtaken_by(report) {
         return Disposal::Answer(elsewhere(None));
     }
-    worker.ingest(report.clone(), true, now);
-    worker.renewed = Some(now);
-    let gang_peer = Duration::from_secs_f64(node.settings.facts.workers.gang_peer_s);
-    let limits = Limits { gang_peer, fresh_at: core.fresh_at };
-    let commands = worker.answer(machine, &core.world, &limits, now);
+    let news = worker.ingest(report.clone(), true, now);
+    // A copy of an older report gets no commands; it may still be the one that
+    // the worker waits to have answered.
+    worker.renew(now);
+    let commands = if news { worker.answer(machine, &core.world, &limits, now) } else { Vec::new() };
     let answer = ReportAnswer { token: worker.token(), commands };
-    node.kick.notify_one();
+    if worker.due(now) {
+        node.kick.notify_one();
+    }
     Disposal::Answer(Reply::new(200, &answer))
 }
 
-async fn adopt_machine(node: &Node, report: &Report) {
+fn arrived(node: &Node, report: &Report) {
     let record = MachineRecord {
         addr: report.addr.clone(),
-        machine_type: report.machine_type.clone(),
-        zone: report.zone.clone(),
+        machine_type: report.machine_type.as_str().into(),
+        zone: report.zone.as_str().into(),
         spot: report.spot,
         release: false,
     };
-    let k = key::machine(&report.machine);
-    node.may_write(1, 0.0).await;
-    let conditions = vec![Condition { key: k.clone(), version: 0 }];
-    if let Ok(Outcome::Committed { .. }) = node.state.txn(conditions, vec![Put::new(k, &record)]).await {
-        info!(
-            machine = report.machine,
-            zone = record.zone,
-            kind = record.machine_type,
-            spot = record.spot,
-            "machine is up"
-        );
-        node.gossip.notify_one();
+    node.core().arrivals.insert(report.machine.as_str().into(), record);
+    node.arrival.notify_one();
+}
+
+/// Records machines that have reported for the first time, many at once. Each
+/// is asked itself first: a late copy of a report must not bring back a machine
+/// that was returned.
+pub async fn arrivals(node: Node) {
+    loop {
+        node.arrival.notified().await;
+        sleep(Duration::from_millis(150)).await;
+        loop {
+            let list: Vec<(Name, MachineRecord)> = {
+                let mut core = node.core();
+                let Core { arrivals, world, .. } = &mut *core;
+                arrivals.retain(|id, _| !world.machines.contains_key(id));
+                let ops = node.settings.facts.state.txn_ops;
+                let some: Vec<Name> = arrivals.keys().take(ops).cloned().collect();
+                some.into_iter().filter_map(|id| arrivals.remove_entry(&id)).collect()
+            };
+            if list.is_empty() {
+                break;
+            }
+            let asked: Vec<_> = list
+                .into_iter()
+                .map(|(id, record)| {
+                    let node = node.clone();
+                    let tasks = node.tasks.clone();
+                    tasks.spawn(async move { answers(&node, &id, &record).await.then_some((id, record)) })
+                })
+                .collect();
+            let mut there = Vec::new();
+            for a in asked {
+                there.extend(a.await.ok().flatten());
+            }
+            record_machines(&node, there).await;
+        }
+    }
+}
+
+async fn answers(node: &Node, machine: &str, record: &MachineRecord) -> bool {
+    let deadline = Duration::from_millis(1500);
+    let answer =
+        node.http.request(&record.addr, "GET", "/status", Vec::new(), wire::BODY_LIMIT * 4, deadline).await;
+    answer.is_ok_and(|a| wire::decode::<Report>(&a.body).is_ok_and(|r| r.machine == machine))
+}
+
+async fn record_machines(node: &Node, list: Vec<(Name, MachineRecord)>) {
+    if list.is_empty() {
+        return;
+    }
+    node.may_write(list.len(), 0.0).await;
+    let conditions = list.iter().map(|(id, _)| Condition { key: key::machine(id), version: 0 }).collect();
+    let puts = list.iter().map(|(id, r)| Put::new(key::machine(id), r)).collect();
+    match node.state.txn(conditions, puts).await {
+        Ok(Outcome::Committed { revision }) => {
+            let mut core = node.core();
+            for (id, record) in list {
+                info!(
+                    machine = &*id,
+                    zone = &*record.zone,
+                    kind = &*record.machine_type,
+                    spot = record.spot,
+                    "machine is up"
+                );
+                core.world.apply(Change::Machine(id.to_string(), Some(record)), revision);
+            }
+            node.kick.notify_one();
+            node.gossip.notify_one();
+        }
+        Ok(Outcome::Conflict { revision, .. }) => {
+            node.reach(revision, Duration::from_secs(1)).await;
+        }
+        // They report again.
+        Err(e) => debug!(error = %e, "machines were not recorded"),
     }
 }
--- a/crates/daemon/src/gossip.rs
+++ b/crates/daemon/src/gossip.rs
@@ -6,8 +6,9 @@
 use peer::{MachineRow, Message, Summary};
 use tokio::time::timeout;
 
+use crate::engine;
 use crate::front;
-use crate::node::{Node, PeerView};
+use crate::node::{Core, Node, PeerView};
 
 const LARGE: usize = 1 << 20;
 
@@ -21,10 +22,10 @@
         .iter()
         .filter_map(|(id, w)| {
             let record = core.world.machines.get(id)?;
-            let kind = core.world.types.get(&record.value.machine_type)?;
+            let kind = core.world.types.get(&*record.value.machine_type)?;
             let used = core.world.machine_use.get(id).copied().unwrap_or_default();
             Some(MachineRow {
-                id: id.clone(),
+                id: id.to_string(),
                 usable: core.usable(id, &node.me, report, now),
                 silent_ms: ms(w.silent_for(now)),
                 free_cpus: kind.cpus - used.cpus,
@@ -50,12 +51,11 @@
         return;
     }
     for row in &summary.machines {
-        core.rows.insert(row.id.clone(), row.clone());
+        core.rows.insert(row.id.as_str().into(), row.clone());
     }
-    let known = |id: &String| core.world.machines.contains_key(id);
-    let gone: Vec<String> = core.rows.keys().filter(|id| !known(id)).cloned().collect();
-    for id in gone {
-        core.rows.remove(&id);
+    let Core { world, rows, .. } = &mut *core;
+    if rows.len() > world.machines.len() {
+        rows.retain(|id, _| world.machines.contains_key(id));
     }
     core.peers.insert(summary.name.clone(), PeerView { summary, at: Instant::now() });
 }
@@ -91,6 +91,15 @@
     }
 }
 
+/// Hands proofs over to a peer; false if it did not take them.
+pub async fn hand_over(node: &Node, to: &str, epoch: u64, list: Vec<peer::Proof>) -> bool {
+    let Some(peer) = node.settings.peers.iter().find(|p| p.node_name == to) else { return false };
+    let body = peer::encode(&Message::Proofs(peer::Proofs { epoch, list }));
+    let deadline = Duration::from_millis(1200);
+    let answer = node.http.request(&peer.address, "POST", "/peer", body, LARGE, deadline).await;
+    answer.is_ok_and(|a| peer::decode(&a.body) == Some(Message::Taken))
+}
+
 /// Serves the peers.
 pub async fn serve(node: Node, request: Request) -> Reply {
     if request.path != "/peer" {
@@ -108,6 +117,10 @@
             let reply = front::report(&node, &r.report, true).await;
             Message::Relayed { status: reply.status, body: reply.body }
         }
+        Some(Message::Proofs(p)) => {
+            engine::take_proofs(&node, p.epoch, p.list, Instant::now());
+            Message::Taken
+        }
         _ => return Reply::error(400, "not a message between controllers"),
     };
     Reply { status: 200, body: peer::encode(&answer), retry_after: None }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -6,6 +6,7 @@
 mod front;
 mod gossip;
 mod node;
+mod placer;
 mod settings;
 #[cfg(test)]
 mod sim;
@@ -137,6 +138,7 @@
     node.spawn_duty(state_duty::membership(node.clone()));
     node.spawn_duty(engine::rounds(node.clone()));
     node.spawn_duty(engine::prober(node.clone()));
+    node.spawn_duty(front::arrivals(node.clone()));
     node.spawn_duty(fleet_duty::fleet(node.clone()));
     for address in addresses {
         node.spawn_duty(gossip::tell(node.clone(), address));
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -7,7 +7,7 @@
 use cloud::CloudClient;
 use net::Client;
 use peer::{MachineRow, Summary};
-use sched::records::{MapRecord, Member};
+use sched::records::{End, MachineRecord, MapRecord, Member, Name};
 use sched::world::{Team, World};
 use store::{Budget, StateClient};
 use tokio::sync::{Notify, watch};
@@ -16,7 +16,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::settings::{Operators, Settings};
-use crate::worker::Worker;
+use crate::worker::{Key, Limits, Worker};
 
 /// How long a controller may be out of touch before it is no longer live.
 pub const MEMBER_TTL: Duration = Duration::from_secs(4);
@@ -39,7 +39,8 @@
     pub kick: Notify,
     /// A free-room summary is worth sending now.
     pub gossip: Notify,
-    pub rewatch: Notify,
+    /// A machine without a record has reported.
+    pub arrival: Notify,
     /// The mirror's revision.
     pub revision: watch::Sender<u64>,
     pub verify: Notify,
@@ -67,24 +68,41 @@
     pub at: Instant,
 }
 
+/// The end of an assignment, proven by another controller.
+pub struct HandedProof {
+    pub machine: String,
+    pub how: End,
+    pub refused: bool,
+    pub epoch: u64,
+    pub at: Instant,
+}
+
 pub struct Core {
     pub world: World,
     /// The records have been read at least once.
     pub ready: bool,
-    pub workers: HashMap<String, Worker>,
+    pub workers: HashMap<Name, Worker>,
     pub peers: HashMap<String, PeerView>,
     /// What peers last said of their machines.
-    pub rows: HashMap<String, MachineRow>,
+    pub rows: HashMap<Name, MachineRow>,
     /// When the last request was sent after which the mirror was known fresh.
     pub fresh_at: Option<Instant>,
     pub asked: u64,
     pub lease: Option<u64>,
     pub writes: Budget,
+    /// How many controllers the budget is shared by, as last reckoned.
+    live: usize,
     /// Reports that came to this controller for other owners' machines.
     pub misdirected: HashMap<String, Instant>,
     /// Room that is being made for a job: the machines, and until when. Without
     /// it, what one job has cleared is taken by the next.
-    pub reserved: HashMap<String, (Vec<String>, Instant)>,
+    pub reserved: HashMap<String, (Vec<Name>, Instant)>,
+    /// Ends that other owners have proven, until they are written.
+    pub handed: HashMap<Key, HandedProof>,
+    /// Controllers that could not be reached, until when they are left alone.
+    pub shunned: HashMap<String, Instant>,
+    /// Machines that reported and have no record yet.
+    pub arrivals: HashMap<Name, MachineRecord>,
 }
 
 impl Node {
@@ -102,8 +120,12 @@
             asked: 0,
             lease: None,
             writes: Budget::new(per_s * 0.5, per_s * 0.5, now),
+            live: 0,
             misdirected: HashMap::new(),
             reserved: HashMap::new(),
+            handed: HashMap::new(),
+            shunned: HashMap::new(),
+            arrivals: HashMap::new(),
         };
         Self(Arc::new(Inner {
             teams: settings.teams(),
@@ -114,7 +136,7 @@
             core: Mutex::new(core),
             kick: Notify::new(),
             gossip: Notify::new(),
-            rewatch: Notify::new(),
+            arrival: Notify::new(),
             revision: watch::Sender::new(0),
             verify: Notify::new(),
             verified: watch::Sender::new(Verdict::default()),
@@ -194,6 +216,29 @@
         true
     }
 
+    /// The pause between two requests for changes. There are two kinds of them,
+    /// and a third of the requests that the state service takes is for each; the
+    /// rest is for transactions.
+    pub fn watch_pause(&self) -> Duration {
+        let size = self.settings.peers.len() + 1;
+        Duration::from_secs_f64((size as f64 * 3.0 / self.settings.facts.state.rps).clamp(0.02, 0.5))
+    }
+
+    /// Shares the changes that the state service takes among the controllers
+    /// that are live. The leader, who rents machines and places what is large,
+    /// has two shares; all may go somewhat beyond theirs, as not all need them.
+    pub fn share_writes(&self, core: &mut Core, now: Instant) {
+        let live = core.map().map_or(1, |m| m.live.len()).max(1);
+        let leads = core.leads(&self.me);
+        let state = live * 2 + usize::from(leads);
+        if core.live != state {
+            core.live = state;
+            let per_s = self.settings.facts.state.write_rps;
+            let mine = if leads { 2.0 } else { 1.0 };
+            core.writes.set_rate((per_s * 1.4 * mine / (live as f64 + 1.0)).min(per_s * 0.8), now);
+        }
+    }
+
     pub fn team(&self, name: &str) -> Option<&Team> {
         self.teams.iter().find(|t| t.name == name)
     }
@@ -209,9 +254,27 @@
     }
 
     /// Most assignments that one job's record holds within a value's size: each
-    /// takes about 34 bytes, and may part the done tasks into one more range.
+    /// takes at most three characters for its task, and its machine up to six,
+    /// which others share. Two thirds of the value are theirs.
     pub fn run_max(&self) -> usize {
-        ((self.value_bytes() * 0.6) / 48.0).max(4.0) as usize
+        (self.value_bytes() * 0.6 / 3.0).max(4.0) as usize
+    }
+
+    /// How far beyond the first unfinished task an array's others may start. The
+    /// bitmap of what is done takes a sixth of a character each.
+    pub fn window(&self) -> u32 {
+        (self.value_bytes() * 0.2 * 6.0) as u32
+    }
+
+    pub fn worker_limits(&self, fresh_at: Option<Instant>) -> Limits {
+        let w = &self.settings.facts.workers;
+        Limits {
+            gang_peer: Duration::from_secs_f64(w.gang_peer_s),
+            // The clocks of both sides drift apart by 0.05% each way at most;
+            // the rest is for timers that fire late.
+            lease: Duration::from_secs_f64(w.lease_s * 1.002 + 1.0),
+            fresh_at,
+        }
     }
 
     pub fn value_bytes(&self) -> f64 {
@@ -269,6 +332,7 @@
         match self.world.owner_of(machine) {
             Some(owner) if owner == me => self.workers.get(machine).is_some_and(|w| {
                 w.heard.is_some()
+                    && w.hears()
                     && w.silent_for(now) < report * 5 / 2
                     && w.notice_until.is_none()
                     && !w.sick()
--- /dev/null
+++ b/crates/daemon/src/placer.rs
@@ -0,0 +1,220 @@
+//! Which waiting jobs start, and what makes way for them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use sched::placement::{self, Board};
+use sched::preempt;
+use sched::records::*;
+use sched::world::{Amount, Team, World};
+use wire::{JobKind, JobSpec};
+
+use crate::engine::{Event, Round, edit};
+use crate::node::{Core, Node};
+
+/// Most tasks of an array or service that room is made for at a time.
+const PREEMPT_MOST: u32 = 4;
+/// How long room is held beyond the time that its tasks need to save.
+const RESERVE_FOR: Duration = Duration::from_millis(1800);
+
+/// Whether the job fits into its team's guarantee along with the team's earlier
+/// unfinished jobs, for every open job.
+fn guaranteed(world: &World, teams: &[Team]) -> BTreeSet<String> {
+    let mut by_age: Vec<(&String, &JobRecord, &JobSpec)> = world
+        .open
+        .iter()
+        .filter_map(|id| world.jobs.get_key_value(id))
+        .filter(|(_, j)| j.value.phase == Phase::Active)
+        .filter_map(|(id, j)| Some((id, j.value.as_ref(), j.value.spec.as_deref()?)))
+        .collect();
+    by_age.sort_by_key(|(id, j, _)| (j.submitted_ms, id.as_str()));
+    let mut used: BTreeMap<&str, Amount> = BTreeMap::new();
+    let mut out = BTreeSet::new();
+    for (id, _, spec) in by_age {
+        let Some(team) = teams.iter().find(|t| t.name == spec.team) else { continue };
+        let sum = used.entry(&spec.team).or_default();
+        *sum = sum.plus(Amount { memory_gb: 0.0, ..Amount::of_task(spec) }, f64::from(spec.tasks));
+        if sum.fits(team.guarantee()) {
+            out.insert(id.clone());
+        }
+    }
+    out
+}
+
+/// Places what waits, in the order of priority, guarantee and age, and makes room
+/// for what finds none.
+pub(crate) fn place(node: &Node, core: &mut Core, round: &mut Round, ops: usize, now: Instant, now_ms: u64) {
+    let me = &node.me;
+    let report = node.report_every();
+    let waits = |id: &String| {
+        let job = round.jobs.get(id).or_else(|| core.world.jobs.get(id).map(|j| &j.value));
+        job.is_some_and(|j| placement::pending_count(j) > 0 && core.world.placer_of(j) == Some(&me.name))
+    };
+    let mut queue: Vec<String> = core.world.open.iter().filter(|id| waits(id)).cloned().collect();
+    if queue.is_empty() {
+        return;
+    }
+    let mut board = Board::new(&core.world, |m| core.usable(m, me, report, now));
+    // What this round has ended is free already.
+    for (id, record) in &round.jobs {
+        let Some(old) = core.world.jobs.get(id) else { continue };
+        let Some(spec) = old.value.spec.as_deref() else { continue };
+        let size = Amount::of_task(spec);
+        for a in &old.value.run {
+            if record.run.binary_search_by_key(&a.task, |b| b.task).is_ok() {
+                continue;
+            }
+            board.reserve(std::slice::from_ref(&a.machine), size, -1.0);
+            if let Some(u) = board.team_use.get_mut(&spec.team) {
+                *u = u.plus(size, -1.0);
+            }
+        }
+    }
+    let within = guaranteed(&core.world, &node.teams);
+    queue.sort_by(|a, b| {
+        let job = |id: &String| core.world.jobs.get(id).map(|j| (j.value.as_ref(), within.contains(id)));
+        match (job(a), job(b)) {
+            (Some(x), Some(y)) => placement::queue_order(x, y).then_with(|| a.cmp(b)),
+            _ => a.cmp(b),
+        }
+    });
+    // The share of its team's limit that a service or a gang waits for is not for
+    // arrays: their small tasks would take it piece by piece, for as long as one
+    // of them lasts.
+    // A gang's claim ends for an array whose own deadline comes near.
+    let mut claims: BTreeMap<(&String, bool), Amount> = BTreeMap::new();
+    for id in &core.world.open {
+        let Some(job) = core.world.jobs.get(id).map(|j| &j.value) else { continue };
+        let Some(spec) = job.spec.as_deref().filter(|s| s.kind != JobKind::Array) else { continue };
+        let waiting = placement::pending_count(round.jobs.get(id).unwrap_or(job));
+        if waiting > 0 {
+            let claim = claims.entry((&spec.team, spec.kind == JobKind::Gang)).or_default();
+            *claim = claim.plus(Amount::of_task(spec), f64::from(waiting));
+        }
+    }
+    let leads = core.leads(me);
+    core.reserved.retain(|id, (_, until)| queue.contains(id) && now < *until);
+    for (id, (machines, _)) in &core.reserved {
+        let Some(spec) = core.world.jobs.get(id).and_then(|j| j.value.spec.as_deref()) else { continue };
+        board.reserve(machines, Amount::of_task(spec), 1.0);
+    }
+    for id in queue {
+        let full = node.run_max();
+        if round.puts() + 2 > ops {
+            break;
+        }
+        let Some(old) = round.jobs.get(&id).or_else(|| core.world.jobs.get(&id).map(|j| &j.value)) else {
+            continue;
+        };
+        let mut job = old.clone();
+        let Some(spec) = job.spec.clone() else { continue };
+        let Some(team) = node.team(&spec.team) else { continue };
+        let in_part = job.part.as_deref() == Some(me.name.as_str());
+        let reach = |s: &placement::Slot| leads && !in_part || s.owner == me.incarnation;
+        let most = full.saturating_sub(job.run.len());
+        let size = Amount::of_task(&spec);
+        let held = core.reserved.get(&id).map(|(m, _)| m.clone()).unwrap_or_default();
+        board.reserve(&held, size, -1.0);
+        let limits = placement::Limits { most, window: node.window(), lossy: false, now_ms };
+        let claim = if spec.kind == JobKind::Array {
+            let of = |gangs| claims.get(&(&spec.team, gangs)).copied().unwrap_or_default();
+            if placement::pressed(&job, now_ms) { of(false) } else { of(false).plus(of(true), 1.0) }
+        } else {
+            Amount::default()
+        };
+        claim_share(&mut board, &spec.team, claim, 1.0);
+        let mut placed = placement::place(&core.world, &mut board, &mut job, team, reach, limits);
+        claim_share(&mut board, &spec.team, claim, -1.0);
+        let whole = |s: &placement::Slot| placement::gpu_loss(&core.world, &spec, s) == 0;
+        // A service that finds no other room takes, in this order: room that was
+        // made for it, room of array tasks, room that GPU jobs could use, and at
+        // last the place of a GPU job.
+        let mut last_resort = spec.gpus > 0.0;
+        if placed.is_empty() && spec.kind == JobKind::Service && !in_part {
+            let limits = placement::Limits { lossy: true, ..limits };
+            if !held.is_empty() {
+                let here = |s: &placement::Slot| held.contains(&s.id);
+                placed = placement::place(&core.world, &mut board, &mut job, team, here, limits);
+            } else if preempt::victims(&core.world, &board, &spec, &within, &[], true, whole).is_none() {
+                placed = placement::place(&core.world, &mut board, &mut job, team, reach, limits);
+                last_resort = placed.is_empty();
+            }
+        }
+        if !placed.is_empty() {
+            round.log.push(Event::Placed { job: id.clone(), tasks: placed.len(), attempt: job.attempt });
+            round.teams.insert(spec.team.clone());
+            round.placing.insert(id.clone());
+            core.reserved.remove(&id);
+            round.jobs.insert(id, job);
+            continue;
+        }
+        board.reserve(&held, size, 1.0);
+        if in_part && placement::retry_at_ms(&job) <= now_ms {
+            job.part = None;
+            round.log.push(Event::Escalated { job: id.clone() });
+            round.jobs.insert(id.clone(), job);
+            continue;
+        }
+        if in_part {
+            continue;
+        }
+        let quiet =
+            placement::retry_at_ms(&job) <= now_ms && (spec.kind != JobKind::Gang || job.run.is_empty());
+        if !held.is_empty() || !quiet {
+            continue;
+        }
+        // A gang needs room for all its tasks; others start as room is made.
+        let gang = spec.kind == JobKind::Gang;
+        let tasks = if gang { spec.tasks } else { placement::pending_count(&job).min(PREEMPT_MOST) };
+        let in_use = core.world.team_use.get(&spec.team).copied().unwrap_or_default();
+        let quota = team.limit().plus(Amount { memory_gb: 0.0, ..in_use }, -1.0);
+        if size.times_in(quota) < tasks {
+            if core.reserved.contains_key(&id) {
+                continue;
+            }
+            let Some(victims) = preempt::within_team(&core.world, &board, &spec, tasks, team) else {
+                continue;
+            };
+            core.reserved.insert(id.clone(), (Vec::new(), now + RESERVE_FOR));
+            for v in victims {
+                let Some(record) = edit(round, &core.world, &v.job) else { continue };
+                preempt::mark(record, &v);
+                round.log.push(Event::Preempted { by: id.clone(), victim: v });
+            }
+            continue;
+        }
+        let mut machines = Vec::new();
+        let mut all = Vec::new();
+        for _ in 0..tasks {
+            let found = preempt::victims(&core.world, &board, &spec, &within, &all, !last_resort, |s| {
+                last_resort || whole(s)
+            });
+            let Some((machine, victims)) = found else { break };
+            board.reserve(std::slice::from_ref(&machine), size, 1.0);
+            machines.push(machine);
+            all.extend(victims);
+        }
+        if all.is_empty() || (gang && machines.len() < tasks as usize) {
+            board.reserve(&machines, size, -1.0);
+            continue;
+        }
+        let save = |v: &preempt::Victim| {
+            core.world.jobs.get(&v.job).and_then(|j| j.value.spec.as_ref()).map_or(0.0, |s| s.save_s)
+        };
+        let save = all.iter().map(save).fold(0.0, f64::max).min(600.0);
+        core.reserved.insert(id.clone(), (machines, now + RESERVE_FOR + Duration::from_secs_f64(save)));
+        for v in all {
+            let Some(record) = edit(round, &core.world, &v.job) else { continue };
+            preempt::mark(record, &v);
+            round.log.push(Event::Preempted { by: id.clone(), victim: v });
+        }
+    }
+}
+
+/// Counts a part of a team's limit as used, or gives it back.
+fn claim_share(board: &mut Board, team: &str, amount: Amount, sign: f64) {
+    if amount != Amount::default() {
+        let used = board.team_use.entry(team.to_owned()).or_default();
+        *used = used.plus(amount, sign);
+    }
+}
--- a/crates/daemon/src/sim.rs
+++ b/crates/daemon/src/sim.rs
@@ -95,6 +95,7 @@
     Commands { to: usize, from: usize, commands: Commands },
     Answer { to: usize, machine: usize, token: u64, report: Option<Report> },
     Txn { conditions: Vec<Condition>, puts: Vec<Put> },
+    Proofs { to: usize, epoch: u64, list: Vec<peer::Proof> },
 }
 
 struct Sim {
@@ -229,14 +230,20 @@
         let decided = {
             let node = &self.nodes[n];
             let mut core = node.core();
-            engine::decide(node, &mut core, self.step.is_multiple_of(50), now, self.step * 100).map(|r| {
-                let (conditions, puts, _) = engine::assemble(&core.world, &r, 16);
-                (r.sends, conditions, puts)
+            let scan = self.step.is_multiple_of(50);
+            engine::decide(node, &mut core, scan, 16, now, self.step * 100).map(|r| {
+                let (conditions, puts, ..) = engine::assemble(&core.world, &r, 16, 8192.0);
+                let epoch = core.map().map_or(0, |m| m.epoch);
+                (r.sends, conditions, puts, r.proofs, epoch)
             })
         };
-        let Some((sends, conditions, puts)) = decided else { return };
+        let Some((sends, conditions, puts, proofs, epoch)) = decided else { return };
+        for (to, list) in proofs {
+            let to = self.nodes.iter().position(|n| n.me.name == to).expect("a known controller");
+            self.post(Message::Proofs { to, epoch, list });
+        }
         for (machine, _, commands) in sends {
-            let to = (0..MACHINES).find(|m| id(*m) == machine).expect("a known machine");
+            let to = (0..MACHINES).find(|m| *id(*m) == *machine).expect("a known machine");
             self.waiting.insert((n, to), commands.token);
             self.post(Message::Commands { to, from: n, commands });
         }
@@ -293,10 +300,11 @@
         if !mine || !core.may_renew(&node.me, 0, node.settings.renewal_bound(), now) {
             return None;
         }
-        let worker = core.workers.get_mut(&id(m)).filter(|w| !w.overtaken_by(&report))?;
-        worker.ingest(report, true, now);
-        let limits = crate::worker::Limits { gang_peer: Duration::from_secs(5), fresh_at: core.fresh_at };
-        let orders = worker.answer(&id(m), &core.world, &limits, now);
+        let worker = core.workers.get_mut(id(m).as_str()).filter(|w| !w.overtaken_by(&report))?;
+        let news = worker.ingest(report, true, now);
+        worker.renew(now);
+        let limits = node.worker_limits(core.fresh_at);
+        let orders = if news { worker.answer(&id(m), &core.world, &limits, now) } else { Vec::new() };
         Some((worker.token(), orders))
     }
 
@@ -356,6 +364,9 @@
         self.mail = rest;
         for message in due {
             match message {
+                Message::Proofs { to, epoch, list } => {
+                    engine::take_proofs(&self.nodes[to], epoch, list, self.now());
+                }
                 Message::Txn { conditions, puts } => {
                     self.state.txn(&conditions, puts);
                 }
@@ -389,7 +400,7 @@
 
     fn answered(&mut self, n: usize, machine: usize, token: u64, report: Option<Report>) {
         let now = self.now();
-        if let Some(w) = self.nodes[n].core().workers.get_mut(&id(machine)) {
+        if let Some(w) = self.nodes[n].core().workers.get_mut(id(machine).as_str()) {
             w.finish(token, report.is_some(), now);
             if let Some(report) = report {
                 w.ingest(report, false, now);
--- a/crates/daemon/src/state_duty.rs
+++ b/crates/daemon/src/state_duty.rs
@@ -2,12 +2,13 @@
 
 use std::time::{Duration, Instant};
 
+use rmpv::Value;
 use sched::records::{MapRecord, Member};
 use sched::world::World;
 use store::{Outcome, Put, StoreError, decode_change, key};
 use tokio::time::{sleep, timeout};
-use tracing::{debug, info, warn};
-use wire::Condition;
+use tracing::{info, warn};
+use wire::{Changes, Condition};
 
 use crate::node::{MEMBER_TTL, Node};
 
@@ -75,89 +76,95 @@
     Ok(())
 }
 
+/// Waits for changes and takes them in.
 async fn follow(node: &Node) -> Result<(), StoreError> {
     let after = node.core().world.revision;
-    let changes = tokio::select! {
-        c = node.state.watch(after, WATCH) => c?,
-        _ = node.rewatch.notified() => return Ok(()),
-    };
-    let map_before = node.core().map().map(|m| m.epoch);
-    {
-        let mut core = node.core();
-        for e in changes.events {
-            let (Some(k), value) = (match (&e.put, &e.delete) {
-                (Some(k), _) => (Some(k.clone()), e.value),
-                (None, Some(k)) => (Some(k.clone()), None),
-                _ => (None, None),
-            }) else {
-                continue;
-            };
-            let (change, bad) = decode_change(&k, value);
-            if bad {
-                warn!(key = k, "a record could not be read");
-            }
-            core.world.apply(change, e.version);
+    let changes = node.state.watch(after, WATCH).await?;
+    take_in(node, changes);
+    // Each answer is a request more, and the news of many changes can come in
+    // one of them.
+    sleep(node.watch_pause()).await;
+    Ok(())
+}
+
+/// Applies changes to the mirror. Answers may overlap and cross each other: what
+/// is known already is passed over.
+fn take_in(node: &Node, changes: Changes<Value>) {
+    let mut core = node.core();
+    let known = core.world.revision;
+    if changes.revision <= known {
+        return;
+    }
+    let map_before = core.map().map(|m| m.epoch);
+    for e in changes.events {
+        let (k, value) = match (e.put, e.delete) {
+            (Some(k), _) => (k, e.value),
+            (None, Some(k)) => (k, None),
+            _ => continue,
+        };
+        if e.version <= known {
+            continue;
         }
-        core.world.revision = changes.revision.max(after);
-        let revision = core.world.revision;
-        node.revision.send_replace(revision);
-        if core.map().map(|m| m.epoch) != map_before {
-            let (epoch, live) = core.map().map_or((0, 0), |m| (m.epoch, m.live.len()));
-            info!(epoch, live, entitled = core.in_map(&node.me), "new map");
+        let (change, bad) = decode_change(&k, value);
+        if bad {
+            warn!(key = k, "a record could not be read");
         }
+        core.world.apply(change, e.version);
+    }
+    core.world.revision = changes.revision;
+    if core.map().map(|m| m.epoch) != map_before {
+        let (epoch, live) = core.map().map_or((0, 0), |m| (m.epoch, m.live.len()));
+        info!(epoch, live, entitled = core.in_map(&node.me), "new map");
     }
+    node.share_writes(&mut core, Instant::now());
+    drop(core);
+    node.revision.send_replace(changes.revision);
     node.kick.notify_one();
-    Ok(())
 }
 
 /// Answers freshness requests, all that wait with one check, and makes one a
-/// second by itself.
+/// second by itself. The check asks for all changes up to now, so that it also
+/// brings the mirror up to date.
 pub async fn verifier(node: Node) {
-    let pause = Duration::from_secs_f64((8.0 / node.settings.facts.state.rps).clamp(0.02, 0.2));
     let mut failing = false;
     loop {
         let _ = timeout(Duration::from_secs(1), node.verify.notified()).await;
-        let (asked, ready) = {
+        let (asked, ready, after) = {
             let core = node.core();
-            (core.asked, core.ready)
+            (core.asked, core.ready, core.world.revision)
         };
         if !ready {
+            node.verified.send_modify(|v| v.refused = asked);
             sleep(RETRY).await;
             continue;
         }
         let sent = Instant::now();
-        // Compares a key with an impossible version: a conflict is as good.
-        let compare = vec![Condition { key: key::MAP.into(), version: 0 }];
-        let result = timeout(Duration::from_millis(1500), node.state.txn(compare, Vec::new())).await;
-        let revision = match result {
-            Ok(Ok(Outcome::Committed { revision } | Outcome::Conflict { revision, .. })) => revision,
+        let result = timeout(Duration::from_millis(1500), node.state.watch(after, Duration::ZERO)).await;
+        match result {
+            Ok(Ok(changes)) => {
+                if failing {
+                    info!("the state service answers again");
+                }
+                failing = false;
+                take_in(&node, changes);
+                node.core().fresh_at = Some(sent);
+                node.verified.send_modify(|v| v.granted = asked);
+                sleep(node.watch_pause()).await;
+            }
             Ok(Err(e)) => {
                 if !failing {
                     warn!(error = %e, "the state service does not answer");
                 }
-                failing = true;
+                // Its rate limit is no sign of failure: the next check is soon.
+                failing = !matches!(e, StoreError::Rate);
                 node.verified.send_modify(|v| v.refused = asked);
                 sleep(RETRY).await;
-                continue;
             }
             Err(_) => {
                 failing = true;
                 node.verified.send_modify(|v| v.refused = asked);
-                continue;
             }
-        };
-        if failing {
-            info!("the state service answers again");
-        }
-        failing = false;
-        if node.reach(revision, Duration::from_millis(1500)).await {
-            node.core().fresh_at = Some(sent);
-            node.verified.send_modify(|v| v.granted = asked);
-        } else {
-            debug!(revision, "the watch lags; opening it again");
-            node.rewatch.notify_one();
         }
-        sleep(pause).await;
     }
 }
 
--- a/crates/daemon/src/worker.rs
+++ b/crates/daemon/src/worker.rs
@@ -46,6 +46,16 @@
     stops: HashMap<Key, Instant>,
     strays: HashMap<(String, u64), Instant>,
     pub notice_until: Option<Instant>,
+    /// Since when answers and commands have not reached the worker, by its own
+    /// reports. It is alive, but nothing can be given to it.
+    deaf_since: Option<Instant>,
+    /// The token of the last answer, and how many reports did not show it.
+    told: u64,
+    unheard: u32,
+    /// When to compare with the records again, even without news.
+    look_at: Option<Instant>,
+    /// When each end was first proven: another controller may be writing it.
+    ended: HashMap<Key, Instant>,
     retry_at: Option<Instant>,
     sent: Option<Instant>,
     failures: u32,
@@ -64,12 +74,18 @@
 
 pub struct Limits {
     pub gang_peer: Duration,
+    /// The workers' lease, by the slowest of their clocks.
+    pub lease: Duration,
     /// When the copy of the records was last known to be fresh.
     pub fresh_at: Option<Instant>,
 }
 
 const STOP_AGAIN: Duration = Duration::from_secs(2);
 const STRAY_AFTER: Duration = Duration::from_millis(1500);
+/// How soon a worker is compared with the records again while something is
+/// open, and when nothing is.
+const LOOK_SOON: Duration = Duration::from_millis(300);
+const LOOK_ANYWAY: Duration = Duration::from_secs(2);
 
 impl Worker {
     pub fn new(addr: String, epoch: u64, now: Instant) -> Self {
@@ -91,6 +107,11 @@
             stops: HashMap::new(),
             strays: HashMap::new(),
             notice_until: None,
+            deaf_since: None,
+            told: 0,
+            unheard: 0,
+            look_at: Some(now),
+            ended: HashMap::new(),
             retry_at: None,
             sent: None,
             failures: 0,
@@ -107,9 +128,28 @@
             self.proof_token = self.token;
             self.offered = false;
             self.in_flight = None;
+            self.renewed = None;
+            self.told = 0;
+            self.unheard = 0;
+            self.look_again();
         }
     }
 
+    /// Something has changed: compare with the records in the next round.
+    pub fn look_again(&mut self) {
+        self.look_at = None;
+    }
+
+    /// Whether a round should compare this worker with the records.
+    pub fn due(&self, now: Instant) -> bool {
+        self.look_at.is_none_or(|t| now >= t)
+    }
+
+    /// When an end was first proven.
+    pub fn ended_since(&mut self, key: &Key, now: Instant) -> Instant {
+        *self.ended.entry(key.clone()).or_insert(now)
+    }
+
     pub fn token(&self) -> u64 {
         self.token
     }
@@ -126,26 +166,70 @@
         if (report.session, report.seq) <= (self.session, self.seq) {
             return false;
         }
+        self.note_hearing(&report, by_itself, now);
+        if report.session != self.session || report.tasks != self.tasks || report.notice_s.is_some() {
+            self.look_again();
+        }
         if by_itself {
             // A worker has one report in flight: by the next one, the answer to
             // the last has been executed or dropped.
             self.offered = false;
         }
         self.heard = Some(now);
-        self.failures = 0;
         self.session = report.session;
         self.seq = report.seq;
         self.addr = report.addr;
         self.notice_until = report.notice_s.map(|s| now + Duration::from_secs_f64(s.clamp(0.0, 3600.0)));
-        self.tasks = report.tasks;
-        for t in &self.tasks {
-            if let Some((job, n)) = t.parts() {
-                self.present.insert((job.to_owned(), n, t.attempt));
+        if self.tasks != report.tasks {
+            self.tasks = report.tasks;
+            for t in &self.tasks {
+                if let Some((job, n)) = t.parts() {
+                    self.present.insert((job.to_owned(), n, t.attempt));
+                }
             }
         }
         true
     }
 
+    /// Notices a worker that is heard but does not hear: its reports do not show
+    /// the token of the answer before, or its lease ran out although its reports
+    /// were answered. What it says to a request of ours shows that it hears.
+    fn note_hearing(&mut self, report: &Report, by_itself: bool, now: Instant) {
+        let lost_lease = self.session > 0 && report.session > self.session && self.renewed.is_some();
+        if !by_itself || self.told > 0 && report.token >= self.told && !lost_lease {
+            self.unheard = 0;
+            self.deaf_since = None;
+        } else if report.token < self.told {
+            self.unheard += 1;
+        }
+        if by_itself && (self.unheard >= 2 || lost_lease) {
+            self.deaf_since.get_or_insert(now);
+        }
+    }
+
+    /// Whether commands reach the worker, as far as is known.
+    pub fn hears(&self) -> bool {
+        self.deaf_since.is_none() && self.failures < 3
+    }
+
+    /// An answer that renews the worker's lease goes out.
+    pub fn renew(&mut self, now: Instant) {
+        self.renewed = Some(now);
+        self.told = self.told.max(self.token);
+    }
+
+    /// Whether the worker's lease is surely over, so that all its tasks are gone.
+    /// Nobody but this owner can have renewed it: the worker has shown a token of
+    /// this epoch, so it drops what anyone entitled by an earlier map answers,
+    /// and others of this map renew only workers that have not shown one. A later
+    /// map makes the transaction fail that this is written with. A report is sent
+    /// before its answer, so the lease counts from the last answer at the latest.
+    fn lease_over(&self, limits: &Limits, now: Instant) -> bool {
+        self.seen_token >= first_token(self.epoch)
+            && self.heard.is_none_or(|t| now.saturating_duration_since(t) > limits.lease)
+            && self.renewed.is_some_and(|t| now.saturating_duration_since(t) > limits.lease)
+    }
+
     /// Whether absence from the last report proves that an assignment is over.
     fn absence_proves(&self) -> bool {
         self.in_flight.is_none() && !self.offered && self.session > 0 && self.seen_token >= self.proof_token
@@ -154,9 +238,11 @@
     /// Compares what the records want with what the worker reports.
     pub fn reconcile(&mut self, machine: &str, world: &World, limits: &Limits, now: Instant) -> Plan {
         let mut plan = Plan::default();
+        self.look_at = Some(now + LOOK_ANYWAY);
         if self.session == 0 {
             return plan;
         }
+        let lease_over = self.lease_over(limits, now);
         let mut wanted: HashMap<(&str, u32), u64> = HashMap::new();
         let (mut stops, mut launches) = (Vec::new(), Vec::new());
         let mut keys = HashSet::new();
@@ -166,6 +252,11 @@
             let name = format!("{id}/{}", a.task);
             let report = self.tasks.iter().find(|t| t.attempt == a.attempt && t.task == name);
             let run = job.wants(a);
+            if lease_over {
+                plan.ends.push((key.clone(), End::Lost, None));
+                keys.insert(key);
+                continue;
+            }
             match report {
                 Some(t) if t.state == TaskState::Exited => {
                     plan.ends.push((key.clone(), end_of(t.cause), t.cause));
@@ -202,6 +293,13 @@
             }
             keys.insert(key);
         }
+        for (key, end, _) in &plan.ends {
+            if !self.ended.contains_key(key) {
+                let job = key.0.clone();
+                self.note_end(&job, *end);
+            }
+        }
+        self.ended.retain(|k, _| keys.contains(k));
         self.present.retain(|k| keys.contains(k));
         self.stops.retain(|k, _| keys.contains(k));
         let mut clears = Vec::new();
@@ -232,6 +330,10 @@
         plan.commands = clears;
         plan.commands.extend(stops);
         plan.commands.extend(launches);
+        let open = !plan.ends.is_empty() || !plan.commands.is_empty() || plan.poke;
+        if open || !self.strays.is_empty() || !self.stops.is_empty() {
+            self.look_at = Some(now + LOOK_SOON);
+        }
         plan
     }
 
@@ -261,7 +363,9 @@
             return;
         }
         self.in_flight = None;
+        self.look_again();
         if answered {
+            self.failures = 0;
             self.retry_at = None;
             return;
         }
@@ -273,7 +377,7 @@
         self.proof_token = self.token;
     }
 
-    pub fn note_end(&mut self, job: &str, end: End) {
+    fn note_end(&mut self, job: &str, end: End) {
         match end {
             End::Done => {
                 self.errors = 0;
@@ -293,19 +397,24 @@
         self.errors >= 2 && self.error_jobs.len() >= 2
     }
 
+    /// How long nothing has been heard, or nothing could be said.
     pub fn silent_for(&self, now: Instant) -> Duration {
-        now.saturating_duration_since(self.heard.unwrap_or(self.owned_since))
+        let silent = now.saturating_duration_since(self.heard.unwrap_or(self.owned_since));
+        let deaf = self.deaf_since.map_or(Duration::ZERO, |t| now.saturating_duration_since(t));
+        silent.max(deaf)
     }
 
     /// The commands that go with the answer to a report: launches and stops.
     /// Clears never do, as they need a token above every launch.
     pub fn answer(&mut self, machine: &str, world: &World, limits: &Limits, now: Instant) -> Vec<Command> {
-        if self.in_flight.is_some() {
+        if self.in_flight.is_some() || !self.due(now) {
             return Vec::new();
         }
         let mut commands = self.reconcile(machine, world, limits, now).commands;
         commands.retain(|c| !matches!(c, Command::Forget { .. }));
         self.offered |= commands.iter().any(|c| matches!(c, Command::Start { .. }));
+        // The ends that it found are for the next round.
+        self.look_again();
         commands
     }
 }
@@ -400,7 +509,7 @@
     }
 
     fn limits(now: Instant) -> Limits {
-        Limits { gang_peer: Duration::from_secs(5), fresh_at: Some(now) }
+        Limits { gang_peer: Duration::from_secs(5), lease: Duration::from_secs(11), fresh_at: Some(now) }
     }
 
     fn ends(plan: &Plan) -> Vec<End> {
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -39,10 +39,33 @@
     pub report: Vec<u8>,
 }
 
+/// The end of an assignment that a machine's owner has proven, for the
+/// controller that places the job.
+#[derive(Debug, Clone, PartialEq, Archive, Serialize, Deserialize)]
+pub struct Proof {
+    pub job: String,
+    pub task: u32,
+    pub attempt: u64,
+    pub machine: String,
+    pub end: u8,
+    /// The machine refused the start.
+    pub refused: bool,
+}
+
+/// Proofs hold under the map with this epoch only.
+#[derive(Debug, Clone, PartialEq, Archive, Serialize, Deserialize)]
+pub struct Proofs {
+    pub epoch: u64,
+    pub list: Vec<Proof>,
+}
+
 #[derive(Debug, Clone, PartialEq, Archive, Serialize, Deserialize)]
 pub enum Message {
     Summary(Summary),
     Relay(Relay),
+    Proofs(Proofs),
+    /// The proofs were taken.
+    Taken,
     /// The owner's answer to a relayed report.
     Relayed {
         status: u16,
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -5,6 +5,7 @@
 use wire::{JobKind, JobSpec, MachineType};
 
 use crate::placement::{allowed, zone_limit};
+use crate::records::Name;
 use crate::world::Amount;
 
 /// Tasks of one job that wait for room.
@@ -13,22 +14,22 @@
     pub spec: &'a JobSpec,
     pub tasks: u32,
     /// The job's tasks already on machines, by zone.
-    pub in_zone: HashMap<String, u32>,
+    pub in_zone: HashMap<Name, u32>,
 }
 
 /// Room that will be there: machines that boot.
 #[derive(Debug, Clone)]
 pub struct Coming {
-    pub machine_type: String,
-    pub zone: String,
+    pub machine_type: Name,
+    pub zone: Name,
     pub spot: bool,
     pub free: Amount,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Offer {
-    pub machine_type: String,
-    pub zone: String,
+    pub machine_type: Name,
+    pub zone: Name,
     pub spot: bool,
 }
 
@@ -57,10 +58,13 @@
         let mut in_zone = d.in_zone.clone();
         let mut left = d.tasks;
         // One zone for all of a gang: the first choice fixes it.
-        let mut fixed: Option<String> = if d.spec.one_zone { in_zone.keys().next().cloned() } else { None };
+        let mut fixed: Option<Name> = None;
+        if d.spec.one_zone {
+            fixed = in_zone.keys().next().cloned().or_else(|| best_zone(d, &pool, types, &blocked));
+        }
         while left > 0 {
-            let room = |z: &str, fixed: &Option<String>, in_zone: &HashMap<String, u32>| {
-                fixed.as_ref().is_none_or(|f| f == z) && in_zone.get(z).copied().unwrap_or(0) < limit
+            let room = |z: &str, fixed: &Option<Name>, in_zone: &HashMap<Name, u32>| {
+                fixed.as_ref().is_none_or(|f| **f == *z) && in_zone.get(z).copied().unwrap_or(0) < limit
             };
             let ready = pool.iter().position(|c| {
                 allowed(d.spec, &c.machine_type, &c.zone, c.spot)
@@ -125,10 +129,36 @@
     out
 }
 
+/// The zone for a job that wants all its tasks in one: where there is room for
+/// all of them, or else where more may be rented, or else where most room is.
+fn best_zone(
+    d: &Demand,
+    pool: &[Coming],
+    types: &HashMap<String, MachineType>,
+    blocked: &impl Fn(&Offer) -> bool,
+) -> Option<Name> {
+    let size = Amount::of_task(d.spec);
+    let mut zones: HashMap<Name, (bool, bool, u32)> = HashMap::new();
+    for (o, t) in offers(types) {
+        if allowed(d.spec, &o.machine_type, &o.zone, o.spot) && size.fits(Amount::of_type(t)) {
+            zones.entry(o.zone.clone()).or_default().1 |= !blocked(&o);
+        }
+    }
+    for c in pool.iter().filter(|c| allowed(d.spec, &c.machine_type, &c.zone, c.spot)) {
+        if let Some(z) = zones.get_mut(&c.zone) {
+            z.2 = z.2.saturating_add(size.times_in(c.free));
+            z.0 = z.2 >= d.tasks;
+        }
+    }
+    zones.into_iter().max_by(|a, b| (a.1, &a.0).cmp(&(b.1, &b.0))).map(|(z, _)| z)
+}
+
 fn offers(types: &HashMap<String, MachineType>) -> impl Iterator<Item = (Offer, &MachineType)> {
     types.values().flat_map(|t| {
         t.zones.iter().flat_map(move |z| {
-            [false, true].map(|spot| (Offer { machine_type: t.name.clone(), zone: z.clone(), spot }, t))
+            [false, true].map(|spot| {
+                (Offer { machine_type: t.name.as_str().into(), zone: z.as_str().into(), spot }, t)
+            })
         })
     })
 }
@@ -182,9 +212,9 @@
         let mut s = spec("j-1", JobKind::Service, 4);
         s.spread = true;
         let zones = |blocked: &str| -> Vec<String> {
-            plan(&[demand(&s, 4)], &[], &types, None, |o| o.zone == blocked, 9)
+            plan(&[demand(&s, 4)], &[], &types, None, |o| &*o.zone == blocked, 9)
                 .into_iter()
-                .map(|o| o.zone)
+                .map(|o| o.zone.to_string())
                 .collect()
         };
         let both = zones("");
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -2,6 +2,7 @@
 //! is known and what time it is.
 
 pub mod fleet;
+mod packed;
 pub mod placement;
 pub mod preempt;
 pub mod records;
--- /dev/null
+++ b/crates/sched/src/packed.rs
@@ -0,0 +1,183 @@
+//! The dense form of a job record's lists. A record is one value of the state
+//! service, so that one version guards the whole job; an array of more than a
+//! thousand tasks has to fit into a few KiB of text.
+
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+use crate::records::{Assignment, Name, Want};
+
+const DIGITS: &[u8; 64] = b"0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ-_";
+
+fn digit(c: u8) -> Option<u32> {
+    Some(
+        match c {
+            b'0'..=b'9' => c - b'0',
+            b'a'..=b'z' => c - b'a' + 10,
+            b'A'..=b'Z' => c - b'A' + 36,
+            b'-' => 62,
+            b'_' => 63,
+            _ => return None,
+        }
+        .into(),
+    )
+}
+
+/// Half-open ranges as a bitmap, six bits a character.
+pub fn bitmap(ranges: impl Iterator<Item = (u32, u32)>) -> String {
+    let mut bits: Vec<u8> = Vec::new();
+    for n in ranges.flat_map(|(from, to)| from..to) {
+        let at = (n / 6) as usize;
+        if bits.len() <= at {
+            bits.resize(at + 1, 0);
+        }
+        bits[at] |= 1 << (n % 6);
+    }
+    bits.into_iter().map(|b| char::from(DIGITS[usize::from(b)])).collect()
+}
+
+pub fn each_bit(text: &str, mut f: impl FnMut(u32)) {
+    for (at, value) in (0u32..).zip(text.bytes().map(digit)) {
+        let value = value.unwrap_or(0);
+        (0..6).filter(|i| value & 1 << i != 0).for_each(|i| f(at * 6 + i));
+    }
+}
+
+/// Five bits a character, the sixth tells that more follow.
+fn put(out: &mut String, mut n: u64) {
+    while n >= 32 {
+        out.push(char::from(DIGITS[(n % 32 + 32) as usize]));
+        n /= 32;
+    }
+    out.push(char::from(DIGITS[n as usize]));
+}
+
+fn take(text: &mut impl Iterator<Item = u8>) -> Option<u64> {
+    let mut n = 0u64;
+    for shift in (0..60).step_by(5) {
+        let d = u64::from(digit(text.next()?)?);
+        n |= (d % 32) << shift;
+        if d < 32 {
+            return Some(n);
+        }
+    }
+    None
+}
+
+/// A name's last digits as a number, and how many they are.
+fn split(name: &str) -> (&str, usize, u64) {
+    let digits = name.bytes().rev().take_while(u8::is_ascii_digit).take(15).count();
+    let (stem, number) = name.split_at(name.len() - digits);
+    (stem, digits, number.parse().unwrap_or(0))
+}
+
+/// What one list of machines and tasks has in common: the name's stem and number
+/// of digits, the attempt, and what is wanted.
+type Group = (String, usize, u64, Want, String);
+
+pub mod assignments {
+    use super::*;
+
+    pub fn serialize<S: Serializer>(run: &[Assignment], serializer: S) -> Result<S::Ok, S::Error> {
+        let mut sorted: Vec<_> = run
+            .iter()
+            .map(|a| {
+                let (stem, digits, number) = split(&a.machine);
+                ((stem, digits, a.attempt, a.want), number, a.task)
+            })
+            .collect();
+        sorted.sort_unstable();
+        let mut out: Vec<Group> = Vec::new();
+        for group in sorted.chunk_by(|a, b| a.0 == b.0) {
+            let ((stem, digits, attempt, want), ..) = group[0];
+            let mut text = String::new();
+            let mut machine_before = 0;
+            for of_machine in group.chunk_by(|a, b| a.1 == b.1) {
+                put(&mut text, of_machine[0].1 - machine_before);
+                machine_before = of_machine[0].1;
+                put(&mut text, of_machine.len() as u64);
+                let mut before = 0;
+                for (_, _, task) in of_machine {
+                    put(&mut text, u64::from(task - before));
+                    before = *task;
+                }
+            }
+            out.push((stem.to_owned(), digits, attempt, want, text));
+        }
+        out.serialize(serializer)
+    }
+
+    pub fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<Assignment>, D::Error> {
+        let groups = Vec::<Group>::deserialize(deserializer)?;
+        let mut run = Vec::new();
+        for (stem, digits, attempt, want, text) in groups {
+            let mut text = text.bytes().peekable();
+            let mut number = 0u64;
+            while text.peek().is_some() {
+                let bad = || serde::de::Error::custom("a list of assignments is cut off");
+                number += take(&mut text).ok_or_else(bad)?;
+                let machine: Name = match digits {
+                    0 => stem.as_str().into(),
+                    _ => format!("{stem}{number:0digits$}").into(),
+                };
+                let mut task = 0u32;
+                for _ in 0..take(&mut text).ok_or_else(bad)? {
+                    let step = take(&mut text).and_then(|n| u32::try_from(n).ok()).ok_or_else(bad)?;
+                    task = task.checked_add(step).ok_or_else(bad)?;
+                    run.push(Assignment { task, attempt, machine: machine.clone(), want });
+                }
+            }
+        }
+        run.sort_unstable_by_key(|a| a.task);
+        Ok(run)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::records::{JobRecord, Ranges};
+    use wire::JobKind;
+
+    /// Names of any form, and records of the largest arrays, survive.
+    #[test]
+    fn scattered_arrays_of_many_machines_fit_and_survive() {
+        let mut job =
+            JobRecord::new(crate::placement::tests::spec("j-000412", JobKind::Array, 1800), None, 0);
+        // Every third task is done; the others lie scattered on 157 machines.
+        (0..1800).filter(|t| t % 3 == 0).for_each(|t| job.done.insert(t));
+        job.run = (0..1800u32)
+            .filter(|t| t % 3 != 0)
+            .map(|task| Assignment {
+                task,
+                attempt: 1 + u64::from(task % 7 == 0),
+                machine: format!("host-{:06}", 100 + (task * 7919) % 157).into(),
+                want: Want::Run,
+            })
+            .collect();
+        job.run[3].machine = "left".into();
+        job.run[4].machine = "00000000000000000012".into();
+        job.run[5].want = Want::Stop;
+        let bytes = rmp_serde::to_vec_named(&job).expect("encodes");
+        let back: JobRecord = rmp_serde::from_slice(&bytes).expect("decodes");
+        assert_eq!(back, job);
+        let json = serde_json::to_string(&job).expect("encodes");
+        assert!(json.len() < 6500, "{} bytes", json.len());
+    }
+
+    #[test]
+    fn done_tasks_take_a_bit_each_at_most() {
+        let mut r = Ranges::all(5);
+        (7..100_000).step_by(2).for_each(|n| r.insert(n));
+        let (prefix, bits): (u32, String) = r.clone().into();
+        assert_eq!((prefix, bits.len()), (5, 99_995usize.div_ceil(6)));
+        assert_eq!(Ranges::from((prefix, bits)), r);
+    }
+
+    #[test]
+    fn lists_that_are_cut_off_are_refused() {
+        let bad = (vec![("host-", 6usize, 1u64, Want::Run, "1")],);
+        let bytes = rmp_serde::to_vec(&bad.0).expect("encodes");
+        let mut d = rmp_serde::Deserializer::new(bytes.as_slice());
+        assert!(assignments::deserialize(&mut d).is_err());
+    }
+}
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -1,19 +1,21 @@
 //! Which machine a task goes to.
 
-use std::collections::{BTreeSet, HashMap};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
 
 use wire::{JobKind, JobSpec};
 
-use crate::records::{Assignment, JobRecord, MapRecord, Phase, Want};
+use crate::records::{Assignment, JobRecord, Name, Phase, Want};
 use crate::world::{Amount, Team, World};
 
 /// A machine as placement sees it within one round.
 #[derive(Debug, Clone)]
 pub struct Slot {
-    pub id: String,
-    pub owner: String,
-    pub machine_type: String,
-    pub zone: String,
+    pub id: Name,
+    /// The owner's incarnation.
+    pub owner: u64,
+    pub machine_type: Name,
+    pub zone: Name,
     pub spot: bool,
     pub whole: Amount,
     pub used: Amount,
@@ -30,22 +32,23 @@
 #[derive(Debug, Default)]
 pub struct Board {
     pub slots: Vec<Slot>,
+    pub index: HashMap<Name, usize>,
     pub team_use: HashMap<String, Amount>,
 }
 
 impl Board {
     /// All machines that `usable` admits, apart from those being given back.
-    pub fn new(world: &World, map: &MapRecord, usable: impl Fn(&str) -> bool) -> Self {
-        let slots = world
+    pub fn new(world: &World, usable: impl Fn(&str) -> bool) -> Self {
+        let slots: Vec<Slot> = world
             .machines
             .iter()
             .filter(|(id, m)| !m.value.release && usable(id))
             .filter_map(|(id, m)| {
                 let m = &m.value;
-                let whole = Amount::of_type(world.types.get(&m.machine_type)?);
+                let whole = Amount::of_type(world.types.get(&*m.machine_type)?);
                 Some(Slot {
                     id: id.clone(),
-                    owner: map.owner(id, &m.zone)?.name.clone(),
+                    owner: world.owner_of(id)?.incarnation,
                     machine_type: m.machine_type.clone(),
                     zone: m.zone.clone(),
                     spot: m.spot,
@@ -54,7 +57,15 @@
                 })
             })
             .collect();
-        Self { slots, team_use: world.team_use.clone() }
+        let index = slots.iter().enumerate().map(|(i, s)| (s.id.clone(), i)).collect();
+        Self { slots, index, team_use: world.team_use.clone() }
+    }
+
+    /// Takes room on machines, or gives it back.
+    pub fn reserve(&mut self, machines: &[Name], size: Amount, sign: f64) {
+        for i in machines.iter().filter_map(|m| self.index.get(m)) {
+            self.slots[*i].used = self.slots[*i].used.plus(size, sign);
+        }
     }
 }
 
@@ -76,15 +87,15 @@
         (Some(spec), Phase::Active) => spec.tasks,
         _ => 0,
     };
-    let running: BTreeSet<u32> = job.run.iter().map(|a| a.task).collect();
-    (job.done.first_missing()..count).filter(move |t| !running.contains(t) && !job.done.contains(*t))
+    let running = |t: u32| job.run.binary_search_by_key(&t, |a| a.task).is_ok();
+    (job.done.first_missing()..count).filter(move |t| !job.done.contains(*t) && !running(*t))
 }
 
 pub fn pending_count(job: &JobRecord) -> u32 {
     match (&job.spec, job.phase) {
         (Some(spec), Phase::Active) => {
-            let running = job.run.iter().filter(|a| !job.done.contains(a.task)).count() as u32;
-            spec.tasks.saturating_sub(job.done.len() + running)
+            // A task that is done has no place any more.
+            spec.tasks.saturating_sub(job.done.len() + job.run.len() as u32)
         }
         _ => 0,
     }
@@ -105,6 +116,9 @@
 pub struct Limits {
     /// Most tasks to place.
     pub most: usize,
+    /// How far beyond the first unfinished task others may start: what is done
+    /// has to fit into the record as a bitmap.
+    pub window: u32,
     /// Whether tasks without GPUs may take room that GPU jobs could use.
     pub lossy: bool,
     pub now_ms: u64,
@@ -120,7 +134,7 @@
     within: impl Fn(&Slot) -> bool,
     limits: Limits,
 ) -> Vec<Assignment> {
-    let Limits { most, now_ms, .. } = limits;
+    let Limits { most, window, now_ms, .. } = limits;
     let Some(spec) = job.spec.clone() else { return Vec::new() };
     if job.phase != Phase::Active || retry_at_ms(job) > now_ms {
         return Vec::new();
@@ -132,23 +146,24 @@
     let size = Amount::of_task(&spec);
     let in_use = board.team_use.get(&spec.team).copied().unwrap_or_default();
     let quota = size.times_in(team.limit().plus(Amount { memory_gb: 0.0, ..in_use }, -1.0)) as usize;
-    let wanted: Vec<u32> = pending(job).take(most.min(quota)).collect();
+    let horizon = job.done.first_missing().saturating_add(window);
+    let wanted: Vec<u32> = pending(job).take_while(|t| *t < horizon).take(most.min(quota)).collect();
     if wanted.is_empty() || (gang && wanted.len() < spec.tasks as usize) {
         return Vec::new();
     }
     let candidates: Vec<usize> = (0..board.slots.len())
         .filter(|&i| {
             let s = &board.slots[i];
-            allowed(&spec, &s.machine_type, &s.zone, s.spot) && within(s)
+            size.fits(s.free()) && allowed(&spec, &s.machine_type, &s.zone, s.spot) && within(s)
         })
         .collect();
     // All tasks of a one-zone job share the zone of those that are still out.
     let held_zone = spec.one_zone.then(|| zone_of(world, job)).flatten();
-    let zones: BTreeSet<String> = match held_zone {
+    let zones: BTreeSet<Name> = match held_zone {
         Some(z) => [z].into(),
         None => candidates.iter().map(|&i| board.slots[i].zone.clone()).collect(),
     };
-    let attempt = job.attempt + 1;
+    let attempt = if gang { job.attempt + 1 } else { job.attempt.max(1) };
     let chosen = if spec.one_zone {
         let tries = zones.iter().map(|z| {
             let here: Vec<usize> =
@@ -173,6 +188,7 @@
     *used = used.plus(size, placed.len() as f64);
     job.attempt = attempt;
     job.run.extend(placed.iter().cloned());
+    job.run.sort_unstable_by_key(|a| a.task);
     placed
 }
 
@@ -193,7 +209,7 @@
     need.times_in(free).saturating_sub(need.times_in(free.plus(Amount::of_task(spec), -1.0)))
 }
 
-fn zone_of(world: &World, job: &JobRecord) -> Option<String> {
+fn zone_of(world: &World, job: &JobRecord) -> Option<Name> {
     job.run.iter().find_map(|a| world.machines.get(&a.machine)).map(|m| m.value.zone.clone())
 }
 
@@ -213,84 +229,90 @@
     let mut in_zone: HashMap<&str, u32> = HashMap::new();
     for a in &job.run {
         match world.machines.get(&a.machine) {
-            Some(m) => *in_zone.entry(m.value.zone.as_str()).or_default() += 1,
+            Some(m) => *in_zone.entry(&*m.value.zone).or_default() += 1,
             // A machine without a record may still be in any zone.
             None if spec.spread || spec.one_zone => return Vec::new(),
             None => {}
         }
     }
-    struct Choice<'a> {
-        slot: usize,
-        zone: &'a str,
-        whole: Amount,
-        used: Amount,
-        avoided: bool,
-        /// Tasks of the usual GPU job that no longer fit once this one is there.
-        gpu_loss: u32,
-        gpu_machine: bool,
-        gpus: bool,
-        /// A machine that only jobs like this one may use.
-        reserved_kind: bool,
-        image: bool,
-        price: f64,
-    }
-    let mut list: Vec<Choice> = candidates
-        .iter()
-        .map(|&i| {
-            let s = &board.slots[i];
-            let t = world.types.get(&s.machine_type);
-            Choice {
-                slot: i,
-                zone: &s.zone,
-                whole: s.whole,
-                used: s.used,
-                avoided: job.avoid.iter().any(|(m, until)| *m == s.id && *until > now_ms),
-                gpu_loss: gpu_loss(world, spec, s),
-                gpus: s.whole.gpus > 0.0,
-                gpu_machine: spec.gpus == 0.0 && s.whole.gpus > 0.0,
-                reserved_kind: s.spot,
-                image: world.has_image(&s.id, &spec.image),
-                price: t.map_or(0.0, |t| if s.spot { t.spot_price } else { t.price }) / s.whole.cpus.max(1.0),
-            }
+    let rank = |i: usize, taken: &HashMap<usize, Amount>| -> Option<Rank> {
+        let s = &board.slots[i];
+        let used = taken.get(&i).copied().unwrap_or(s.used);
+        if !size.fits(s.whole.plus(used, -1.0)) {
+            return None;
+        }
+        let loss = s.whole.gpus > 0.0 && gpu_loss(world, spec, &Slot { used, ..s.clone() }) > 0;
+        if loss && !lossy {
+            return None;
+        }
+        let of_type = world.types.get(&*s.machine_type);
+        let price = of_type.map_or(0.0, |t| if s.spot { t.spot_price } else { t.price });
+        let price = price / s.whole.cpus.max(1.0);
+        let share = order_of(used.share_of(s.whole));
+        Some(Rank {
+            first: (
+                job.avoid.iter().any(|(m, until)| **m == *s.id && *until > now_ms),
+                loss,
+                if loss { order_of(price) } else { 0 },
+                spec.gpus == 0.0 && s.whole.gpus > 0.0,
+                !s.spot,
+            ),
+            then: (
+                !taken.contains_key(&i) && !world.has_image(&s.id, &spec.image),
+                // Machines with GPUs are filled one by one, so that the others
+                // stay whole for jobs that need the GPUs.
+                if s.whole.gpus > 0.0 { !share } else { share },
+                order_of(price),
+                i,
+            ),
         })
-        .collect();
+    };
+    // The best of each zone; how many tasks the zones have is compared last, as
+    // that changes for all of a zone at once.
+    let mut zones: BTreeMap<&str, BinaryHeap<Reverse<Rank>>> = BTreeMap::new();
+    for &i in candidates {
+        if let Some(rank) = rank(i, &HashMap::new()) {
+            zones.entry(&*board.slots[i].zone).or_default().push(Reverse(rank));
+        }
+    }
+    let mut taken: HashMap<usize, Amount> = HashMap::new();
     let mut out = Vec::new();
     for &task in wanted {
-        let best = list
-            .iter_mut()
-            .filter(|c| size.fits(c.whole.plus(c.used, -1.0)))
-            .filter(|c| lossy || c.gpu_loss == 0)
-            .filter(|c| in_zone.get(c.zone).copied().unwrap_or(0) < limit)
-            .min_by(|a, b| {
-                let key = |c: &Choice| {
-                    let zone = if spec.spread { in_zone.get(c.zone).copied().unwrap_or(0) } else { 0 };
-                    (c.avoided, c.gpu_loss > 0, c.gpu_machine, !c.reserved_kind, zone, !c.image)
-                };
-                let share = |c: &Choice| c.used.share_of(c.whole);
-                let lost_price = |c: &Choice| if c.gpu_loss > 0 { c.price } else { 0.0 };
-                (key(a).0, key(a).1)
-                    .cmp(&(key(b).0, key(b).1))
-                    .then_with(|| lost_price(a).total_cmp(&lost_price(b)))
-                    .then_with(|| key(a).cmp(&key(b)))
-                    .then_with(|| {
-                        // Machines with GPUs are filled one by one, so that the
-                        // others stay whole for jobs that need the GPUs.
-                        let order = share(a).total_cmp(&share(b));
-                        if a.gpus { order.reverse() } else { order }
-                    })
-                    .then_with(|| a.price.total_cmp(&b.price))
-                    .then_with(|| a.slot.cmp(&b.slot))
-            });
-        let Some(best) = best else { break };
-        best.used = best.used.plus(size, 1.0);
-        best.gpu_loss = gpu_loss(world, spec, &Slot { used: best.used, ..board.slots[best.slot].clone() });
-        best.image = true;
-        *in_zone.entry(best.zone).or_default() += 1;
-        out.push((task, best.slot));
+        let best = zones
+            .iter()
+            .filter(|(z, _)| in_zone.get(**z).copied().unwrap_or(0) < limit)
+            .filter_map(|(z, heap)| {
+                let Reverse(top) = heap.peek()?;
+                let zone = if spec.spread { in_zone.get(*z).copied().unwrap_or(0) } else { 0 };
+                Some(((top.first, zone, top.then), *z))
+            })
+            .min();
+        let Some((_, zone)) = best else { break };
+        let Some(heap) = zones.get_mut(zone) else { break };
+        let Some(Reverse(Rank { then: (.., slot), .. })) = heap.pop() else { break };
+        let used = taken.get(&slot).copied().unwrap_or(board.slots[slot].used);
+        taken.insert(slot, used.plus(size, 1.0));
+        if let Some(rank) = rank(slot, &taken) {
+            heap.push(Reverse(rank));
+        }
+        *in_zone.entry(zone).or_default() += 1;
+        out.push((task, slot));
     }
     out
 }
 
+/// What makes one machine better than another: before and after zone spread.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    first: (bool, bool, u64, bool, bool),
+    then: (bool, u64, u64, usize),
+}
+
+/// Numbers of 0 or more as integers in the same order.
+fn order_of(v: f64) -> u64 {
+    v.max(0.0).to_bits()
+}
+
 /// Whether a job has used up so much of the time to its deadline that it should
 /// not step back for others any more.
 pub fn pressed(job: &JobRecord, now_ms: u64) -> bool {
@@ -312,7 +334,7 @@
     let size = Amount::of_task(spec);
     let mut by_zone: HashMap<&str, u32> = HashMap::new();
     for s in rooms.iter().filter(|s| allowed(spec, &s.machine_type, &s.zone, s.spot)) {
-        let n = by_zone.entry(&s.zone).or_default();
+        let n = by_zone.entry(&*s.zone).or_default();
         *n = n.saturating_add(size.times_in(s.free()));
     }
     let most = zone_limit(spec);
@@ -404,14 +426,14 @@
     }
 
     pub fn board(w: &World) -> Board {
-        Board::new(w, w.map_record().expect("a map"), |_| true)
+        Board::new(w, |_| true)
     }
 
     fn placed(w: &World, id: &str, team: &Team) -> Vec<(u32, String)> {
         let mut job = w.jobs[id].value.as_ref().clone();
-        let limits = Limits { most: 100, lossy: false, now_ms: 1000 };
+        let limits = Limits { most: 100, window: 1000, lossy: false, now_ms: 1000 };
         let list = place(w, &mut board(w), &mut job, team, |_| true, limits);
-        list.into_iter().map(|a| (a.task, a.machine)).collect()
+        list.into_iter().map(|a| (a.task, a.machine.to_string())).collect()
     }
 
     #[test]
--- a/crates/sched/src/preempt.rs
+++ b/crates/sched/src/preempt.rs
@@ -5,7 +5,7 @@
 use wire::{JobKind, JobSpec};
 
 use crate::placement::{Board, allowed};
-use crate::records::Want;
+use crate::records::{Name, Want};
 use crate::world::{Amount, Team, World};
 
 /// A task to stop, and whether it is an array's (others lose more).
@@ -14,7 +14,7 @@
     pub job: String,
     pub task: u32,
     pub attempt: u64,
-    pub machine: String,
+    pub machine: Name,
 }
 
 /// Finds the machine on which the fewest tasks have to go so that one task of
@@ -31,9 +31,9 @@
     chosen_before: &[Victim],
     spare_gpu_jobs: bool,
     within: impl Fn(&crate::placement::Slot) -> bool,
-) -> Option<(String, Vec<Victim>)> {
+) -> Option<(Name, Vec<Victim>)> {
     let size = Amount::of_task(spec);
-    let mut best: Option<(usize, &str, Vec<Victim>)> = None;
+    let mut best: Option<(usize, &Name, Vec<Victim>)> = None;
     for slot in &board.slots {
         if !allowed(spec, &slot.machine_type, &slot.zone, slot.spot)
             || !within(slot)
@@ -87,7 +87,7 @@
             best = Some((cost, &slot.id, chosen));
         }
     }
-    best.map(|(_, m, v)| (m.to_owned(), v))
+    best.map(|(_, m, v)| (m.clone(), v))
 }
 
 /// Finds work of lower priority of the job's own team that has to go so that
@@ -101,7 +101,6 @@
     team: &Team,
 ) -> Option<Vec<Victim>> {
     // A machine that does not answer would not stop them soon.
-    let reached: BTreeSet<&str> = board.slots.iter().map(|s| s.id.as_str()).collect();
     let flat = |a: Amount| Amount { memory_gb: 0.0, ..a };
     let need = flat(Amount::default()).plus(flat(Amount::of_task(spec)), f64::from(tasks));
     let in_use = world.team_use.get(&spec.team).copied().unwrap_or_default();
@@ -115,7 +114,7 @@
                 free = free.plus(flat(Amount::of_task(other)), 1.0);
             } else if other.priority < spec.priority
                 && other.kind == JobKind::Array
-                && reached.contains(a.machine.as_str())
+                && board.index.contains_key(&a.machine)
             {
                 list.push((other.priority, id, a, flat(Amount::of_task(other))));
             }
@@ -167,7 +166,7 @@
         assert!(find(&[]).is_none(), "same priority, no guarantee");
         assert!(find(&["j-1", "j-2"]).is_none(), "both within their guarantees");
         let (machine, list) = find(&["j-2"]).expect("beyond its guarantee");
-        assert_eq!((machine.as_str(), list.len()), ("a1", 1));
+        assert_eq!((&*machine, list.len()), ("a1", 1));
     }
 
     #[test]
--- a/crates/sched/src/records.rs
+++ b/crates/sched/src/records.rs
@@ -1,9 +1,16 @@
 //! What is kept in the state service. These records are the truth: a task is on
 //! a machine exactly as long as its job's record holds the assignment.
 
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 use wire::{JobKind, JobSpec, JobState, MachineType};
 
+use crate::packed;
+
+/// A machine's name. Many assignments share one.
+pub type Name = Arc<str>;
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Phase {
     #[serde(rename = "a")]
@@ -24,32 +31,41 @@
     Stop,
 }
 
-/// One task's place, encoded as a short list to keep job records small.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(from = "(u32, u64, String, Want)", into = "(u32, u64, String, Want)")]
+/// One task's place. A task has at most one at a time.
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Assignment {
     pub task: u32,
     pub attempt: u64,
-    pub machine: String,
+    pub machine: Name,
     pub want: Want,
 }
 
-impl From<(u32, u64, String, Want)> for Assignment {
-    fn from((task, attempt, machine, want): (u32, u64, String, Want)) -> Self {
-        Self { task, attempt, machine, want }
+/// A set of task numbers as sorted, disjoint, half-open ranges.
+/// Written as the number of leading members and a bitmap of what follows.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "(u32, String)", into = "(u32, String)")]
+pub struct Ranges(Vec<(u32, u32)>);
+
+impl From<(u32, String)> for Ranges {
+    fn from((prefix, bits): (u32, String)) -> Self {
+        let mut out = Self(if prefix > 0 { vec![(0, prefix)] } else { Vec::new() });
+        packed::each_bit(&bits, |i| {
+            if let Some(n) = prefix.checked_add(i) {
+                out.insert(n);
+            }
+        });
+        out
     }
 }
 
-impl From<Assignment> for (u32, u64, String, Want) {
-    fn from(a: Assignment) -> Self {
-        (a.task, a.attempt, a.machine, a.want)
+impl From<Ranges> for (u32, String) {
+    fn from(ranges: Ranges) -> Self {
+        let prefix = ranges.first_missing();
+        let rest = ranges.0.into_iter().filter(|r| r.0 >= prefix).map(|r| (r.0 - prefix, r.1 - prefix));
+        (prefix, packed::bitmap(rest))
     }
 }
 
-/// A set of task numbers as sorted, disjoint, half-open ranges.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Ranges(Vec<(u32, u32)>);
-
 impl Ranges {
     pub fn insert(&mut self, n: u32) {
         let i = self.0.partition_point(|r| r.1 < n);
@@ -105,12 +121,15 @@
     /// Time of day of the submission, in milliseconds.
     #[serde(default)]
     pub submitted_ms: u64,
-    /// The last attempt number given out.
+    /// The number that the next placement of a gang follows; for other jobs the
+    /// attempt that placements have now. A task that ends without being done
+    /// raises it, so that no task ever gets the same number twice.
     #[serde(default)]
     pub attempt: u64,
     #[serde(default, skip_serializing_if = "Ranges::is_empty")]
     pub done: Ranges,
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    /// Sorted by task.
+    #[serde(default, skip_serializing_if = "Vec::is_empty", with = "packed::assignments")]
     pub run: Vec<Assignment>,
     /// Machines that placement avoids, and until what time of day.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
@@ -158,12 +177,16 @@
 
     /// Removes an assignment that is proven to be over.
     pub fn end(&mut self, task: u32, attempt: u64, how: End, now_ms: u64, avoid_s: u64) {
-        let Some(i) = self.run.iter().position(|a| a.task == task && a.attempt == attempt) else {
+        let found = self.run.binary_search_by_key(&task, |a| a.task).ok();
+        let Some(i) = found.filter(|i| self.run[*i].attempt == attempt) else {
             return;
         };
         let ended = self.run.remove(i);
         let Some(spec) = self.spec.as_deref() else { return };
         let gang = spec.kind == JobKind::Gang;
+        if !gang && (how != End::Done || spec.kind == JobKind::Service) {
+            self.attempt = self.attempt.max(attempt + 1);
+        }
         if how == End::Done && spec.kind != JobKind::Service {
             if gang {
                 // The tasks of a gang complete together: one done means all are.
@@ -182,8 +205,8 @@
         if how == End::Error {
             self.errors = self.errors.saturating_add(1);
             self.error_ms = now_ms;
-            self.avoid.retain(|(m, until)| *until > now_ms && *m != ended.machine);
-            self.avoid.push((ended.machine, now_ms + avoid_s * 1000));
+            self.avoid.retain(|(m, until)| *until > now_ms && **m != *ended.machine);
+            self.avoid.push((ended.machine.to_string(), now_ms + avoid_s * 1000));
             let surplus = self.avoid.len().saturating_sub(AVOID_MAX);
             self.avoid.drain(..surplus);
         }
@@ -226,11 +249,27 @@
     Lost,
 }
 
+impl End {
+    /// As controllers tell each other.
+    pub fn code(self) -> u8 {
+        match self {
+            End::Done => 0,
+            End::Stopped => 1,
+            End::Error => 2,
+            End::Lost => 3,
+        }
+    }
+
+    pub fn from_code(code: u8) -> Option<Self> {
+        [End::Done, End::Stopped, End::Error, End::Lost].into_iter().find(|e| e.code() == code)
+    }
+}
+
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct MachineRecord {
     pub addr: String,
-    pub machine_type: String,
-    pub zone: String,
+    pub machine_type: Name,
+    pub zone: Name,
     pub spot: bool,
     /// The machine is to be emptied and given back.
     #[serde(default)]
@@ -293,13 +332,13 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Rental {
     pub request: String,
-    pub machine_type: String,
-    pub zone: String,
+    pub machine_type: Name,
+    pub zone: Name,
     pub spot: bool,
     pub count: u32,
     pub asked_ms: u64,
     /// None: not answered yet.
-    pub machines: Option<Vec<String>>,
+    pub machines: Option<Vec<Name>>,
 }
 
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
--- a/crates/sched/src/rescheduler.rs
+++ b/crates/sched/src/rescheduler.rs
@@ -7,7 +7,7 @@
 use wire::JobKind;
 
 use crate::placement::{Board, allowed};
-use crate::records::{AVOID_MAX, JobRecord, Want};
+use crate::records::{AVOID_MAX, JobRecord, Name, Want};
 use crate::world::{Amount, World};
 
 #[derive(Debug, Clone, PartialEq)]
@@ -33,7 +33,7 @@
 pub struct Eviction {
     pub job: String,
     pub task: u32,
-    pub machine: String,
+    pub machine: Name,
     /// Why, for the log.
     pub reason: &'static str,
 }
@@ -48,8 +48,7 @@
 
 /// Finds at most one eviction for each service.
 pub fn scan(world: &World, board: &Board, policy: &Policy, now_ms: u64) -> Vec<Eviction> {
-    let index: HashMap<&str, usize> =
-        board.slots.iter().enumerate().map(|(i, s)| (s.id.as_str(), i)).collect();
+    let index = &board.index;
     let mut board_use: Vec<Amount> = board.slots.iter().map(|s| s.used).collect();
     let mut out = Vec::new();
     for id in &world.open {
@@ -64,13 +63,13 @@
         let size = Amount::of_task(spec);
         let mut in_zone: HashMap<&str, u32> = HashMap::new();
         for a in &job.run {
-            if let Some(i) = index.get(a.machine.as_str()) {
-                *in_zone.entry(board.slots[*i].zone.as_str()).or_default() += 1;
+            if let Some(i) = index.get(&a.machine) {
+                *in_zone.entry(&*board.slots[*i].zone).or_default() += 1;
             }
         }
         let found = job.run.iter().find_map(|a| {
-            let from = *index.get(a.machine.as_str())?;
-            let here = board.slots[from].zone.as_str();
+            let from = *index.get(&a.machine)?;
+            let here = &*board.slots[from].zone;
             let mine = in_zone.get(here).copied().unwrap_or(0);
             let share = board_use[from].share_of(board.slots[from].whole);
             board.slots.iter().enumerate().filter(|(i, _)| *i != from).find_map(|(i, s)| {
@@ -80,9 +79,9 @@
                 {
                     return None;
                 }
-                let there = in_zone.get(s.zone.as_str()).copied().unwrap_or(0);
+                let there = in_zone.get(&*s.zone).copied().unwrap_or(0);
                 let better_zone = there + 1 < mine;
-                let crowded = s.zone == here || there < mine;
+                let crowded = *s.zone == *here || there < mine;
                 if spec.spread && better_zone {
                     Some((a, from, i, "zone spread"))
                 } else if crowded && share - board_use[i].share_of(s.whole) > policy.threshold {
@@ -109,8 +108,8 @@
         }
     }
     job.evicted_ms = now_ms;
-    job.avoid.retain(|(m, until)| *until > now_ms && *m != eviction.machine);
-    job.avoid.push((eviction.machine.clone(), now_ms + policy.avoid.as_millis() as u64));
+    job.avoid.retain(|(m, until)| *until > now_ms && **m != *eviction.machine);
+    job.avoid.push((eviction.machine.to_string(), now_ms + policy.avoid.as_millis() as u64));
     let surplus = job.avoid.len().saturating_sub(AVOID_MAX);
     job.avoid.drain(..surplus);
 }
--- a/crates/sched/src/world.rs
+++ b/crates/sched/src/world.rs
@@ -102,7 +102,7 @@
     pub jobs: HashMap<String, Versioned<Box<JobRecord>>>,
     /// Jobs that are not final, or still have something on a machine.
     pub open: BTreeSet<String>,
-    pub machines: BTreeMap<String, Versioned<MachineRecord>>,
+    pub machines: BTreeMap<Name, Versioned<MachineRecord>>,
     pub teams: HashMap<String, Versioned<TeamRecord>>,
     pub members: BTreeMap<String, Versioned<Member>>,
     pub leader: Option<Versioned<Member>>,
@@ -112,11 +112,16 @@
     pub fleet: Option<Versioned<FleetRecord>>,
     /// What each team's assignments take.
     pub team_use: HashMap<String, Amount>,
-    pub machine_use: HashMap<String, Amount>,
-    /// The jobs with something on a machine.
-    pub on_machine: HashMap<String, HashSet<String>>,
+    pub machine_use: HashMap<Name, Amount>,
+    /// The jobs with something on a machine, and which tasks.
+    pub on_machine: HashMap<Name, BTreeMap<Name, Vec<u32>>>,
     /// Images used on each machine, the latest last. A guess at its cache.
-    pub images: HashMap<String, VecDeque<(String, f64)>>,
+    pub images: HashMap<Name, VecDeque<(String, f64)>>,
+    /// Each machine's owner by the map: hashing them all anew takes long.
+    owners: HashMap<Name, Member>,
+    /// Machines on which something has changed since [`World::take_touched`].
+    touched: HashSet<Name>,
+    all_touched: bool,
     /// The job that last asked for GPUs: what room on their machines is kept for.
     pub gpu_spec: Option<Box<JobSpec>>,
     /// When it was submitted, by the time of day.
@@ -124,42 +129,102 @@
 }
 
 impl World {
-    fn account(&mut self, id: &str, record: &JobRecord, sign: f64) {
-        let Some(spec) = record.spec.as_deref() else { return };
+    /// Books what a job's record changes. Only the difference counts: arrays hold
+    /// more than a thousand assignments, and a few of them end at a time.
+    fn account(&mut self, id: &str, old: Option<&JobRecord>, new: Option<&JobRecord>) {
+        let Some(spec) = new.and_then(|j| j.spec.as_deref()).or(old.and_then(|j| j.spec.as_deref())) else {
+            return;
+        };
         let size = Amount::of_task(spec);
-        if !record.run.is_empty() {
+        let none: &[Assignment] = &[];
+        let (before, after) = (old.map_or(none, |j| &j.run), new.map_or(none, |j| &j.run));
+        let went_on = old.map(|j| j.phase) == new.map(|j| j.phase);
+        let job: Name = id.into();
+        let (mut i, mut k) = (0, 0);
+        while i < before.len() || k < after.len() {
+            match (before.get(i), after.get(k)) {
+                (Some(x), Some(y)) if x.task == y.task => {
+                    if x.machine != y.machine || x.attempt != y.attempt {
+                        self.free(&job, x, size);
+                        self.occupy(&job, y, size, spec);
+                    } else if x.want != y.want || !went_on {
+                        self.touched.insert(y.machine.clone());
+                    }
+                    (i, k) = (i + 1, k + 1);
+                }
+                (Some(x), y) if y.is_none_or(|y| x.task < y.task) => {
+                    self.free(&job, x, size);
+                    i += 1;
+                }
+                (_, Some(y)) => {
+                    self.occupy(&job, y, size, spec);
+                    k += 1;
+                }
+                (_, None) => break,
+            }
+        }
+        if before.len() != after.len() {
             let used = self.team_use.entry(spec.team.clone()).or_default();
-            *used = used.plus(size, sign * record.run.len() as f64);
+            *used = used.plus(size, after.len() as f64 - before.len() as f64);
         }
-        for a in &record.run {
-            let used = self.machine_use.entry(a.machine.clone()).or_default();
-            *used = used.plus(size, sign);
-            let jobs = self.on_machine.entry(a.machine.clone()).or_default();
-            if sign > 0.0 {
-                jobs.insert(id.to_owned());
-            } else {
-                jobs.remove(id);
-            }
+    }
+
+    fn occupy(&mut self, job: &Name, a: &Assignment, size: Amount, spec: &JobSpec) {
+        let used = self.machine_use.entry(a.machine.clone()).or_default();
+        *used = used.plus(size, 1.0);
+        let tasks = self.on_machine.entry(a.machine.clone()).or_default().entry(job.clone()).or_default();
+        let first = tasks.is_empty();
+        tasks.push(a.task);
+        if first {
+            self.note_image(&a.machine, &spec.image, spec.image_gb);
         }
-        if sign > 0.0 {
-            let machines: BTreeSet<&String> = record.run.iter().map(|a| &a.machine).collect();
-            for m in machines {
-                self.note_image(m, &spec.image, spec.image_gb);
-            }
-        } else {
-            for a in &record.run {
-                if self.on_machine.get(&a.machine).is_some_and(HashSet::is_empty) {
-                    self.on_machine.remove(&a.machine);
-                    self.machine_use.remove(&a.machine);
+        self.touched.insert(a.machine.clone());
+    }
+
+    fn free(&mut self, job: &Name, a: &Assignment, size: Amount) {
+        if let Some(used) = self.machine_use.get_mut(&a.machine) {
+            *used = used.plus(size, -1.0);
+        }
+        if let Some(jobs) = self.on_machine.get_mut(&a.machine) {
+            if let Some(tasks) = jobs.get_mut(job) {
+                tasks.retain(|t| *t != a.task);
+                if tasks.is_empty() {
+                    jobs.remove(job);
                 }
             }
+            if jobs.is_empty() {
+                self.on_machine.remove(&a.machine);
+                self.machine_use.remove(&a.machine);
+            }
         }
+        self.touched.insert(a.machine.clone());
+    }
+
+    /// The machines on which something has changed since the last call; None
+    /// if that may be any.
+    pub fn take_touched(&mut self) -> Option<HashSet<Name>> {
+        let all = std::mem::take(&mut self.all_touched);
+        let touched = std::mem::take(&mut self.touched);
+        (!all).then_some(touched)
+    }
+
+    fn find_owners(&mut self) {
+        self.all_touched = true;
+        let Some(map) = self.map.as_ref().map(|m| &m.value) else {
+            self.owners.clear();
+            return;
+        };
+        self.owners = self
+            .machines
+            .iter()
+            .filter_map(|(id, m)| Some((id.clone(), map.owner(id, &m.value.zone)?.clone())))
+            .collect();
     }
 
     fn note_image(&mut self, machine: &str, image: &str, gb: f64) {
         let Some(record) = self.machines.get(machine) else { return };
-        let room = self.types.get(&record.value.machine_type).map_or(0.0, |t| t.cache_gb);
-        let list = self.images.entry(machine.to_owned()).or_default();
+        let room = self.types.get(&*record.value.machine_type).map_or(0.0, |t| t.cache_gb);
+        let list = self.images.entry(machine.into()).or_default();
         list.retain(|(i, _)| i != image);
         list.push_back((image.to_owned(), gb));
         while list.len() > 1 && list.iter().map(|(_, g)| g).sum::<f64>() > room {
@@ -175,12 +240,17 @@
     pub fn apply(&mut self, change: Change, version: u64) {
         match change {
             Change::Job(id, record) => {
-                if let Some(old) = self.jobs.remove(&id) {
-                    self.account(&id, &old.value, -1.0);
-                    self.open.remove(&id);
+                let old = self.jobs.remove(&id);
+                // What this controller wrote itself may be known before the news
+                // of what came before.
+                if let Some(newer) = old.as_ref().filter(|o| o.version > version) {
+                    let newer = newer.clone();
+                    self.jobs.insert(id, newer);
+                    return;
                 }
+                self.account(&id, old.as_ref().map(|o| o.value.as_ref()), record.as_deref());
+                self.open.remove(&id);
                 if let Some(value) = record {
-                    self.account(&id, &value, 1.0);
                     if let Some(spec) = value.spec.as_ref().filter(|s| s.gpus > 0.0)
                         && value.submitted_ms >= self.gpu_spec_ms
                     {
@@ -194,13 +264,29 @@
                 }
             }
             Change::Machine(id, Some(value)) => {
+                let id: Name = id.into();
+                if self.machines.get(&id).is_some_and(|m| m.version > version) {
+                    return;
+                }
+                if let Some(owner) = self.map.as_ref().and_then(|m| m.value.owner(&id, &value.zone)) {
+                    self.owners.insert(id.clone(), owner.clone());
+                }
+                self.touched.insert(id.clone());
                 self.machines.insert(id, Versioned { value, version });
             }
             Change::Machine(id, None) => {
-                self.machines.remove(&id);
-                self.images.remove(&id);
+                if self.machines.get(id.as_str()).is_some_and(|m| m.version > version) {
+                    return;
+                }
+                self.machines.remove(id.as_str());
+                self.owners.remove(id.as_str());
+                self.images.remove(id.as_str());
+                self.touched.insert(id.into());
             }
             Change::Team(id, Some(value)) => {
+                if self.teams.get(&id).is_some_and(|t| t.version > version) {
+                    return;
+                }
                 self.teams.insert(id, Versioned { value, version });
             }
             Change::Team(id, None) => {
@@ -213,7 +299,10 @@
                 self.members.remove(&id);
             }
             Change::Leader(l) => self.leader = l.map(|value| Versioned { value, version }),
-            Change::Map(m) => self.map = m.map(|value| Versioned { value, version }),
+            Change::Map(m) => {
+                self.map = m.map(|value| Versioned { value, version });
+                self.find_owners();
+            }
             Change::Types(t) => {
                 self.types =
                     t.map(|t| t.types.into_iter().map(|t| (t.name.clone(), t)).collect()).unwrap_or_default();
@@ -227,16 +316,17 @@
     /// The assignments on a machine, with their jobs.
     pub fn assignments<'a>(
         &'a self,
-        machine: &'a str,
+        machine: &str,
     ) -> impl Iterator<Item = (&'a str, &'a JobRecord, &'a Assignment)> {
         self.on_machine
             .get(machine)
             .into_iter()
             .flatten()
-            .filter_map(|id| self.jobs.get_key_value(id))
-            .flat_map(move |(id, job)| {
-                let run = job.value.run.iter().filter(move |a| a.machine == machine);
-                run.map(move |a| (id.as_str(), job.value.as_ref(), a))
+            .filter_map(|(id, tasks)| Some((self.jobs.get_key_value(&**id)?, tasks)))
+            .flat_map(move |((id, job), tasks)| {
+                let run = &job.value.run;
+                let find = |t: &u32| run.binary_search_by_key(t, |a| a.task).ok().map(|i| &run[i]);
+                tasks.iter().filter_map(find).map(move |a| (id.as_str(), job.value.as_ref(), a))
             })
     }
 
@@ -245,8 +335,12 @@
     }
 
     pub fn owner_of(&self, machine: &str) -> Option<&Member> {
-        let record = self.machines.get(machine)?;
-        self.map_record()?.owner(machine, &record.value.zone)
+        self.owners.get(machine)
+    }
+
+    /// The machines that a controller owns by the map.
+    pub fn owned_by<'a>(&'a self, member: &'a Member) -> impl Iterator<Item = &'a Name> {
+        self.owners.iter().filter(move |(_, o)| *o == member).map(|(id, _)| id)
     }
 
     /// The name of the controller that places this job's tasks.
--- a/crates/store/src/budget.rs
+++ b/crates/store/src/budget.rs
@@ -39,6 +39,20 @@
         self.level = self.level.min(0.0);
     }
 
+    /// How many changes a round may have now: nothing while there is debt, and
+    /// more the more has been saved up.
+    pub fn allowance(&mut self, now: Instant) -> usize {
+        self.fill(now);
+        if self.level < 1.0 { 0 } else { (self.level + self.per_s * 0.5) as usize + 2 }
+    }
+
+    /// A controller's share changes with the number of controllers.
+    pub fn set_rate(&mut self, per_s: f64, now: Instant) {
+        self.fill(now);
+        self.per_s = per_s;
+        self.burst = per_s;
+    }
+
     /// How many units are there now.
     pub fn level(&mut self, now: Instant) -> f64 {
         self.fill(now);
--- a/crates/store/src/codec.rs
+++ b/crates/store/src/codec.rs
@@ -51,11 +51,31 @@
         Self { lease: Some(lease), ..Self::new(key, value) }
     }
 
+    /// About how much the change takes of a transaction, in the form that limits
+    /// are measured in.
+    pub fn json_len(&self) -> usize {
+        self.key.len() + 20 + self.value.as_ref().map_or(0, json_len)
+    }
+
     pub fn delete(key: String) -> Self {
         Self { key, value: None, lease: None }
     }
 }
 
+/// The length of a value written as JSON.
+fn json_len(value: &Value) -> usize {
+    match value {
+        Value::Map(m) => m.iter().map(|(k, v)| json_len(k) + json_len(v) + 2).sum::<usize>() + 2,
+        Value::Array(a) => a.iter().map(|v| json_len(v) + 1).sum::<usize>() + 2,
+        Value::String(s) => {
+            // Characters that JSON escapes take up to six bytes.
+            let plain = s.as_bytes().iter().filter(|b| **b >= 0x20 && **b != b'"' && **b != b'\\').count();
+            plain + (s.as_bytes().len() - plain) * 6 + 2
+        }
+        other => other.to_string().len(),
+    }
+}
+
 fn parse<T: DeserializeOwned>(value: Value) -> Option<T> {
     // By way of bytes: rmpv's own deserializer does not read enums from text.
     let mut bytes = Vec::new();
