--- a/crates/daemon/src/fleet_duty.rs
+++ b/crates/daemon/src/fleet_duty.rs
@@ -1,6 +1,6 @@
 //! The leader's dealings with the cloud: renting, giving back, keeping the types.
 
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 use cloud::{CloudError, RELEASE_MAX, RENT_MAX};
@@ -27,6 +27,7 @@
     /// Released for good, so that a lagging list does not bring them back.
     released: HashMap<Name, Instant>,
     led_since: Option<Instant>,
+    told_at: Option<Instant>,
     first_seen: HashMap<Name, Instant>,
 }
 
@@ -68,6 +69,10 @@
         if every(self.listed_at, 5) {
             self.refresh_list(node).await;
         }
+        if every(self.told_at, 10) {
+            self.told_at = Some(Instant::now());
+            tell(&node.core());
+        }
         self.give_back(node).await;
         self.settle_rentals(node).await;
         self.rent(node).await
@@ -573,6 +578,32 @@
     }
 }
 
+/// Says in the log what waits, by class, and how full the machines are, by kind.
+fn tell(core: &Core) {
+    let mut waiting: BTreeMap<&str, (u32, u32, u32)> = BTreeMap::new();
+    for job in core.world.open.iter().filter_map(|id| core.world.jobs.get(id)) {
+        let Some(spec) = job.value.spec.as_deref() else { continue };
+        let n = placement::pending_count(&job.value);
+        let of_class = waiting.entry(&spec.class).or_default();
+        of_class.0 += u32::from(n > 0);
+        of_class.1 += n;
+        of_class.2 += job.value.run.len() as u32;
+    }
+    let mut kinds: BTreeMap<String, (u32, f64, f64)> = BTreeMap::new();
+    for (id, m) in &core.world.machines {
+        let Some(t) = core.world.types.get(&*m.value.machine_type) else { continue };
+        let used = core.world.machine_use.get(id).map_or(0.0, |u| u.cpus);
+        let spot = if m.value.spot { "spot " } else { "" };
+        let kind = kinds.entry(format!("{spot}{}", m.value.machine_type)).or_default();
+        *kind = (kind.0 + 1, kind.1 + used, kind.2 + t.cpus);
+    }
+    let waiting: Vec<String> =
+        waiting.iter().map(|(c, (j, n, r))| format!("{c}: {j} jobs, {n} tasks, {r} running")).collect();
+    let kinds: Vec<String> =
+        kinds.iter().map(|(k, (n, used, all))| format!("{k}: {n}, {used:.0}/{all:.0} CPUs")).collect();
+    info!(waiting = waiting.join("; "), machines = kinds.join("; "), "cluster");
+}
+
 fn names(machines: &[Name]) -> Vec<String> {
     machines.iter().map(|m| m.to_string()).collect()
 }
