--- a/crates/daemon/src/fleet_duty.rs
+++ b/crates/daemon/src/fleet_duty.rs
@@ -408,6 +408,7 @@
                     zone: r.zone.clone(),
                     spot: r.spot,
                     free: full(&r.machine_type),
+                    gpus: full(&r.machine_type).gpus,
                 });
             }
         }
@@ -421,6 +422,7 @@
                     zone: m.zone.as_str().into(),
                     spot: m.spot,
                     free: full(&m.machine_type),
+                    gpus: full(&m.machine_type).gpus,
                 });
             }
         }
@@ -435,6 +437,7 @@
                 zone: m.value.zone.clone(),
                 spot: m.value.spot,
                 free: full(&m.value.machine_type).plus(used, -1.0),
+                gpus: full(&m.value.machine_type).gpus,
             });
         }
         let mut demands: Vec<Demand> = demands.into_iter().map(|(_, d)| d).collect();
@@ -466,10 +469,12 @@
             }
         }
         for (offer, count) in kinds.into_iter().take(RENT_AT_ONCE) {
-            let open =
-                node.core().world.fleet.as_ref().map_or(0, |f| {
-                    f.value.rentals.iter().map(|r| 160 + 20 * r.count as usize).sum::<usize>()
-                });
+            let open = node
+                .core()
+                .world
+                .fleet
+                .as_ref()
+                .map_or(0, |f| f.value.rentals.iter().map(|r| 220 + 3 * r.count as usize).sum::<usize>());
             if open as f64 > node.value_bytes() * 0.8 {
                 // The record of rentals is full until some of them are up.
                 break;
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -1,6 +1,6 @@
 //! What to rent for the tasks that have no place.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 use wire::{JobKind, JobSpec, MachineType};
 
@@ -24,6 +24,8 @@
     pub zone: Name,
     pub spot: bool,
     pub free: Amount,
+    /// How many GPUs the machine has, in use or not.
+    pub gpus: f64,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -50,6 +52,7 @@
             && spec.kind != JobKind::Service
             && gpu_spec.is_none_or(|g| allowed(g, kind, zone, spot))
     };
+    let offers: Vec<(Offer, &MachineType)> = offers(types).collect();
     let mut pool: Vec<Coming> = coming.to_vec();
     let mut out: Vec<Offer> = Vec::new();
     for d in demands {
@@ -60,55 +63,64 @@
         // One zone for all of a gang: the first choice fixes it.
         let mut fixed: Option<Name> = None;
         if d.spec.one_zone {
-            fixed = in_zone.keys().next().cloned().or_else(|| best_zone(d, &pool, types, &blocked));
+            fixed = in_zone.keys().next().cloned().or_else(|| best_zone(d, &pool, &offers, &blocked));
         }
         while left > 0 {
             let room = |z: &str, fixed: &Option<Name>, in_zone: &HashMap<Name, u32>| {
                 fixed.as_ref().is_none_or(|f| **f == *z) && in_zone.get(z).copied().unwrap_or(0) < limit
             };
-            let ready = pool.iter().position(|c| {
+            let fits = |c: &Coming| {
                 allowed(d.spec, &c.machine_type, &c.zone, c.spot)
                     && !kept(d.spec, c.free.gpus, &c.machine_type, &c.zone, c.spot)
                     && size.fits(c.free)
                     && room(&c.zone, &fixed, &in_zone)
-            });
-            let i = match ready {
+            };
+            // What needs no GPU and sits on a machine that has some is there at
+            // last: where another machine can be rented, that costs far less.
+            let plain = |c: &Coming| d.spec.gpus > 0.0 || c.gpus == 0.0;
+            let ready = pool.iter().position(|c| plain(c) && fits(c));
+            let misplaced = || pool.iter().position(&fits);
+            let may_rent = |t: &MachineType| d.spec.gpus > 0.0 || t.gpus == 0.0;
+            let rentable = |o: &Offer, t: &MachineType| {
+                allowed(d.spec, &o.machine_type, &o.zone, o.spot)
+                    && size.fits(Amount::of_type(t))
+                    && !kept(d.spec, t.gpus, &o.machine_type, &o.zone, o.spot)
+                    && room(&o.zone, &fixed, &in_zone)
+                    && !blocked(o)
+            };
+            let i = match ready.or_else(|| {
+                let rents = offers.iter().any(|(o, t)| may_rent(t) && rentable(o, t));
+                if rents { None } else { misplaced() }
+            }) {
                 Some(i) => i,
                 None => {
                     if out.len() >= most {
                         return out;
                     }
-                    let best = offers(types)
-                        .filter(|(o, t)| {
-                            allowed(d.spec, &o.machine_type, &o.zone, o.spot)
-                                && size.fits(Amount::of_type(t))
-                                && !kept(d.spec, t.gpus, &o.machine_type, &o.zone, o.spot)
-                                && room(&o.zone, &fixed, &in_zone)
-                                && !blocked(o)
-                        })
-                        .min_by(|(a, ta), (b, tb)| {
-                            let cost = |o: &Offer, t: &MachineType| {
-                                let price = if o.spot { t.spot_price } else { t.price };
-                                let fit = size.times_in(Amount::of_type(t)).min(left).max(1);
-                                price / f64::from(fit)
-                            };
-                            let gpu = |t: &MachineType| d.spec.gpus == 0.0 && t.gpus > 0.0;
-                            let zone = |o: &Offer| {
-                                if d.spec.spread { in_zone.get(&o.zone).copied().unwrap_or(0) } else { 0 }
-                            };
-                            zone(a)
-                                .cmp(&zone(b))
-                                .then(gpu(ta).cmp(&gpu(tb)))
-                                .then(cost(a, ta).total_cmp(&cost(b, tb)))
-                        });
+                    let best = offers.iter().filter(|(o, t)| rentable(o, t)).min_by(|(a, ta), (b, tb)| {
+                        let cost = |o: &Offer, t: &MachineType| {
+                            let price = if o.spot { t.spot_price } else { t.price };
+                            let fit = size.times_in(Amount::of_type(t)).min(left).max(1);
+                            price / f64::from(fit)
+                        };
+                        let gpu = |t: &MachineType| d.spec.gpus == 0.0 && t.gpus > 0.0;
+                        let zone = |o: &Offer| {
+                            if d.spec.spread { in_zone.get(&o.zone).copied().unwrap_or(0) } else { 0 }
+                        };
+                        zone(a)
+                            .cmp(&zone(b))
+                            .then(gpu(ta).cmp(&gpu(tb)))
+                            .then(cost(a, ta).total_cmp(&cost(b, tb)))
+                    });
                     let Some((offer, t)) = best else { break };
                     pool.push(Coming {
                         machine_type: offer.machine_type.clone(),
                         zone: offer.zone.clone(),
                         spot: offer.spot,
                         free: Amount::of_type(t),
+                        gpus: t.gpus,
                     });
-                    out.push(offer);
+                    out.push(offer.clone());
                     pool.len() - 1
                 }
             };
@@ -134,14 +146,14 @@
 fn best_zone(
     d: &Demand,
     pool: &[Coming],
-    types: &HashMap<String, MachineType>,
+    offers: &[(Offer, &MachineType)],
     blocked: &impl Fn(&Offer) -> bool,
 ) -> Option<Name> {
     let size = Amount::of_task(d.spec);
-    let mut zones: HashMap<Name, (bool, bool, u32)> = HashMap::new();
-    for (o, t) in offers(types) {
+    let mut zones: BTreeMap<Name, (bool, bool, u32)> = BTreeMap::new();
+    for (o, t) in offers {
         if allowed(d.spec, &o.machine_type, &o.zone, o.spot) && size.fits(Amount::of_type(t)) {
-            zones.entry(o.zone.clone()).or_default().1 |= !blocked(&o);
+            zones.entry(o.zone.clone()).or_default().1 |= !blocked(o);
         }
     }
     for c in pool.iter().filter(|c| allowed(d.spec, &c.machine_type, &c.zone, c.spot)) {
@@ -150,7 +162,15 @@
             z.0 = z.2 >= d.tasks;
         }
     }
-    zones.into_iter().max_by(|a, b| (a.1, &a.0).cmp(&(b.1, &b.0))).map(|(z, _)| z)
+    // Jobs that find room nowhere are spread over the zones that still have
+    // machines to rent: each has its own limit.
+    let turn = d.spec.id.bytes().fold(0usize, |h, b| h.wrapping_mul(31).wrapping_add(usize::from(b)));
+    let open: Vec<&Name> = zones.iter().filter(|(_, z)| z.1).map(|(n, _)| n).collect();
+    let most = zones.iter().max_by_key(|(_, z)| (z.0, z.2)).map(|(n, z)| (n, z.0));
+    match most {
+        Some((_, false)) if !open.is_empty() => Some(open[turn % open.len()].clone()),
+        _ => most.map(|(n, _)| n.clone()),
+    }
 }
 
 fn offers(types: &HashMap<String, MachineType>) -> impl Iterator<Item = (Offer, &MachineType)> {
@@ -198,6 +218,7 @@
             zone: "a".into(),
             spot: false,
             free: Amount::of_type(&types["m"]),
+            gpus: 0.0,
         };
         let rented = |coming: &[Coming]| plan(&[demand(&s, 6)], coming, &types, None, |_| false, 9).len();
         assert_eq!(
--- a/crates/sched/src/packed.rs
+++ b/crates/sched/src/packed.rs
@@ -74,6 +74,48 @@
 /// of digits, the attempt, and what is wanted.
 type Group = (String, usize, u64, Want, String);
 
+/// Machine names in order, as those of one rental mostly follow each other.
+pub mod names {
+    use super::*;
+
+    pub fn serialize<S: Serializer>(names: &Option<Vec<Name>>, serializer: S) -> Result<S::Ok, S::Error> {
+        let Some(names) = names else { return serializer.serialize_none() };
+        let mut sorted: Vec<_> = names.iter().map(|n| split(n)).collect();
+        sorted.sort_unstable();
+        let mut out: Vec<(String, usize, String)> = Vec::new();
+        for group in sorted.chunk_by(|a, b| (a.0, a.1) == (b.0, b.1)) {
+            let mut text = String::new();
+            let mut before = 0;
+            for (_, _, number) in group {
+                put(&mut text, number - before);
+                before = *number;
+            }
+            out.push((group[0].0.to_owned(), group[0].1, text));
+        }
+        serializer.serialize_some(&out)
+    }
+
+    pub fn deserialize<'de, D: Deserializer<'de>>(d: D) -> Result<Option<Vec<Name>>, D::Error> {
+        let Some(groups) = Option::<Vec<(String, usize, String)>>::deserialize(d)? else { return Ok(None) };
+        let mut names = Vec::new();
+        for (stem, digits, text) in groups {
+            let mut text = text.bytes().peekable();
+            let mut number = 0u64;
+            while text.peek().is_some() {
+                let step =
+                    take(&mut text).ok_or_else(|| serde::de::Error::custom("a list of names is cut off"))?;
+                number += step;
+                names.push(name(&stem, digits, number));
+            }
+        }
+        Ok(Some(names))
+    }
+}
+
+fn name(stem: &str, digits: usize, number: u64) -> Name {
+    if digits == 0 { stem.into() } else { format!("{stem}{number:0digits$}").into() }
+}
+
 pub mod assignments {
     use super::*;
 
@@ -115,10 +157,7 @@
             while text.peek().is_some() {
                 let bad = || serde::de::Error::custom("a list of assignments is cut off");
                 number += take(&mut text).ok_or_else(bad)?;
-                let machine: Name = match digits {
-                    0 => stem.as_str().into(),
-                    _ => format!("{stem}{number:0digits$}").into(),
-                };
+                let machine = name(&stem, digits, number);
                 let mut task = 0u32;
                 for _ in 0..take(&mut text).ok_or_else(bad)? {
                     let step = take(&mut text).and_then(|n| u32::try_from(n).ok()).ok_or_else(bad)?;
@@ -164,6 +203,25 @@
         assert!(json.len() < 6500, "{} bytes", json.len());
     }
 
+    #[test]
+    fn the_names_of_a_rental_take_a_character_each() {
+        let rental = crate::records::Rental {
+            request: "n-1".into(),
+            machine_type: "m".into(),
+            zone: "a".into(),
+            spot: false,
+            count: 50,
+            asked_ms: 0,
+            machines: Some((200..250).map(|n| format!("host-{n:06}").into()).collect()),
+        };
+        let json = serde_json::to_string(&rental).expect("encodes");
+        assert!(json.len() < 200, "{json}");
+        assert_eq!(serde_json::from_str::<crate::records::Rental>(&json).expect("decodes"), rental);
+        let none = crate::records::Rental { machines: None, ..rental };
+        let bytes = rmp_serde::to_vec_named(&none).expect("encodes");
+        assert_eq!(rmp_serde::from_slice::<crate::records::Rental>(&bytes).expect("decodes"), none);
+    }
+
     #[test]
     fn done_tasks_take_a_bit_each_at_most() {
         let mut r = Ranges::all(5);
--- a/crates/sched/src/records.rs
+++ b/crates/sched/src/records.rs
@@ -338,6 +338,7 @@
     pub count: u32,
     pub asked_ms: u64,
     /// None: not answered yet.
+    #[serde(with = "packed::names")]
     pub machines: Option<Vec<Name>>,
 }
 
