--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -396,7 +396,14 @@
         Ok(Outcome::Conflict { revision, .. }) => {
             node.reach(revision, Duration::from_secs(1)).await;
         }
-        // They report again.
-        Err(e) => debug!(error = %e, "machines were not recorded"),
+        Err(e) => {
+            debug!(error = %e, "machines were not recorded");
+            if matches!(e, StoreError::Rate) {
+                // Not waited for until they report again.
+                let mut core = node.core();
+                core.writes.drained(Instant::now());
+                core.arrivals.extend(list);
+            }
+        }
     }
 }
--- a/crates/sched/src/preempt.rs
+++ b/crates/sched/src/preempt.rs
@@ -61,7 +61,9 @@
                 // Arrays lose least, services most; save what can be saved.
                 let cost = match other.kind {
                     JobKind::Array => 0,
-                    JobKind::Gang => 1 + other.tasks,
+                    // A job that was stopped before is spared: the smallest gang
+                    // would be chosen again and again, and never get on.
+                    JobKind::Gang => 1 + other.tasks + 3 * job.attempt.clamp(1, 50) as u32,
                     JobKind::Service => 1000,
                 };
                 list.push((cost, other.priority, id, a, Amount::of_task(other)));
@@ -186,6 +188,20 @@
         assert!(victims(&w, &board(&w), &s, &BTreeSet::new(), &first, false, |_| true).is_none());
     }
 
+    #[test]
+    fn a_gang_that_was_stopped_before_is_spared() {
+        let mut w = world(&[("a1", "m", "a", false), ("a2", "m", "a", false)]);
+        add(&mut w, spec("j-1", JobKind::Gang, 1), &[(0, "a1")]);
+        let mut often = w.jobs["j-1"].value.as_ref().clone();
+        (often.attempt, often.run[0].attempt) = (3, 3);
+        w.apply(crate::world::Change::Job("j-1".into(), Some(Box::new(often))), 3);
+        add(&mut w, spec("j-2", JobKind::Gang, 2), &[(0, "a2"), (1, "a2")]);
+        let mut s = spec("j-3", JobKind::Service, 1);
+        (s.priority, s.cpus) = (Priority::Production, 7.0);
+        let found = victims(&w, &board(&w), &s, &BTreeSet::new(), &[], false, |_| true);
+        assert_eq!(found.map(|f| f.0.to_string()), Some("a2".to_owned()));
+    }
+
     #[test]
     fn a_teams_own_arrays_make_way_within_its_limit() {
         let mut w = world(&[("a1", "m", "a", false)]);
--- a/crates/sched/src/records.rs
+++ b/crates/sched/src/records.rs
@@ -155,7 +155,8 @@
             done: Ranges::default(),
             run: Vec::new(),
             avoid: Vec::new(),
-            evicted_ms: 0,
+            // The disruption budget fills from the submission on.
+            evicted_ms: submitted_ms,
             errors: 0,
             error_ms: 0,
         }
