--- a/crates/daemon/src/fleet_duty.rs
+++ b/crates/daemon/src/fleet_duty.rs
@@ -5,7 +5,8 @@
 
 use cloud::{CloudError, RELEASE_MAX, RENT_MAX};
 use sched::fleet::{Coming, Demand, Offer, plan};
-use sched::placement;
+use sched::forecast::{self, GpuDemand};
+use sched::placement::{self, Board};
 use sched::records::*;
 use sched::world::Amount;
 use store::{Outcome, Put, key};
@@ -28,6 +29,7 @@
     released: HashMap<Name, Instant>,
     led_since: Option<Instant>,
     told_at: Option<Instant>,
+    gpu_demand: GpuDemand,
     first_seen: HashMap<Name, Instant>,
 }
 
@@ -36,6 +38,9 @@
 const RENT_AT_ONCE: usize = 4;
 /// Most machines planned for at a time.
 const PLAN_MOST: usize = 400;
+/// Of one kind, only so many idle machines are kept for as long as their boot
+/// would cost.
+const IDLE_KEPT: u32 = 2;
 /// Between its steps the duty leaves this many times the time that one took.
 const LEAVE: u32 = 8;
 /// Room is kept ready for this long after the latest GPU job.
@@ -120,6 +125,7 @@
         let silent = node.silent_limit();
         let mut silent_by_owner: HashMap<&str, (u32, u32)> = HashMap::new();
         let mut rows = Vec::new();
+        let mut idle_of_kind: HashMap<Offer, u32> = HashMap::new();
         for (id, m) in &core.world.machines {
             let Some(owner) = core.world.owner_of(id) else { continue };
             let (quiet, sick, notice) = if *owner == node.me {
@@ -144,6 +150,15 @@
         let idle: HashSet<&Name> =
             core.world.machines.keys().filter(|id| !core.world.on_machine.contains_key(*id)).collect();
         self.idle_since.retain(|id, _| idle.contains(id));
+        // Room for the services to come is not given back either.
+        let report = node.report_every();
+        let for_services: HashSet<Name> = match forecast::services(&core.world, wall_ms()) {
+            Some((spec, tasks)) => {
+                let board = Board::new(&core.world, |m| core.usable(m, &node.me, report, now));
+                placement::room_for(&core.world, &board, &spec, tasks, wall_ms()).into_iter().collect()
+            }
+            None => HashSet::new(),
+        };
         // Room for the spare tasks, which giving a machine back must not touch.
         let spare = spare_spec(node, core);
         let spare_room =
@@ -172,15 +187,24 @@
                 out.push((id.clone(), "silent"));
             } else if sick {
                 out.push((id.clone(), "sick"));
-            } else if idle.contains(id) {
+            } else if idle.contains(id) && !for_services.contains(id) {
                 let since = *self.idle_since.entry(id.clone()).or_insert(now);
                 // Renting it again costs its boot time and the wait for it. Spot
                 // machines serve work that can wait.
                 let boot = core.world.types.get(&*record.machine_type).map_or(0.0, |t| t.boot_s);
                 let boot = if record.spot { 0.0 } else { boot };
+                // Many that are idle at a time are not all needed soon.
+                let kind = Offer {
+                    machine_type: record.machine_type.clone(),
+                    zone: record.zone.clone(),
+                    spot: record.spot,
+                };
+                let others = idle_of_kind.entry(kind).or_default();
+                *others += 1;
+                let boot = if *others > IDLE_KEPT { 0.0 } else { boot };
                 let keep = node.operators.idle.max(Duration::from_secs_f64(boot.clamp(0.0, 600.0)));
                 let room = spare_room(record, Amount::default());
-                let spared = room > 0 && spare_left < room + node.operators.spare_gpu_tasks;
+                let spared = room > 0 && spare_left < room + self.spare_tasks(node, now);
                 if now.saturating_duration_since(since) >= keep && !spared {
                     spare_left -= room;
                     out.push((id.clone(), "idle"));
@@ -440,9 +464,15 @@
                 gpus: full(&m.value.machine_type).gpus,
             });
         }
+        let services = demands.partition_point(|(_, d)| d.spec.kind == JobKind::Service);
         let mut demands: Vec<Demand> = demands.into_iter().map(|(_, d)| d).collect();
-        if let Some(spec) = spare_spec(node, core) {
-            demands.push(Demand { spec, tasks: node.operators.spare_gpu_tasks, in_zone: HashMap::new() });
+        let expected = forecast::services(&core.world, now_ms);
+        if let Some((spec, tasks)) = &expected {
+            demands.insert(services, Demand { spec, tasks: *tasks, in_zone: HashMap::new() });
+        }
+        let spare = spare_spec(node, core).map(|s| JobSpec { one_zone: false, ..s.clone() });
+        if let Some(spec) = &spare {
+            demands.push(Demand { spec, tasks: self.spare_tasks(node, now), in_zone: HashMap::new() });
         }
         plan(
             &demands,
@@ -454,10 +484,16 @@
         )
     }
 
+    /// Room kept ready for so many GPU tasks.
+    fn spare_tasks(&self, node: &Node, now: Instant) -> u32 {
+        node.operators.spare_gpu_tasks.max(self.gpu_demand.growth(now))
+    }
+
     async fn rent(&mut self, node: &Node) -> Duration {
         let now = Instant::now();
         let wanted = {
             let core = node.core();
+            self.gpu_demand.note(&core.world, now);
             self.wanted(node, &core, now)
         };
         let cost = now.elapsed();
--- a/crates/daemon/src/placer.rs
+++ b/crates/daemon/src/placer.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
+use sched::forecast;
 use sched::placement::{self, Board};
 use sched::preempt;
 use sched::records::*;
@@ -98,6 +99,9 @@
         let Some(spec) = core.world.jobs.get(id).and_then(|j| j.value.spec.as_deref()) else { continue };
         board.reserve(machines, Amount::of_task(spec), 1.0);
     }
+    // Services start within seconds, on room that is there: some is kept from
+    // everything else.
+    let mut expected = forecast::services(&core.world, now_ms);
     for id in queue {
         let full = node.run_max();
         if round.puts() + 2 > ops {
@@ -109,6 +113,12 @@
         let mut job = old.clone();
         let Some(spec) = job.spec.clone() else { continue };
         let Some(team) = node.team(&spec.team) else { continue };
+        if spec.kind != JobKind::Service
+            && let Some((service, tasks)) = expected.take()
+        {
+            let room = placement::room_for(&core.world, &board, &service, tasks, now_ms);
+            board.reserve(&room, Amount::of_task(&service), 1.0);
+        }
         let in_part = job.part.as_deref() == Some(me.name.as_str());
         let reach = |s: &placement::Slot| leads && !in_part || s.owner == me.incarnation;
         let most = full.saturating_sub(job.run.len());
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -2,6 +2,7 @@
 //! is known and what time it is.
 
 pub mod fleet;
+pub mod forecast;
 mod packed;
 pub mod placement;
 pub mod preempt;
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -192,6 +192,18 @@
     placed
 }
 
+/// The machines that would take so many tasks of a job that is yet to come.
+pub fn room_for(world: &World, board: &Board, spec: &JobSpec, tasks: u32, now_ms: u64) -> Vec<Name> {
+    let candidates: Vec<usize> = (0..board.slots.len())
+        .filter(|&i| allowed(spec, &board.slots[i].machine_type, &board.slots[i].zone, board.slots[i].spot))
+        .collect();
+    let job = JobRecord::new(spec.clone(), None, 0);
+    let wanted: Vec<u32> = (0..tasks).collect();
+    let limits = Limits { most: wanted.len(), window: tasks, lossy: true, now_ms };
+    let chosen = choose(world, board, &job, spec, &candidates, &wanted, limits);
+    chosen.into_iter().map(|(_, i)| board.slots[i].id.clone()).collect()
+}
+
 /// How many tasks of the usual GPU job a machine loses room for by one task
 /// that needs no GPU.
 pub fn gpu_loss(world: &World, spec: &JobSpec, slot: &Slot) -> u32 {
--- a/crates/sched/src/preempt.rs
+++ b/crates/sched/src/preempt.rs
@@ -193,7 +193,7 @@
         let mut w = world(&[("a1", "m", "a", false), ("a2", "m", "a", false)]);
         add(&mut w, spec("j-1", JobKind::Gang, 1), &[(0, "a1")]);
         let mut often = w.jobs["j-1"].value.as_ref().clone();
-        (often.attempt, often.run[0].attempt) = (3, 3);
+        (often.attempt, often.run[0].attempt) = (5, 5);
         w.apply(crate::world::Change::Job("j-1".into(), Some(Box::new(often))), 3);
         add(&mut w, spec("j-2", JobKind::Gang, 2), &[(0, "a2"), (1, "a2")]);
         let mut s = spec("j-3", JobKind::Service, 1);
