--- a/crates/daemon/src/fleet_duty.rs
+++ b/crates/daemon/src/fleet_duty.rs
@@ -35,9 +35,7 @@
 
 const TICK: Duration = Duration::from_millis(300);
 /// Most kinds of machines asked for between two looks at what is wanted.
-const RENT_AT_ONCE: usize = 4;
-/// Most machines planned for at a time.
-const PLAN_MOST: usize = 400;
+const RENT_AT_ONCE: usize = 6;
 /// Of one kind, only so many idle machines are kept for as long as their boot
 /// would cost.
 const IDLE_KEPT: u32 = 2;
@@ -480,7 +478,7 @@
             &core.world.types,
             core.world.gpu_spec.as_deref(),
             |o| self.blocked.get(o).is_some_and(|(t, _)| now < *t),
-            PLAN_MOST,
+            RENT_MAX as usize,
         )
     }
 
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -14,6 +14,7 @@
 
 use crate::gossip;
 use crate::node::{Core, Node, wall_ms};
+use crate::placer;
 use crate::worker::{Worker, first_token};
 
 pub async fn serve(node: Node, request: Request) -> Reply {
@@ -86,6 +87,9 @@
 fn choose_part(node: &Node, spec: &JobSpec) -> Option<String> {
     let core = node.core();
     let map = core.map()?;
+    if placer::collected_for(&core.world, spec, wall_ms()) {
+        return None;
+    }
     let (now, report) = (Instant::now(), node.report_every());
     let board = Board::new(&core.world, |m| core.usable(m, &node.me, report, now));
     let parts = map.live.iter().filter_map(|m| {
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -97,6 +97,8 @@
     /// Room that is being made for a job: the machines, and until when. Without
     /// it, what one job has cleared is taken by the next.
     pub reserved: HashMap<String, (Vec<Name>, Instant)>,
+    /// When something to stop was last looked for, by job.
+    pub searched: HashMap<String, Instant>,
     /// Ends that other owners have proven, until they are written.
     pub handed: HashMap<Key, HandedProof>,
     /// Controllers that could not be reached, until when they are left alone.
@@ -123,6 +125,7 @@
             live: 0,
             misdirected: HashMap::new(),
             reserved: HashMap::new(),
+            searched: HashMap::new(),
             handed: HashMap::new(),
             shunned: HashMap::new(),
             arrivals: HashMap::new(),
--- a/crates/daemon/src/placer.rs
+++ b/crates/daemon/src/placer.rs
@@ -15,6 +15,10 @@
 
 /// Most tasks of an array or service that room is made for at a time.
 const PREEMPT_MOST: u32 = 4;
+/// Room is collected for a gang that has waited this long.
+pub(crate) const COLLECT_AFTER: Duration = Duration::from_secs(15);
+/// How long a search for what could be stopped is not repeated.
+const LOOK_AGAIN: Duration = Duration::from_millis(900);
 /// How long room is held beyond the time that its tasks need to save.
 const RESERVE_FOR: Duration = Duration::from_millis(1800);
 
@@ -83,18 +87,19 @@
     // arrays: their small tasks would take it piece by piece, for as long as one
     // of them lasts.
     // A gang's claim ends for an array whose own deadline comes near.
-    let mut claims: BTreeMap<(&String, bool), Amount> = BTreeMap::new();
+    let mut claims: BTreeMap<(String, bool), Amount> = BTreeMap::new();
     for id in &core.world.open {
         let Some(job) = core.world.jobs.get(id).map(|j| &j.value) else { continue };
         let Some(spec) = job.spec.as_deref().filter(|s| s.kind != JobKind::Array) else { continue };
         let waiting = placement::pending_count(round.jobs.get(id).unwrap_or(job));
         if waiting > 0 {
-            let claim = claims.entry((&spec.team, spec.kind == JobKind::Gang)).or_default();
+            let claim = claims.entry((spec.team.clone(), spec.kind == JobKind::Gang)).or_default();
             *claim = claim.plus(Amount::of_task(spec), f64::from(waiting));
         }
     }
     let leads = core.leads(me);
     core.reserved.retain(|id, (_, until)| queue.contains(id) && now < *until);
+    core.searched.retain(|_, t| now.saturating_duration_since(*t) < LOOK_AGAIN);
     for (id, (machines, _)) in &core.reserved {
         let Some(spec) = core.world.jobs.get(id).and_then(|j| j.value.spec.as_deref()) else { continue };
         board.reserve(machines, Amount::of_task(spec), 1.0);
@@ -127,13 +132,18 @@
         board.reserve(&held, size, -1.0);
         let limits = placement::Limits { most, window: node.window(), lossy: false, now_ms };
         let claim = if spec.kind == JobKind::Array {
-            let of = |gangs| claims.get(&(&spec.team, gangs)).copied().unwrap_or_default();
+            let of = |gangs| claims.get(&(spec.team.clone(), gangs)).copied().unwrap_or_default();
             if placement::pressed(&job, now_ms) { of(false) } else { of(false).plus(of(true), 1.0) }
         } else {
             Amount::default()
         };
         claim_share(&mut board, &spec.team, claim, 1.0);
-        let mut placed = placement::place(&core.world, &mut board, &mut job, team, reach, limits);
+        // What the leader collects room for comes first.
+        let mut placed = if in_part && collected_for(&core.world, &spec, now_ms) {
+            Vec::new()
+        } else {
+            placement::place(&core.world, &mut board, &mut job, team, reach, limits)
+        };
         claim_share(&mut board, &spec.team, claim, -1.0);
         let whole = |s: &placement::Slot| placement::gpu_loss(&core.world, &spec, s) == 0;
         // A service that finds no other room takes, in this order: room that was
@@ -168,35 +178,65 @@
         if in_part {
             continue;
         }
-        let quiet =
-            placement::retry_at_ms(&job) <= now_ms && (spec.kind != JobKind::Gang || job.run.is_empty());
-        if !held.is_empty() || !quiet {
-            continue;
-        }
-        // A gang needs room for all its tasks; others start as room is made.
-        let gang = spec.kind == JobKind::Gang;
-        let tasks = if gang { spec.tasks } else { placement::pending_count(&job).min(PREEMPT_MOST) };
-        let in_use = core.world.team_use.get(&spec.team).copied().unwrap_or_default();
-        let quota = team.limit().plus(Amount { memory_gb: 0.0, ..in_use }, -1.0);
-        if size.times_in(quota) < tasks {
-            if core.reserved.contains_key(&id) {
-                continue;
+        let needs = Needs { id: &id, job: &job, last_resort, within: &within, now, now_ms };
+        make_room(node, core, round, &mut board, &needs);
+        // A large gang never starts if smaller work takes every place that comes
+        // free: what is there is kept for it until the rest is.
+        let waited = now_ms.saturating_sub(job.submitted_ms) >= COLLECT_AFTER.as_millis() as u64;
+        if spec.kind == JobKind::Gang && job.run.is_empty() && waited && !core.reserved.contains_key(&id) {
+            let in_use = board.team_use.get(&spec.team).copied().unwrap_or_default();
+            let quota = team.limit().plus(Amount { memory_gb: 0.0, ..in_use }, -1.0);
+            if size.times_in(quota) >= spec.tasks {
+                let room = placement::collect(&board, &spec, reach);
+                board.reserve(&room, size, 1.0);
             }
-            let Some(victims) = preempt::within_team(&core.world, &board, &spec, tasks, team) else {
-                continue;
-            };
-            core.reserved.insert(id.clone(), (Vec::new(), now + RESERVE_FOR));
-            for v in victims {
-                let Some(record) = edit(round, &core.world, &v.job) else { continue };
-                preempt::mark(record, &v);
-                round.log.push(Event::Preempted { by: id.clone(), victim: v });
-            }
-            continue;
         }
+    }
+}
+
+/// A job that found no room.
+struct Needs<'a> {
+    id: &'a str,
+    job: &'a JobRecord,
+    /// Whether the places of GPU jobs may be taken.
+    last_resort: bool,
+    /// The jobs that are within their teams' guarantees.
+    within: &'a BTreeSet<String>,
+    now: Instant,
+    now_ms: u64,
+}
+
+/// Stops what may be stopped so that the job, or the first tasks of it, will fit.
+fn make_room(node: &Node, core: &mut Core, round: &mut Round, board: &mut Board, needs: &Needs) {
+    let Needs { id, job, last_resort, within, now, now_ms } = *needs;
+    let Some(spec) = job.spec.as_deref() else { return };
+    let Some(team) = node.team(&spec.team) else { return };
+    let size = Amount::of_task(spec);
+    let gang = spec.kind == JobKind::Gang;
+    let quiet = placement::retry_at_ms(job) <= now_ms && (!gang || job.run.is_empty());
+    if core.reserved.contains_key(id) || !quiet {
+        return;
+    }
+    // A look at all that runs everywhere is dear, and what has not helped just
+    // now does not help yet.
+    let again = if gang { LOOK_AGAIN } else { LOOK_AGAIN / 3 };
+    if core.searched.get(id).is_some_and(|t| now.saturating_duration_since(*t) < again) {
+        return;
+    }
+    core.searched.insert(id.to_owned(), now);
+    // A gang needs room for all its tasks; others start as room is made.
+    let tasks = if gang { spec.tasks } else { placement::pending_count(job).min(PREEMPT_MOST) };
+    let in_use = core.world.team_use.get(&spec.team).copied().unwrap_or_default();
+    let quota = team.limit().plus(Amount { memory_gb: 0.0, ..in_use }, -1.0);
+    let whole = |s: &placement::Slot| placement::gpu_loss(&core.world, spec, s) == 0;
+    let (machines, victims, save) = if size.times_in(quota) < tasks {
+        let Some(victims) = preempt::within_team(&core.world, board, spec, tasks, team) else { return };
+        (Vec::new(), victims, 0.0)
+    } else {
         let mut machines = Vec::new();
         let mut all = Vec::new();
         for _ in 0..tasks {
-            let found = preempt::victims(&core.world, &board, &spec, &within, &all, !last_resort, |s| {
+            let found = preempt::victims(&core.world, board, spec, within, &all, !last_resort, |s| {
                 last_resort || whole(s)
             });
             let Some((machine, victims)) = found else { break };
@@ -206,21 +246,37 @@
         }
         if all.is_empty() || (gang && machines.len() < tasks as usize) {
             board.reserve(&machines, size, -1.0);
-            continue;
+            return;
         }
         let save = |v: &preempt::Victim| {
             core.world.jobs.get(&v.job).and_then(|j| j.value.spec.as_ref()).map_or(0.0, |s| s.save_s)
         };
         let save = all.iter().map(save).fold(0.0, f64::max).min(600.0);
-        core.reserved.insert(id.clone(), (machines, now + RESERVE_FOR + Duration::from_secs_f64(save)));
-        for v in all {
-            let Some(record) = edit(round, &core.world, &v.job) else { continue };
-            preempt::mark(record, &v);
-            round.log.push(Event::Preempted { by: id.clone(), victim: v });
-        }
+        (machines, all, save)
+    };
+    core.reserved.insert(id.to_owned(), (machines, now + RESERVE_FOR + Duration::from_secs_f64(save)));
+    for v in victims {
+        let Some(record) = edit(round, &core.world, &v.job) else { continue };
+        preempt::mark(record, &v);
+        round.log.push(Event::Preempted { by: id.to_owned(), victim: v });
     }
 }
 
+/// Whether room that the job could take is collected for a gang that has waited
+/// longer. Only the leader, who collects it, then places such jobs.
+pub(crate) fn collected_for(world: &World, spec: &JobSpec, now_ms: u64) -> bool {
+    world.open.iter().filter(|id| **id != spec.id).filter_map(|id| world.jobs.get(id)).any(|j| {
+        let job = &j.value;
+        job.part.is_none()
+            && job.run.is_empty()
+            && now_ms.saturating_sub(job.submitted_ms) >= COLLECT_AFTER.as_millis() as u64
+            && placement::pending_count(job) > 0
+            && job.spec.as_ref().is_some_and(|g| {
+                g.kind == JobKind::Gang && g.priority >= spec.priority && placement::competes(spec, g)
+            })
+    })
+}
+
 /// Counts a part of a team's limit as used, or gives it back.
 fn claim_share(board: &mut Board, team: &str, amount: Amount, sign: f64) {
     if amount != Amount::default() {
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -36,7 +36,7 @@
 }
 
 /// Decides what to rent: each demand first uses up machines that boot, then the
-/// offer that costs least for what the job can use of it.
+/// offer that costs least for what the job can use of it. At most `most` of a kind.
 pub fn plan(
     demands: &[Demand],
     coming: &[Coming],
@@ -55,6 +55,10 @@
     let offers: Vec<(Offer, &MachineType)> = offers(types).collect();
     let mut pool: Vec<Coming> = coming.to_vec();
     let mut out: Vec<Offer> = Vec::new();
+    // How many of a kind there are is not known. One request's worth of each is
+    // planned at a time, so that a large array does not plan for ever with what
+    // is cheapest and leave nothing to those behind it.
+    let mut planned: HashMap<Offer, usize> = HashMap::new();
     for d in demands {
         let size = Amount::of_task(d.spec);
         let limit = zone_limit(d.spec);
@@ -70,9 +74,9 @@
                 fixed.as_ref().is_none_or(|f| **f == *z) && in_zone.get(z).copied().unwrap_or(0) < limit
             };
             let fits = |c: &Coming| {
-                allowed(d.spec, &c.machine_type, &c.zone, c.spot)
+                size.fits(c.free)
+                    && allowed(d.spec, &c.machine_type, &c.zone, c.spot)
                     && !kept(d.spec, c.free.gpus, &c.machine_type, &c.zone, c.spot)
-                    && size.fits(c.free)
                     && room(&c.zone, &fixed, &in_zone)
             };
             // What needs no GPU and sits on a machine that has some is there at
@@ -86,6 +90,7 @@
                     && size.fits(Amount::of_type(t))
                     && !kept(d.spec, t.gpus, &o.machine_type, &o.zone, o.spot)
                     && room(&o.zone, &fixed, &in_zone)
+                    && planned.get(o).is_none_or(|n| *n < most)
                     && !blocked(o)
             };
             let i = match ready.or_else(|| {
@@ -94,9 +99,6 @@
             }) {
                 Some(i) => i,
                 None => {
-                    if out.len() >= most {
-                        return out;
-                    }
                     let best = offers.iter().filter(|(o, t)| rentable(o, t)).min_by(|(a, ta), (b, tb)| {
                         let cost = |o: &Offer, t: &MachineType| {
                             let price = if o.spot { t.spot_price } else { t.price };
@@ -120,6 +122,7 @@
                         free: Amount::of_type(t),
                         gpus: t.gpus,
                     });
+                    *planned.entry(offer.clone()).or_default() += 1;
                     out.push(offer.clone());
                     pool.len() - 1
                 }
@@ -243,6 +246,17 @@
         assert_eq!(zones("a"), ["b"], "half of the tasks at most in one zone");
     }
 
+    #[test]
+    fn a_large_array_leaves_offers_for_those_behind_it() {
+        let types = world(&[]).types;
+        let array = spec("j-1", JobKind::Array, 5000);
+        let mut gang = spec("j-2", JobKind::Gang, 4);
+        (gang.cpus, gang.gpus) = (14.0, 2.0);
+        let out = plan(&[demand(&array, 5000), demand(&gang, 4)], &[], &types, None, |_| false, 50);
+        let of = |kind: &str| out.iter().filter(|o| &*o.machine_type == kind).count();
+        assert_eq!((of("m"), of("g")), (100, 4));
+    }
+
     #[test]
     fn what_can_never_run_is_told_apart() {
         let types = world(&[]).types;
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -192,6 +192,31 @@
     placed
 }
 
+/// Whether a job could take room that a gang needs.
+pub fn competes(spec: &JobSpec, gang: &JobSpec) -> bool {
+    let types = |a: &JobSpec, b: &JobSpec| match (&a.types, &b.types) {
+        (Some(a), Some(b)) => a.iter().any(|t| b.contains(t)),
+        _ => true,
+    };
+    types(spec, gang) && (gang.gpus == 0.0 || spec.gpus > 0.0)
+}
+
+/// The free places that a gang could use once there are enough: of one zone, the
+/// one with most of them, if all its tasks have to be in one.
+pub fn collect(board: &Board, spec: &JobSpec, within: impl Fn(&Slot) -> bool) -> Vec<Name> {
+    let size = Amount::of_task(spec);
+    let mut places: BTreeMap<&str, Vec<&Name>> = BTreeMap::new();
+    let usable =
+        |s: &&Slot| size.fits(s.free()) && allowed(spec, &s.machine_type, &s.zone, s.spot) && within(s);
+    for s in board.slots.iter().filter(usable) {
+        let zone = if spec.one_zone { &*s.zone } else { "" };
+        let n = size.times_in(s.free()).min(spec.tasks) as usize;
+        places.entry(zone).or_default().extend(std::iter::repeat_n(&s.id, n));
+    }
+    let most = places.into_values().max_by_key(Vec::len).unwrap_or_default();
+    most.into_iter().take(spec.tasks as usize).cloned().collect()
+}
+
 /// The machines that would take so many tasks of a job that is yet to come.
 pub fn room_for(world: &World, board: &Board, spec: &JobSpec, tasks: u32, now_ms: u64) -> Vec<Name> {
     let candidates: Vec<usize> = (0..board.slots.len())
@@ -514,6 +539,47 @@
         assert_eq!(retry_at_ms(&job), 32_100);
     }
 
+    /// A stream of small gangs must not keep a large one waiting for ever.
+    #[test]
+    fn a_large_gang_starts_against_an_endless_stream_of_small_work() {
+        let mut w = world(&[("a1", "m", "a", false), ("a2", "m", "a", false), ("b1", "m", "b", false)]);
+        let mut large = spec("j-1", JobKind::Gang, 2);
+        (large.one_zone, large.cpus) = (true, 8.0);
+        add(&mut w, large.clone(), &[]);
+        let mut small = spec("j-2", JobKind::Gang, 1);
+        small.cpus = 8.0;
+        add(&mut w, small.clone(), &[(0, "a1")]);
+        let mut version = 10;
+        let mut started = 0;
+        for n in 3..9 {
+            // The oldest small job ends, and another is there before.
+            let ends = |id: &&String| *id != "j-1" && !w.jobs[*id].value.run.is_empty();
+            let first = w.open.iter().find(ends).cloned();
+            if let Some(id) = first {
+                w.apply(Change::Job(id, None), version);
+            }
+            small.id = format!("j-{n}");
+            add(&mut w, small.clone(), &[]);
+            version += 1;
+            let mut b = board(&w);
+            for id in w.open.clone() {
+                let mut job = w.jobs[&id].value.as_ref().clone();
+                let spec = job.spec.clone().expect("open");
+                let limits = Limits { most: 9, window: 9, lossy: false, now_ms: 1000 };
+                let placed = place(&w, &mut b, &mut job, &team(), |_| true, limits);
+                if placed.is_empty() && job.run.is_empty() {
+                    let room = collect(&b, &spec, |_| true);
+                    b.reserve(&room, Amount::of_task(&spec), 1.0);
+                } else {
+                    started += u32::from(id == "j-1" && !placed.is_empty());
+                    w.apply(Change::Job(id, Some(Box::new(job))), version);
+                }
+            }
+        }
+        assert_eq!(started, 1);
+        assert!(w.jobs["j-1"].value.run.iter().all(|a| a.machine.starts_with('a')));
+    }
+
     #[test]
     fn a_gang_ends_together() {
         let mut job = JobRecord::new(spec("j-1", JobKind::Gang, 2), None, 0);
--- a/crates/sched/src/world.rs
+++ b/crates/sched/src/world.rs
@@ -240,14 +240,12 @@
     pub fn apply(&mut self, change: Change, version: u64) {
         match change {
             Change::Job(id, record) => {
-                let old = self.jobs.remove(&id);
                 // What this controller wrote itself may be known before the news
                 // of what came before.
-                if let Some(newer) = old.as_ref().filter(|o| o.version > version) {
-                    let newer = newer.clone();
-                    self.jobs.insert(id, newer);
+                if self.jobs.get(&id).is_some_and(|j| j.version > version) {
                     return;
                 }
+                let old = self.jobs.remove(&id);
                 self.account(&id, old.as_ref().map(|o| o.value.as_ref()), record.as_deref());
                 self.open.remove(&id);
                 if let Some(value) = record {
