--- a/crates/daemon/src/placer.rs
+++ b/crates/daemon/src/placer.rs
@@ -16,7 +16,7 @@
 /// Most tasks of an array or service that room is made for at a time.
 const PREEMPT_MOST: u32 = 4;
 /// Room is collected for a gang that has waited this long.
-pub(crate) const COLLECT_AFTER: Duration = Duration::from_secs(15);
+pub(crate) const COLLECT_AFTER: Duration = Duration::from_secs(50);
 /// How long a search for what could be stopped is not repeated.
 const LOOK_AGAIN: Duration = Duration::from_millis(900);
 /// How long room is held beyond the time that its tasks need to save.
