--- a/crates/daemon/src/fleet_duty.rs
+++ b/crates/daemon/src/fleet_duty.rs
@@ -431,6 +431,7 @@
                     spot: r.spot,
                     free: full(&r.machine_type),
                     gpus: full(&r.machine_type).gpus,
+                    up: false,
                 });
             }
         }
@@ -445,6 +446,7 @@
                     spot: m.spot,
                     free: full(&m.machine_type),
                     gpus: full(&m.machine_type).gpus,
+                    up: false,
                 });
             }
         }
@@ -460,6 +462,7 @@
                 spot: m.value.spot,
                 free: full(&m.value.machine_type).plus(used, -1.0),
                 gpus: full(&m.value.machine_type).gpus,
+                up: true,
             });
         }
         let services = demands.partition_point(|(_, d)| d.spec.kind == JobKind::Service);
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -26,6 +26,8 @@
     pub free: Amount,
     /// How many GPUs the machine has, in use or not.
     pub gpus: f64,
+    /// It is there already.
+    pub up: bool,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -121,6 +123,7 @@
                         spot: offer.spot,
                         free: Amount::of_type(t),
                         gpus: t.gpus,
+                        up: false,
                     });
                     *planned.entry(offer.clone()).or_default() += 1;
                     out.push(offer.clone());
@@ -134,9 +137,15 @@
                 .min(limit - in_zone.get(&slot.zone).copied().unwrap_or(0))
                 .max(1);
             slot.free = slot.free.plus(size, -f64::from(n));
-            *in_zone.entry(slot.zone.clone()).or_default() += n;
+            if !slot.up && d.spec.kind == JobKind::Service && d.spec.gpus == 0.0 {
+                // Services do not wait for a boot: they take the places of GPU
+                // jobs that are free now, which are gone for those.
+                squeeze(&mut pool, d.spec, size, n.min(left));
+            }
+            let zone = pool[i].zone.clone();
+            *in_zone.entry(zone.clone()).or_default() += n;
             if d.spec.one_zone {
-                fixed = Some(slot.zone.clone());
+                fixed = Some(zone);
             }
             left -= n.min(left);
         }
@@ -144,6 +153,21 @@
     out
 }
 
+/// Takes room for so many tasks off machines with GPUs that are up.
+fn squeeze(pool: &mut [Coming], spec: &JobSpec, size: Amount, tasks: u32) {
+    let mut left = tasks;
+    for c in pool.iter_mut().filter(|c| c.up && c.gpus > 0.0) {
+        if left == 0 {
+            return;
+        }
+        if size.fits(c.free) && allowed(spec, &c.machine_type, &c.zone, c.spot) {
+            let n = size.times_in(c.free).min(left);
+            c.free = c.free.plus(size, -f64::from(n));
+            left -= n;
+        }
+    }
+}
+
 /// The zone for a job that wants all its tasks in one: where there is room for
 /// all of them, or else where more may be rented, or else where most room is.
 fn best_zone(
@@ -222,6 +246,7 @@
             spot: false,
             free: Amount::of_type(&types["m"]),
             gpus: 0.0,
+            up: false,
         };
         let rented = |coming: &[Coming]| plan(&[demand(&s, 6)], coming, &types, None, |_| false, 9).len();
         assert_eq!(
@@ -246,6 +271,28 @@
         assert_eq!(zones("a"), ["b"], "half of the tasks at most in one zone");
     }
 
+    #[test]
+    fn gpu_room_that_services_take_now_is_rented_anew_for_gangs() {
+        let types = world(&[]).types;
+        let gpu = Coming {
+            machine_type: "g".into(),
+            zone: "a".into(),
+            spot: false,
+            free: Amount::of_type(&types["g"]),
+            gpus: 2.0,
+            up: true,
+        };
+        let service = spec("j-1", JobKind::Service, 4);
+        let mut gang = spec("j-2", JobKind::Gang, 1);
+        (gang.cpus, gang.gpus) = (14.0, 2.0);
+        let rented = |demands: &[Demand]| -> Vec<String> {
+            let out = plan(demands, std::slice::from_ref(&gpu), &types, None, |_| false, 50);
+            out.iter().map(|o| o.machine_type.to_string()).collect()
+        };
+        assert_eq!(rented(&[demand(&gang, 1)]), Vec::<String>::new());
+        assert_eq!(rented(&[demand(&service, 4), demand(&gang, 1)]), ["m", "g"]);
+    }
+
     #[test]
     fn a_large_array_leaves_offers_for_those_behind_it() {
         let types = world(&[]).types;
