--- a/crates/sched/src/packed.rs
+++ b/crates/sched/src/packed.rs
@@ -215,7 +215,7 @@
             machines: Some((200..250).map(|n| format!("host-{n:06}").into()).collect()),
         };
         let json = serde_json::to_string(&rental).expect("encodes");
-        assert!(json.len() < 200, "{json}");
+        assert!(json.len() < 140, "{json}");
         assert_eq!(serde_json::from_str::<crate::records::Rental>(&json).expect("decodes"), rental);
         let none = crate::records::Rental { machines: None, ..rental };
         let bytes = rmp_serde::to_vec_named(&none).expect("encodes");
--- a/crates/sched/src/records.rs
+++ b/crates/sched/src/records.rs
@@ -332,14 +332,20 @@
 /// A rental that has been asked for and whose machines are not all up yet.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Rental {
+    #[serde(rename = "r")]
     pub request: String,
+    #[serde(rename = "t")]
     pub machine_type: Name,
+    #[serde(rename = "z")]
     pub zone: Name,
+    #[serde(rename = "s")]
     pub spot: bool,
+    #[serde(rename = "n")]
     pub count: u32,
+    #[serde(rename = "a")]
     pub asked_ms: u64,
     /// None: not answered yet.
-    #[serde(with = "packed::names")]
+    #[serde(rename = "m", with = "packed::names")]
     pub machines: Option<Vec<Name>>,
 }
 
