--- a/crates/daemon/src/fleet_duty.rs
+++ b/crates/daemon/src/fleet_duty.rs
@@ -412,7 +412,9 @@
             }
             demands.push((job, Demand { spec, tasks, in_zone }));
         }
-        demands.sort_by(|a, b| placement::queue_order((a.0, false), (b.0, false)));
+        // What is to start within a time of its own comes before what is not.
+        let in_time = |j: &JobRecord| j.spec.as_ref().is_some_and(|s| node.settings.starts_in_time(&s.class));
+        demands.sort_by(|a, b| placement::queue_order((a.0, in_time(a.0)), (b.0, in_time(b.0))));
         let mut coming: Vec<Coming> = Vec::new();
         let mut counted: BTreeSet<&Name> = BTreeSet::new();
         let full = |t: &str| core.world.types.get(t).map(Amount::of_type).unwrap_or_default();
@@ -506,13 +508,12 @@
             }
         }
         for (offer, count) in kinds.into_iter().take(RENT_AT_ONCE) {
-            let open = node
-                .core()
-                .world
-                .fleet
-                .as_ref()
-                .map_or(0, |f| f.value.rentals.iter().map(|r| 220 + 3 * r.count as usize).sum::<usize>());
-            if open as f64 > node.value_bytes() * 0.8 {
+            let rentals = node.core().world.fleet.as_ref().map_or(0, |f| {
+                // A name takes a character or two beside those before it.
+                let names = |r: &Rental| r.machines.as_ref().map_or(r.count as usize, Vec::len) * 2;
+                f.value.rentals.iter().map(|r| r.request.len() + r.zone.len() + 90 + names(r)).sum::<usize>()
+            });
+            if rentals as f64 > node.value_bytes() * 0.85 {
                 // The record of rentals is full until some of them are up.
                 break;
             }
@@ -669,7 +670,9 @@
         let Some(map) = core.world.map.as_ref().filter(|_| core.leads(&node.me)) else { return false };
         conditions.push(Condition { key: key::MAP.into(), version: map.version });
     }
-    node.may_write(puts.len(), 1.0).await;
+    // Machines take long to boot; a request for some does not wait behind rounds
+    // that are in debt.
+    node.core().writes.take(puts.len() as f64, 0.0, Instant::now());
     match node.state.txn(conditions, puts).await {
         Ok(Outcome::Committed { revision }) => node.reach(revision, Duration::from_secs(2)).await,
         Ok(Outcome::Conflict { revision, .. }) => {
