--- a/crates/daemon/src/fleet_duty.rs
+++ b/crates/daemon/src/fleet_duty.rs
@@ -30,6 +30,8 @@
     led_since: Option<Instant>,
     told_at: Option<Instant>,
     gpu_demand: GpuDemand,
+    /// One job of each kind that waits for room and has its team's leave.
+    waiting: Vec<JobSpec>,
     first_seen: HashMap<Name, Instant>,
 }
 
@@ -185,7 +187,10 @@
                 out.push((id.clone(), "silent"));
             } else if sick {
                 out.push((id.clone(), "sick"));
-            } else if idle.contains(id) && !for_services.contains(id) {
+            } else if idle.contains(id)
+                && !for_services.contains(id)
+                && !self.waiting.iter().any(|s| fits_machine(s, record, core))
+            {
                 let since = *self.idle_since.entry(id.clone()).or_insert(now);
                 // Renting it again costs its boot time and the wait for it. Spot
                 // machines serve work that can wait.
@@ -241,6 +246,11 @@
             let core = node.core();
             self.surplus(node, &core, now)
         };
+        // While changes are short, machines that cost nothing but money wait.
+        let mut list = list;
+        if node.core().writes.level(now) < 0.0 {
+            list.retain(|(_, why)| *why != "idle");
+        }
         if list.is_empty() {
             return;
         }
@@ -377,7 +387,7 @@
     }
 
     /// What is wanted beyond the room that is there or coming.
-    fn wanted(&self, node: &Node, core: &Core, now: Instant) -> Vec<Offer> {
+    fn wanted(&mut self, node: &Node, core: &Core, now: Instant) -> Vec<Offer> {
         let settled =
             self.led_since.is_some_and(|t| now.saturating_duration_since(t) > Duration::from_secs(2));
         if !settled || core.world.types.is_empty() || self.listed_at.is_none() {
@@ -415,6 +425,16 @@
         // What is to start within a time of its own comes before what is not.
         let in_time = |j: &JobRecord| j.spec.as_ref().is_some_and(|s| node.settings.starts_in_time(&s.class));
         demands.sort_by(|a, b| placement::queue_order((a.0, in_time(a.0)), (b.0, in_time(b.0))));
+        self.waiting.clear();
+        for (_, d) in &demands {
+            let like = |s: &JobSpec| {
+                (s.kind, s.spot, &s.types, &s.zone) == (d.spec.kind, d.spec.spot, &d.spec.types, &d.spec.zone)
+                    && Amount::of_task(s) == Amount::of_task(d.spec)
+            };
+            if !self.waiting.iter().any(like) {
+                self.waiting.push(d.spec.clone());
+            }
+        }
         let mut coming: Vec<Coming> = Vec::new();
         let mut counted: BTreeSet<&Name> = BTreeSet::new();
         let full = |t: &str| core.world.types.get(t).map(Amount::of_type).unwrap_or_default();
@@ -647,6 +667,14 @@
     info!(waiting = waiting.join("; "), machines = kinds.join("; "), "cluster");
 }
 
+/// Whether an empty machine could hold a task of the job.
+fn fits_machine(spec: &JobSpec, m: &MachineRecord, core: &Core) -> bool {
+    placement::allowed(spec, &m.machine_type, &m.zone, m.spot)
+        && core.world.types.get(&*m.machine_type).is_some_and(|t| {
+            Amount::of_task(spec).fits(Amount::of_type(t)) && (spec.gpus > 0.0 || t.gpus == 0.0)
+        })
+}
+
 fn names(machines: &[Name]) -> Vec<String> {
     machines.iter().map(|m| m.to_string()).collect()
 }
