--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use peer::Proof;
+use sched::drain;
 use sched::placement::Board;
 use sched::preempt;
 use sched::records::*;
@@ -13,12 +14,12 @@
 use store::{Outcome, Put, key};
 use tokio::time::{sleep, timeout};
 use tracing::{debug, info, warn};
-use wire::{Cause, Command, Commands, Condition, Report};
+use wire::{Command, Commands, Condition, Report};
 
 use crate::gossip;
 use crate::node::{Core, HandedProof, Node, wall_ms};
 use crate::placer;
-use crate::worker::{Key, Worker, refused};
+use crate::worker::{Key, Worker};
 
 /// What one round wants to have done.
 #[derive(Default)]
@@ -57,6 +58,7 @@
     Ended { job: String, task: u32, attempt: u64, how: End },
     Preempted { by: String, victim: preempt::Victim },
     Evicted(rescheduler::Eviction),
+    Drained { job: String, task: u32, machine: Name },
     Escalated { job: String },
 }
 
@@ -172,7 +174,7 @@
             continue;
         }
         let plan = worker.reconcile(id, world, &limits, now);
-        for (key, how, cause) in plan.ends {
+        for (key, how) in plan.ends {
             let Some(job) = world.jobs.get(&key.0) else { continue };
             let placer = world.placer_of(&job.value).unwrap_or_default();
             let since = worker.ended_since(&key, now);
@@ -183,7 +185,7 @@
                 || shunned.get(placer).is_some_and(|t| now < *t)
                 || !peers.contains_key(placer);
             if by_itself {
-                end(round, world, &key, id, how, cause, now_ms);
+                end(round, world, &key, id, how, now_ms);
             } else if since == now {
                 let proof = Proof {
                     job: key.0,
@@ -191,11 +193,23 @@
                     attempt: key.2,
                     machine: id.to_string(),
                     end: how.code(),
-                    refused: refused(cause),
                 };
                 round.proofs.entry(placer.to_owned()).or_default().push(proof);
             }
         }
+        if let Some(until) = worker.notice_until {
+            let left = until.saturating_duration_since(now);
+            for (job, record, a) in world.assignments(id) {
+                let stops = record.spec.as_ref().is_some_and(|s| drain::stops(s, left));
+                if stops
+                    && record.wants(a)
+                    && let Some(record) = edit(round, world, job)
+                    && drain::mark(record, a.task)
+                {
+                    round.log.push(Event::Drained { job: job.to_owned(), task: a.task, machine: id.clone() });
+                }
+            }
+        }
         let only_clears =
             !plan.commands.is_empty() && plan.commands.iter().all(|c| matches!(c, Command::Forget { .. }));
         let urgent = plan.poke || !plan.commands.is_empty() && (!only_clears || plan.commands.len() > 12);
@@ -210,18 +224,10 @@
 }
 
 /// Ends an assignment in its job's record, as this round has it.
-fn end(
-    round: &mut Round,
-    world: &World,
-    (job, task, attempt): &Key,
-    machine: &str,
-    how: End,
-    cause: Option<Cause>,
-    now_ms: u64,
-) {
+fn end(round: &mut Round, world: &World, (job, task, attempt): &Key, machine: &str, how: End, now_ms: u64) {
     let Some(record) = edit(round, world, job) else { return };
     record.end(*task, *attempt, how, now_ms, 60);
-    if refused(cause) {
+    if how == End::Refused {
         // The machine said no: something else is there that the records
         // do not show yet. Look elsewhere for a while.
         record.avoid.retain(|(m, _)| m != machine);
@@ -248,8 +254,7 @@
         stands && proof.epoch == epoch && now.saturating_duration_since(proof.at) < HANDED_FOR * 4
     });
     for (key, proof) in handed.iter() {
-        let cause = proof.refused.then_some(Cause::NoRoom);
-        end(round, world, key, &proof.machine, proof.how, cause, now_ms);
+        end(round, world, key, &proof.machine, proof.how, now_ms);
     }
 }
 
@@ -272,7 +277,7 @@
     let mut core = node.core();
     for p in proofs {
         let Some(how) = End::from_code(p.end) else { continue };
-        let proof = HandedProof { machine: p.machine, how, refused: p.refused, epoch, at };
+        let proof = HandedProof { machine: p.machine, how, epoch, at };
         core.handed.insert((p.job, p.task, p.attempt), proof);
     }
     drop(core);
@@ -412,7 +417,10 @@
 impl Event {
     fn job(&self) -> &str {
         match self {
-            Event::Placed { job, .. } | Event::Ended { job, .. } | Event::Escalated { job } => job,
+            Event::Placed { job, .. }
+            | Event::Ended { job, .. }
+            | Event::Drained { job, .. }
+            | Event::Escalated { job } => job,
             Event::Preempted { victim, .. } => &victim.job,
             Event::Evicted(e) => &e.job,
         }
@@ -438,6 +446,9 @@
             Event::Evicted(e) => {
                 info!(job = e.job, task = e.task, machine = &*e.machine, reason = e.reason, "evicted");
             }
+            Event::Drained { job, task, machine } => {
+                info!(job, task, machine = &**machine, "stopped: its machine is about to be taken away");
+            }
             Event::Escalated { job } => debug!(job, "too big for its part; the leader places it"),
         }
     }
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -69,6 +69,9 @@
     if !ready || !node.fresh().await {
         return Err(Reply::busy("the state service cannot be asked", 1));
     }
+    if node.core().world.unreadable.contains(id) {
+        return Err(Reply::busy("the job's record cannot be read", 5));
+    }
     Ok(look(node, id))
 }
 
@@ -113,7 +116,7 @@
         return Reply::error(400, "the description is too long to be kept");
     }
     let id = spec.id.clone();
-    if look(node, &id).is_some() {
+    if look(node, &id).is_some() || node.core().world.unreadable.contains(&id) {
         return match known(node, &id).await {
             Ok(Some(s)) => Reply::new(200, &s),
             Ok(None) => Reply::busy("try again", 1),
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -72,7 +72,6 @@
 pub struct HandedProof {
     pub machine: String,
     pub how: End,
-    pub refused: bool,
     pub epoch: u64,
     pub at: Instant,
 }
--- a/crates/daemon/src/state_duty.rs
+++ b/crates/daemon/src/state_duty.rs
@@ -56,8 +56,10 @@
         for ((change, bad), version) in decoded {
             if bad {
                 warn!("a record could not be read");
+                world.unread(change);
+            } else {
+                world.apply(change, version);
             }
-            world.apply(change, version);
         }
         if !page.more || after.is_none() {
             break;
@@ -108,8 +110,10 @@
         let (change, bad) = decode_change(&k, value);
         if bad {
             warn!(key = k, "a record could not be read");
+            core.world.unread(change);
+        } else {
+            core.world.apply(change, e.version);
         }
-        core.world.apply(change, e.version);
     }
     core.world.revision = changes.revision;
     if core.map().map(|m| m.epoch) != map_before {
--- a/crates/daemon/src/worker.rs
+++ b/crates/daemon/src/worker.rs
@@ -66,7 +66,7 @@
 
 #[derive(Debug, Default, PartialEq)]
 pub struct Plan {
-    pub ends: Vec<(Key, End, Option<Cause>)>,
+    pub ends: Vec<(Key, End)>,
     pub commands: Vec<Command>,
     /// The worker has to be shown a newer token before anything is proven.
     pub poke: bool,
@@ -253,13 +253,13 @@
             let report = self.tasks.iter().find(|t| t.attempt == a.attempt && t.task == name);
             let run = job.wants(a);
             if lease_over {
-                plan.ends.push((key.clone(), End::Lost, None));
+                plan.ends.push((key.clone(), End::Lost));
                 keys.insert(key);
                 continue;
             }
             match report {
                 Some(t) if t.state == TaskState::Exited => {
-                    plan.ends.push((key.clone(), end_of(t.cause), t.cause));
+                    plan.ends.push((key.clone(), end_of(t.cause)));
                 }
                 Some(t) if !run => {
                     let save = job.spec.as_ref().map_or(0.0, |s| s.save_s);
@@ -285,7 +285,7 @@
                 // Seen before and gone now: a new session.
                 None => {
                     if self.absence_proves() {
-                        plan.ends.push((key.clone(), End::Lost, None));
+                        plan.ends.push((key.clone(), End::Lost));
                     } else {
                         plan.poke = true;
                     }
@@ -293,7 +293,7 @@
             }
             keys.insert(key);
         }
-        for (key, end, _) in &plan.ends {
+        for (key, end) in &plan.ends {
             if !self.ended.contains_key(key) {
                 let job = key.0.clone();
                 self.note_end(&job, *end);
@@ -387,7 +387,7 @@
                 self.errors += 1;
                 self.error_jobs.insert(job.to_owned());
             }
-            End::Stopped | End::Lost => {}
+            End::Stopped | End::Refused | End::Lost => {}
         }
     }
 
@@ -423,12 +423,13 @@
     match cause {
         Some(Cause::Done) => End::Done,
         Some(Cause::Error) => End::Error,
+        _ if refused(cause) => End::Refused,
         _ => End::Stopped,
     }
 }
 
 /// Whether an exit was a refusal, after which the machine is left alone a while.
-pub fn refused(cause: Option<Cause>) -> bool {
+fn refused(cause: Option<Cause>) -> bool {
     matches!(cause, Some(Cause::NoRoom | Cause::Busy | Cause::Unknown))
 }
 
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -48,8 +48,6 @@
     pub attempt: u64,
     pub machine: String,
     pub end: u8,
-    /// The machine refused the start.
-    pub refused: bool,
 }
 
 /// Proofs hold under the map with this epoch only.
--- a/crates/sched/src/packed.rs
+++ b/crates/sched/src/packed.rs
@@ -136,11 +136,15 @@
             for of_machine in group.chunk_by(|a, b| a.1 == b.1) {
                 put(&mut text, of_machine[0].1 - machine_before);
                 machine_before = of_machine[0].1;
-                put(&mut text, of_machine.len() as u64);
+                let in_a_row = of_machine.windows(2).all(|w| w[1].2 == w[0].2 + 1);
+                put(&mut text, of_machine.len() as u64 * 2 + u64::from(in_a_row));
                 let mut before = 0;
                 for (_, _, task) in of_machine {
                     put(&mut text, u64::from(task - before));
                     before = *task;
+                    if in_a_row {
+                        break;
+                    }
                 }
             }
             out.push((stem.to_owned(), digits, attempt, want, text));
@@ -159,8 +163,13 @@
                 number += take(&mut text).ok_or_else(bad)?;
                 let machine = name(&stem, digits, number);
                 let mut task = 0u32;
-                for _ in 0..take(&mut text).ok_or_else(bad)? {
-                    let step = take(&mut text).and_then(|n| u32::try_from(n).ok()).ok_or_else(bad)?;
+                let count = take(&mut text).ok_or_else(bad)?;
+                let in_a_row = count % 2 == 1;
+                for i in 0..count / 2 {
+                    let step = match i > 0 && in_a_row {
+                        true => 1,
+                        false => take(&mut text).and_then(|n| u32::try_from(n).ok()).ok_or_else(bad)?,
+                    };
                     task = task.checked_add(step).ok_or_else(bad)?;
                     run.push(Assignment { task, attempt, machine: machine.clone(), want });
                 }
@@ -231,6 +240,19 @@
         assert_eq!(Ranges::from((prefix, bits)), r);
     }
 
+    /// The tasks of a gang lie in a row on each machine, however many they are.
+    #[test]
+    fn a_gang_takes_a_few_characters_for_each_machine() {
+        let spec = crate::placement::tests::spec("j-000412", JobKind::Gang, 20_000);
+        let mut job = JobRecord::new(spec, None, 0);
+        let on = |task: u32| format!("host-{:06}", task / 40).into();
+        let run = |task| Assignment { task, attempt: 1, machine: on(task), want: Want::Run };
+        job.run = (0..20_000).map(run).collect();
+        let json = serde_json::to_string(&job).expect("encodes");
+        assert!(json.len() < 5000, "{} bytes", json.len());
+        assert_eq!(serde_json::from_str::<JobRecord>(&json).expect("decodes"), job);
+    }
+
     #[test]
     fn lists_that_are_cut_off_are_refused() {
         let bad = (vec![("host-", 6usize, 1u64, Want::Run, "1")],);
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -140,15 +140,18 @@
         return Vec::new();
     }
     let gang = spec.kind == JobKind::Gang;
-    if gang && !job.run.is_empty() {
+    // A gang that waits for its tasks may get another machine for one it lost,
+    // within the same attempt; one that breaks up starts anew once all is over.
+    if gang && job.run.iter().any(|a| a.attempt != job.attempt || a.want != Want::Run) {
         return Vec::new();
     }
+    let most = if gang { usize::MAX } else { most };
     let size = Amount::of_task(&spec);
     let in_use = board.team_use.get(&spec.team).copied().unwrap_or_default();
     let quota = size.times_in(team.limit().plus(Amount { memory_gb: 0.0, ..in_use }, -1.0)) as usize;
     let horizon = job.done.first_missing().saturating_add(window);
     let wanted: Vec<u32> = pending(job).take_while(|t| *t < horizon).take(most.min(quota)).collect();
-    if wanted.is_empty() || (gang && wanted.len() < spec.tasks as usize) {
+    if wanted.is_empty() || (gang && (wanted.len() as u32) < pending_count(job)) {
         return Vec::new();
     }
     let candidates: Vec<usize> = (0..board.slots.len())
@@ -163,7 +166,11 @@
         Some(z) => [z].into(),
         None => candidates.iter().map(|&i| board.slots[i].zone.clone()).collect(),
     };
-    let attempt = if gang { job.attempt + 1 } else { job.attempt.max(1) };
+    let attempt = match gang {
+        true if job.run.is_empty() => job.attempt + 1,
+        true => job.attempt,
+        false => job.attempt.max(1),
+    };
     let chosen = if spec.one_zone {
         let tries = zones.iter().map(|z| {
             let here: Vec<usize> =
@@ -177,6 +184,13 @@
     if chosen.is_empty() || (gang && chosen.len() < wanted.len()) {
         return Vec::new();
     }
+    let mut chosen = chosen;
+    if gang {
+        // Tasks in a row on each machine make a short record.
+        let mut machines: Vec<usize> = chosen.iter().map(|c| c.1).collect();
+        machines.sort_unstable();
+        chosen = wanted.iter().copied().zip(machines).collect();
+    }
     let placed: Vec<Assignment> = chosen
         .into_iter()
         .map(|(task, i)| {
@@ -496,6 +510,9 @@
         add(&mut w, s.clone(), &[]);
         assert_eq!(placed(&w, "j-1", &team()).len(), 2);
         add(&mut w, s, &[(0, "a1")]);
+        let mut old = w.jobs["j-1"].value.as_ref().clone();
+        old.run[0].want = Want::Stop;
+        w.apply(Change::Job("j-1".into(), Some(Box::new(old))), 3);
         assert!(placed(&w, "j-1", &team()).is_empty(), "an old attempt is still out");
     }
 
@@ -580,14 +597,38 @@
         assert!(w.jobs["j-1"].value.run.iter().all(|a| a.machine.starts_with('a')));
     }
 
+    #[test]
+    fn a_lost_task_of_a_waiting_gang_is_replaced_in_its_attempt_and_zone() {
+        let mut w = world(&[("a1", "m", "a", false), ("a2", "m", "a", false), ("b1", "m", "b", false)]);
+        let mut s = spec("j-1", JobKind::Gang, 2);
+        (s.one_zone, s.cpus) = (true, 8.0);
+        add(&mut w, s, &[(0, "a1"), (1, "gone")]);
+        let mut job = w.jobs["j-1"].value.as_ref().clone();
+        job.end(1, 1, End::Lost, 0, 0);
+        let limits = Limits { most: 9, window: 9, lossy: false, now_ms: 1000 };
+        let mut whole = job.clone();
+        let placed = place(&w, &mut board(&w), &mut whole, &team(), |_| true, limits);
+        assert_eq!(placed.len(), 1);
+        assert_eq!((placed[0].task, placed[0].attempt, &*placed[0].machine), (1, 1, "a2"));
+        // Once its tasks say that it broke up, it starts anew, when all is over.
+        job.end(0, 1, End::Stopped, 0, 0);
+        let placed = place(&w, &mut board(&w), &mut job, &team(), |_| true, limits);
+        assert!(placed.is_empty() && job.run.is_empty(), "one zone holds only one of two now");
+        let mut w2 = world(&[("a1", "m", "a", false), ("a2", "m", "a", false)]);
+        w2.apply(Change::Job("j-1".into(), Some(Box::new(job.clone()))), 9);
+        let placed = place(&w2, &mut board(&w2), &mut job, &team(), |_| true, limits);
+        assert_eq!(placed.iter().map(|a| a.attempt).collect::<Vec<_>>(), [2, 2]);
+    }
+
     #[test]
     fn a_gang_ends_together() {
         let mut job = JobRecord::new(spec("j-1", JobKind::Gang, 2), None, 0);
         let run = |task| Assignment { task, attempt: 1, machine: "m".into(), want: Want::Run };
         job.run = vec![run(0), run(1)];
-        let mut lost = job.clone();
-        lost.end(0, 1, End::Lost, 0, 0);
-        assert_eq!((lost.phase, lost.run[0].want), (Phase::Active, Want::Stop));
+        (job.attempt, job.phase) = (1, Phase::Active);
+        let mut broken = job.clone();
+        broken.end(0, 1, End::Stopped, 0, 0);
+        assert_eq!((broken.phase, broken.run[0].want), (Phase::Active, Want::Stop));
         job.end(0, 1, End::Done, 0, 0);
         assert_eq!(job.phase, Phase::Done);
         assert!(job.spec.is_some(), "the other task still takes its share");
--- a/crates/sched/src/records.rs
+++ b/crates/sched/src/records.rs
@@ -199,8 +199,10 @@
             if self.phase == Phase::Active && self.done.len() == spec.tasks {
                 self.phase = Phase::Done;
             }
-        } else if gang {
-            // What is left of this attempt cannot go on without the lost task.
+        } else if gang && !matches!(how, End::Lost | End::Refused) {
+            // What is left of this attempt cannot go on. If a task is only lost,
+            // its gang may still wait, and take another for it; a gang that runs
+            // tells by its other tasks' ends that it broke up.
             self.run.iter_mut().for_each(|a| a.want = Want::Stop);
         }
         if how == End::Error {
@@ -243,8 +245,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum End {
     Done,
-    /// Stopped, refused, or its gang broke up.
+    /// Stopped, or its gang broke up.
     Stopped,
+    /// The machine did not take it.
+    Refused,
     Error,
     /// Proven gone without a word of its own.
     Lost,
@@ -258,11 +262,12 @@
             End::Stopped => 1,
             End::Error => 2,
             End::Lost => 3,
+            End::Refused => 4,
         }
     }
 
     pub fn from_code(code: u8) -> Option<Self> {
-        [End::Done, End::Stopped, End::Error, End::Lost].into_iter().find(|e| e.code() == code)
+        [End::Done, End::Stopped, End::Error, End::Lost, End::Refused].into_iter().find(|e| e.code() == code)
     }
 }
 
--- a/crates/sched/src/world.rs
+++ b/crates/sched/src/world.rs
@@ -110,6 +110,8 @@
     pub types: HashMap<String, MachineType>,
     pub types_version: u64,
     pub fleet: Option<Versioned<FleetRecord>>,
+    /// Jobs whose records cannot be read. They are known all the same.
+    pub unreadable: HashSet<String>,
     /// What each team's assignments take.
     pub team_use: HashMap<String, Amount>,
     pub machine_use: HashMap<Name, Amount>,
@@ -236,6 +238,13 @@
         self.images.get(machine).is_some_and(|l| l.iter().any(|(i, _)| i == image))
     }
 
+    /// A record that cannot be read proves nothing: what was known of it stands.
+    pub fn unread(&mut self, change: Change) {
+        if let Change::Job(id, _) = change {
+            self.unreadable.insert(id);
+        }
+    }
+
     /// Applies one change and the version it happened at.
     pub fn apply(&mut self, change: Change, version: u64) {
         match change {
@@ -245,6 +254,7 @@
                 if self.jobs.get(&id).is_some_and(|j| j.version > version) {
                     return;
                 }
+                self.unreadable.remove(&id);
                 let old = self.jobs.remove(&id);
                 self.account(&id, old.as_ref().map(|o| o.value.as_ref()), record.as_deref());
                 self.open.remove(&id);
