--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -29,6 +29,8 @@
     pub(crate) teams: BTreeSet<String>,
     /// Jobs with new placements.
     pub(crate) placing: BTreeSet<String>,
+    /// Most jobs to change for the ends of their tasks.
+    most_ended: usize,
     pub(crate) sends: Vec<(Name, String, Commands)>,
     /// Ends for other controllers to write, by their names.
     pub(crate) proofs: HashMap<String, Vec<Proof>>,
@@ -129,7 +131,9 @@
         core.workers.clear();
         return None;
     }
-    let mut round = Round::default();
+    // Ends leave some of the round for what starts: where much ends all the time,
+    // nothing would ever take its place.
+    let mut round = Round { most_ended: (ops * 2 / 3).max(1), ..Round::default() };
     own_machines(node, core, &mut round, now, now_ms);
     if ops == 0 {
         round.jobs.clear();
@@ -225,6 +229,9 @@
 
 /// Ends an assignment in its job's record, as this round has it.
 fn end(round: &mut Round, world: &World, (job, task, attempt): &Key, machine: &str, how: End, now_ms: u64) {
+    if round.jobs.len() >= round.most_ended && !round.jobs.contains_key(job) {
+        return;
+    }
     let Some(record) = edit(round, world, job) else { return };
     record.end(*task, *attempt, how, now_ms, 60);
     if how == End::Refused {
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -228,7 +228,7 @@
 
     /// Shares the changes that the state service takes among the controllers
     /// that are live. The leader, who rents machines and places what is large,
-    /// has two shares; all may go somewhat beyond theirs, as not all need them.
+    /// has most; all may go somewhat beyond theirs, as not all need them.
     pub fn share_writes(&self, core: &mut Core, now: Instant) {
         let live = core.map().map_or(1, |m| m.live.len()).max(1);
         let leads = core.leads(&self.me);
@@ -236,8 +236,9 @@
         if core.live != state {
             core.live = state;
             let per_s = self.settings.facts.state.write_rps;
-            let mine = if leads { 2.0 } else { 1.0 };
-            core.writes.set_rate((per_s * 1.4 * mine / (live as f64 + 1.0)).min(per_s * 0.8), now);
+            let others = live as f64 - 1.0;
+            let mine = if leads { 0.7 } else { 0.7 / others.max(1.0) };
+            core.writes.set_rate(per_s * mine, now);
         }
     }
 
--- a/crates/daemon/src/placer.rs
+++ b/crates/daemon/src/placer.rs
@@ -109,15 +109,18 @@
     let mut expected = forecast::services(&core.world, now_ms);
     for id in queue {
         let full = node.run_max();
-        if round.puts() + 2 > ops {
-            break;
-        }
         let Some(old) = round.jobs.get(&id).or_else(|| core.world.jobs.get(&id).map(|j| &j.value)) else {
             continue;
         };
         let mut job = old.clone();
         let Some(spec) = job.spec.clone() else { continue };
         let Some(team) = node.team(&spec.team) else { continue };
+        // A job that has a change in this round anyway costs no further one.
+        let cost =
+            usize::from(!round.jobs.contains_key(&id)) + usize::from(!round.teams.contains(&spec.team));
+        if round.puts() + cost > ops {
+            continue;
+        }
         if spec.kind != JobKind::Service
             && let Some((service, tasks)) = expected.take()
         {
