--- a/crates/daemon/src/fleet_duty.rs
+++ b/crates/daemon/src/fleet_duty.rs
@@ -423,7 +423,10 @@
             demands.push((job, Demand { spec, tasks, in_zone }));
         }
         // What is to start within a time of its own comes before what is not.
-        let in_time = |j: &JobRecord| j.spec.as_ref().is_some_and(|s| node.settings.starts_in_time(&s.class));
+        let in_time = |j: &JobRecord| {
+            let starts = j.spec.as_ref().is_some_and(|s| node.settings.starts_in_time(&s.class));
+            (!starts, false, 0)
+        };
         demands.sort_by(|a, b| placement::queue_order((a.0, in_time(a.0)), (b.0, in_time(b.0))));
         self.waiting.clear();
         for (_, d) in &demands {
--- a/crates/daemon/src/placer.rs
+++ b/crates/daemon/src/placer.rs
@@ -16,7 +16,7 @@
 /// Most tasks of an array or service that room is made for at a time.
 const PREEMPT_MOST: u32 = 4;
 /// Room is collected for a gang that has waited this long.
-pub(crate) const COLLECT_AFTER: Duration = Duration::from_secs(50);
+pub(crate) const COLLECT_AFTER: Duration = Duration::from_secs(75);
 /// How long a search for what could be stopped is not repeated.
 const LOOK_AGAIN: Duration = Duration::from_millis(900);
 /// How long room is held beyond the time that its tasks need to save.
@@ -77,7 +77,12 @@
     }
     let within = guaranteed(&core.world, &node.teams);
     queue.sort_by(|a, b| {
-        let job = |id: &String| core.world.jobs.get(id).map(|j| (j.value.as_ref(), within.contains(id)));
+        let job = |id: &String| {
+            core.world
+                .jobs
+                .get(id)
+                .map(|j| (j.value.as_ref(), turn(node, &j.value, within.contains(id), now_ms)))
+        };
         match (job(a), job(b)) {
             (Some(x), Some(y)) => placement::queue_order(x, y).then_with(|| a.cmp(b)),
             _ => a.cmp(b),
@@ -265,6 +270,12 @@
     }
 }
 
+/// The job's turn, by the times that the settings state for its class.
+pub(crate) fn turn(node: &Node, job: &JobRecord, guaranteed: bool, now_ms: u64) -> placement::Turn {
+    let times = job.spec.as_ref().and_then(|s| node.settings.start_times(&s.class));
+    placement::turn(job, guaranteed, times, now_ms)
+}
+
 /// Whether room that the job could take is collected for a gang that has waited
 /// longer. Only the leader, who collects it, then places such jobs.
 pub(crate) fn collected_for(world: &World, spec: &JobSpec, now_ms: u64) -> bool {
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -73,6 +73,8 @@
     pub kind: String,
     #[serde(default)]
     pub class: Option<String>,
+    #[serde(default)]
+    pub within_s: Option<f64>,
 }
 
 #[derive(Debug, Clone, Deserialize)]
@@ -219,6 +221,16 @@
         self.facts.objectives.iter().filter(of_class).any(|o| o.kind == "wait")
     }
 
+    /// The times within which jobs of the class are expected to start: the least
+    /// and the most, if any are stated.
+    pub fn start_times(&self, class: &str) -> Option<(f64, f64)> {
+        let of_class =
+            self.facts.objectives.iter().filter(|o| o.kind == "wait" && o.class.as_deref() == Some(class));
+        let times: Vec<f64> = of_class.filter_map(|o| o.within_s).filter(|t| t.is_finite()).collect();
+        let least = times.iter().copied().reduce(f64::min)?;
+        Some((least, times.into_iter().fold(least, f64::max)))
+    }
+
     /// How long a controller that cannot confirm its authority still answers
     /// reports. Everything it renews until then is over before a cancellation
     /// that it cannot know of must have taken effect.
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -373,11 +373,32 @@
 
 const PRESSED: f64 = 0.35;
 
-/// The order in which jobs are served: priority, then work within its team's
-/// guarantee, then age.
-pub fn queue_order(a: (&JobRecord, bool), b: (&JobRecord, bool)) -> std::cmp::Ordering {
+/// What decides among jobs of the same priority, the least first: has waited so
+/// long that it must start; beyond its team's guarantee; how many of the times
+/// that it should start within have passed.
+pub type Turn = (bool, bool, u8);
+
+/// A job that has waited this long comes before all others of its priority.
+const URGENT_S: f64 = 120.0;
+
+/// A job's turn. Where more is asked than can be done, serving strictly by age
+/// makes everybody late: a gang that has missed one of its times lets those pass
+/// that can still keep theirs, until it becomes urgent itself.
+pub fn turn(job: &JobRecord, guaranteed: bool, times: Option<(f64, f64)>, now_ms: u64) -> Turn {
+    let waited = now_ms.saturating_sub(job.submitted_ms) as f64 / 1000.0;
+    let started = !job.run.is_empty() || !job.done.is_empty();
+    let gang = job.spec.as_ref().is_some_and(|s| s.kind == JobKind::Gang);
+    let missed = match times {
+        Some((least, most)) if gang && !started => u8::from(waited >= least) + u8::from(waited >= most),
+        _ => 0,
+    };
+    (started || waited < URGENT_S, !guaranteed, missed)
+}
+
+/// The order in which jobs are served: priority, then their turn, then age.
+pub fn queue_order(a: (&JobRecord, Turn), b: (&JobRecord, Turn)) -> std::cmp::Ordering {
     let priority = |j: &JobRecord| j.spec.as_ref().map(|s| s.priority);
-    priority(b.0).cmp(&priority(a.0)).then(b.1.cmp(&a.1)).then(a.0.submitted_ms.cmp(&b.0.submitted_ms))
+    priority(b.0).cmp(&priority(a.0)).then(a.1.cmp(&b.1)).then(a.0.submitted_ms.cmp(&b.0.submitted_ms))
 }
 
 /// Whether every one of the job's tasks fits into the room that is free.
@@ -620,6 +641,23 @@
         assert_eq!(placed.iter().map(|a| a.attempt).collect::<Vec<_>>(), [2, 2]);
     }
 
+    #[test]
+    fn gangs_that_missed_their_time_let_others_pass_until_they_must_start() {
+        let mut job = JobRecord::new(spec("j-1", JobKind::Gang, 2), None, 0);
+        let mut fresh = job.clone();
+        fresh.submitted_ms = 75_000;
+        let times = Some((60.0, 150.0));
+        let first = |a: &JobRecord, b: &JobRecord, now_ms| {
+            let of = |j| turn(j, true, times, now_ms);
+            queue_order((a, of(a)), (b, of(b))).is_lt()
+        };
+        assert!(first(&job, &fresh, 59_000), "both may still be in time: by age");
+        assert!(first(&fresh, &job, 80_000), "only one can be in time");
+        assert!(first(&job, &fresh, 121_000), "must start now");
+        job.run = vec![Assignment { task: 0, attempt: 1, machine: "m".into(), want: Want::Run }];
+        assert!(!turn(&job, false, times, 500_000).eq(&turn(&fresh, true, times, 500_000)));
+    }
+
     #[test]
     fn a_gang_ends_together() {
         let mut job = JobRecord::new(spec("j-1", JobKind::Gang, 2), None, 0);
