--- a/crates/daemon/src/placer.rs
+++ b/crates/daemon/src/placer.rs
@@ -15,8 +15,6 @@
 
 /// Most tasks of an array or service that room is made for at a time.
 const PREEMPT_MOST: u32 = 4;
-/// Room is collected for a gang that has waited this long.
-pub(crate) const COLLECT_AFTER: Duration = Duration::from_secs(75);
 /// How long a search for what could be stopped is not repeated.
 const LOOK_AGAIN: Duration = Duration::from_millis(900);
 /// How long room is held beyond the time that its tasks need to save.
@@ -76,12 +74,13 @@
         }
     }
     let within = guaranteed(&core.world, &node.teams);
+    let longest: BTreeSet<String> =
+        placement::longest_waiting(&core.world, now_ms).into_iter().map(str::to_owned).collect();
     queue.sort_by(|a, b| {
         let job = |id: &String| {
-            core.world
-                .jobs
-                .get(id)
-                .map(|j| (j.value.as_ref(), turn(node, &j.value, within.contains(id), now_ms)))
+            core.world.jobs.get(id).map(|j| {
+                (j.value.as_ref(), turn(node, &j.value, within.contains(id), longest.contains(id), now_ms))
+            })
         };
         match (job(a), job(b)) {
             (Some(x), Some(y)) => placement::queue_order(x, y).then_with(|| a.cmp(b)),
@@ -190,8 +189,7 @@
         make_room(node, core, round, &mut board, &needs);
         // A large gang never starts if smaller work takes every place that comes
         // free: what is there is kept for it until the rest is.
-        let waited = now_ms.saturating_sub(job.submitted_ms) >= COLLECT_AFTER.as_millis() as u64;
-        if spec.kind == JobKind::Gang && job.run.is_empty() && waited && !core.reserved.contains_key(&id) {
+        if longest.contains(&id) && !core.reserved.contains_key(&id) {
             let in_use = board.team_use.get(&spec.team).copied().unwrap_or_default();
             let quota = team.limit().plus(Amount { memory_gb: 0.0, ..in_use }, -1.0);
             if size.times_in(quota) >= spec.tasks {
@@ -271,23 +269,17 @@
 }
 
 /// The job's turn, by the times that the settings state for its class.
-pub(crate) fn turn(node: &Node, job: &JobRecord, guaranteed: bool, now_ms: u64) -> placement::Turn {
+fn turn(node: &Node, job: &JobRecord, guaranteed: bool, longest: bool, now_ms: u64) -> placement::Turn {
     let times = job.spec.as_ref().and_then(|s| node.settings.start_times(&s.class));
-    placement::turn(job, guaranteed, times, now_ms)
+    placement::turn(job, guaranteed, longest, times, now_ms)
 }
 
 /// Whether room that the job could take is collected for a gang that has waited
 /// longer. Only the leader, who collects it, then places such jobs.
 pub(crate) fn collected_for(world: &World, spec: &JobSpec, now_ms: u64) -> bool {
-    world.open.iter().filter(|id| **id != spec.id).filter_map(|id| world.jobs.get(id)).any(|j| {
-        let job = &j.value;
-        job.part.is_none()
-            && job.run.is_empty()
-            && now_ms.saturating_sub(job.submitted_ms) >= COLLECT_AFTER.as_millis() as u64
-            && placement::pending_count(job) > 0
-            && job.spec.as_ref().is_some_and(|g| {
-                g.kind == JobKind::Gang && g.priority >= spec.priority && placement::competes(spec, g)
-            })
+    placement::longest_waiting(world, now_ms).into_iter().filter(|id| *id != spec.id).any(|id| {
+        let gang = world.jobs.get(id).and_then(|j| j.value.spec.as_deref());
+        gang.is_some_and(|g| g.priority >= spec.priority && placement::competes(spec, g))
     })
 }
 
