--- a/crates/daemon/src/state_duty.rs
+++ b/crates/daemon/src/state_duty.rs
@@ -270,7 +270,9 @@
             (conditions, Put::new(key::MAP.into(), &map))
         }
     };
-    node.may_write(1, 0.0).await;
+    // Never behind other changes: the lease would run out meanwhile, and a
+    // controller in debt would join again and again without ever being live.
+    node.core().writes.take(1.0, 0.0, Instant::now());
     match node.state.txn(conditions, vec![put]).await? {
         Outcome::Committed { revision } => Ok(node.reach(revision, Duration::from_secs(2)).await),
         Outcome::Conflict { revision, .. } => {
--- a/crates/store/src/budget.rs
+++ b/crates/store/src/budget.rs
@@ -9,6 +9,9 @@
     at: Instant,
 }
 
+/// Most debt, in seconds of the rate, and longest wait.
+const DEBT_S: f64 = 2.0;
+
 impl Budget {
     pub fn new(per_s: f64, burst: f64, now: Instant) -> Self {
         Self { per_s, burst, level: burst, at: now }
@@ -29,8 +32,9 @@
     pub fn take(&mut self, n: f64, reserve: f64, now: Instant) -> Duration {
         self.fill(now);
         let wait = ((n + reserve - self.level) / self.per_s).max(0.0);
-        self.level -= n;
-        Duration::from_secs_f64(wait.min(5.0))
+        // Debt does not pile up: what could not be done is not done later.
+        self.level = (self.level - n).max(-DEBT_S * self.per_s);
+        Duration::from_secs_f64(wait.min(DEBT_S))
     }
 
     /// The service refused for its rate: whatever was thought left is gone.
@@ -71,6 +75,10 @@
         assert_eq!(b.take(5.0, 0.0, t), Duration::ZERO);
         assert_eq!(b.take(1.0, 0.0, t), Duration::from_millis(100));
         assert_eq!(b.take(1.0, 2.0, t + Duration::from_millis(200)), Duration::from_millis(200));
+        for _ in 0..100 {
+            assert!(b.take(5.0, 0.0, t) <= Duration::from_secs(2));
+        }
+        assert!(b.level(t + Duration::from_secs(3)) > 0.0, "debt is bounded");
         b.drained(t + Duration::from_secs(9));
         assert!(b.level(t + Duration::from_secs(9)) <= 0.0);
     }
