--- a/crates/daemon/src/fleet_duty.rs
+++ b/crates/daemon/src/fleet_duty.rs
@@ -242,6 +242,12 @@
 
     async fn give_back(&mut self, node: &Node) {
         let now = Instant::now();
+        // Released already, but the state service did not take it then.
+        let known = |id: &&Name| node.core().world.machines.contains_key(*id);
+        let left: Vec<Name> = self.released.keys().filter(known).cloned().collect();
+        if !left.is_empty() {
+            self.forget(node, left).await;
+        }
         let list = {
             let core = node.core();
             self.surplus(node, &core, now)
@@ -254,16 +260,23 @@
         if list.is_empty() {
             return;
         }
-        // A mark first, so that no placement chooses the machine meanwhile.
+        // A mark first where placement might choose the machine meanwhile. On one
+        // that is silent or fails it places nothing, and when a whole zone falls
+        // silent hundreds of marks would take a minute.
         let mut marks = Vec::new();
         let mut ready = Vec::new();
         {
             let core = node.core();
             for (id, why) in list {
                 match core.world.machines.get(&id) {
-                    Some(m) if !m.value.release => marks.push((id, m.clone(), why)),
-                    // Emptied meanwhile, or not worth waiting for.
-                    _ => ready.push(id),
+                    Some(m) if why == "idle" && !m.value.release => marks.push((id, m.clone(), why)),
+                    _ if self.released.contains_key(&id) => {}
+                    _ => {
+                        if why != "marked" {
+                            debug!(machine = &*id, reason = why, "not worth keeping");
+                        }
+                        ready.push(id);
+                    }
                 }
             }
         }
@@ -285,7 +298,7 @@
             for (id, _, why) in marks {
                 info!(machine = &*id, reason = why, "giving the machine back");
                 // A task may have been placed just before the mark.
-                if why != "idle" || !node.core().world.on_machine.contains_key(&id) {
+                if !node.core().world.on_machine.contains_key(&id) {
                     ready.push(id);
                 }
             }
@@ -331,7 +344,10 @@
             if !known.is_empty() {
                 let conditions =
                     known.iter().map(|(id, v, _)| Condition { key: key::machine(id), version: *v }).collect();
-                let puts = known.iter().map(|(id, ..)| Put::delete(key::machine(id))).collect();
+                let puts: Vec<Put> = known.iter().map(|(id, ..)| Put::delete(key::machine(id))).collect();
+                // Many at a time would take the changes that the ends of their
+                // tasks need.
+                node.pace_writes(puts.len()).await;
                 write(node, conditions, puts).await;
                 for (_, _, addr) in &known {
                     node.http.forget(addr);
--- a/crates/store/src/budget.rs
+++ b/crates/store/src/budget.rs
@@ -27,14 +27,19 @@
         self.at = now;
     }
 
+    /// How long until there are `n` units.
+    pub fn wait(&mut self, n: f64, now: Instant) -> Duration {
+        self.fill(now);
+        Duration::from_secs_f64(((n - self.level) / self.per_s).clamp(0.0, DEBT_S))
+    }
+
     /// Takes `n` units, going into debt, and tells how long to wait first.
     /// `reserve` is left for more urgent callers.
     pub fn take(&mut self, n: f64, reserve: f64, now: Instant) -> Duration {
-        self.fill(now);
-        let wait = ((n + reserve - self.level) / self.per_s).max(0.0);
+        let wait = self.wait(n + reserve, now);
         // Debt does not pile up: what could not be done is not done later.
         self.level = (self.level - n).max(-DEBT_S * self.per_s);
-        Duration::from_secs_f64(wait.min(DEBT_S))
+        wait
     }
 
     /// The service refused for its rate: whatever was thought left is gone.
