--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -29,6 +29,8 @@
     pub(crate) teams: BTreeSet<String>,
     /// Jobs with new placements.
     pub(crate) placing: BTreeSet<String>,
+    /// How often it was looked for what could be stopped.
+    pub(crate) searches: u32,
     /// Most jobs to change for the ends of their tasks.
     most_ended: usize,
     pub(crate) sends: Vec<(Name, String, Commands)>,
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -1,6 +1,6 @@
 //! What the duties of one controller share.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -80,7 +80,7 @@
     pub world: World,
     /// The records have been read at least once.
     pub ready: bool,
-    pub workers: HashMap<Name, Worker>,
+    pub workers: BTreeMap<Name, Worker>,
     pub peers: HashMap<String, PeerView>,
     /// What peers last said of their machines.
     pub rows: HashMap<Name, MachineRow>,
@@ -99,7 +99,7 @@
     /// When something to stop was last looked for, by job.
     pub searched: HashMap<String, Instant>,
     /// Ends that other owners have proven, until they are written.
-    pub handed: HashMap<Key, HandedProof>,
+    pub handed: BTreeMap<Key, HandedProof>,
     /// Controllers that could not be reached, until when they are left alone.
     pub shunned: HashMap<String, Instant>,
     /// Machines that reported and have no record yet.
@@ -114,7 +114,7 @@
         let core = Core {
             world: World::default(),
             ready: false,
-            workers: HashMap::new(),
+            workers: BTreeMap::new(),
             peers: HashMap::new(),
             rows: HashMap::new(),
             fresh_at: None,
@@ -125,7 +125,7 @@
             misdirected: HashMap::new(),
             reserved: HashMap::new(),
             searched: HashMap::new(),
-            handed: HashMap::new(),
+            handed: BTreeMap::new(),
             shunned: HashMap::new(),
             arrivals: HashMap::new(),
         };
--- a/crates/daemon/src/placer.rs
+++ b/crates/daemon/src/placer.rs
@@ -17,6 +17,9 @@
 const PREEMPT_MOST: u32 = 4;
 /// How long a search for what could be stopped is not repeated.
 const LOOK_AGAIN: Duration = Duration::from_millis(900);
+/// Most searches of all that runs everywhere in one round: when hundreds of jobs
+/// wait, searching for each would take up the whole processor.
+const SEARCHES: u32 = 16;
 /// How long room is held beyond the time that its tasks need to save.
 const RESERVE_FOR: Duration = Duration::from_millis(1800);
 
@@ -162,7 +165,10 @@
             if !held.is_empty() {
                 let here = |s: &placement::Slot| held.contains(&s.id);
                 placed = placement::place(&core.world, &mut board, &mut job, team, here, limits);
-            } else if preempt::victims(&core.world, &board, &spec, &within, &[], true, whole).is_none() {
+            } else if round.searches >= SEARCHES || {
+                round.searches += 1;
+                preempt::victims(&core.world, &board, &spec, &within, &[], true, whole).is_none()
+            } {
                 placed = placement::place(&core.world, &mut board, &mut job, team, reach, limits);
                 last_resort = placed.is_empty();
             }
@@ -225,6 +231,9 @@
     }
     // A look at all that runs everywhere is dear, and what has not helped just
     // now does not help yet.
+    if round.searches >= SEARCHES {
+        return;
+    }
     let again = if gang { LOOK_AGAIN } else { LOOK_AGAIN / 3 };
     if core.searched.get(id).is_some_and(|t| now.saturating_duration_since(*t) < again) {
         return;
@@ -242,6 +251,7 @@
         let mut machines = Vec::new();
         let mut all = Vec::new();
         for _ in 0..tasks {
+            round.searches += 1;
             let found = preempt::victims(&core.world, board, spec, within, &all, !last_resort, |s| {
                 last_resort || whole(s)
             });
--- a/crates/daemon/src/sim.rs
+++ b/crates/daemon/src/sim.rs
@@ -599,7 +599,7 @@
                 self.restart();
                 self.new_map();
             }
-            if self.rng.random_bool(0.002) {
+            if self.rng.random_bool(0.005) {
                 self.cancel();
             }
             self.check_cancelled();
--- a/crates/sched/src/world.rs
+++ b/crates/sched/src/world.rs
@@ -120,9 +120,9 @@
     /// Images used on each machine, the latest last. A guess at its cache.
     pub images: HashMap<Name, VecDeque<(String, f64)>>,
     /// Each machine's owner by the map: hashing them all anew takes long.
-    owners: HashMap<Name, Member>,
+    owners: BTreeMap<Name, Member>,
     /// Machines on which something has changed since [`World::take_touched`].
-    touched: HashSet<Name>,
+    touched: BTreeSet<Name>,
     all_touched: bool,
     /// The job that last asked for GPUs: what room on their machines is kept for.
     pub gpu_spec: Option<Box<JobSpec>>,
@@ -204,7 +204,7 @@
 
     /// The machines on which something has changed since the last call; None
     /// if that may be any.
-    pub fn take_touched(&mut self) -> Option<HashSet<Name>> {
+    pub fn take_touched(&mut self) -> Option<BTreeSet<Name>> {
         let all = std::mem::take(&mut self.all_touched);
         let touched = std::mem::take(&mut self.touched);
         (!all).then_some(touched)
