--- a/crates/daemon/src/fleet_duty.rs
+++ b/crates/daemon/src/fleet_duty.rs
@@ -41,6 +41,8 @@
 /// Of one kind, only so many idle machines are kept for as long as their boot
 /// would cost.
 const IDLE_KEPT: u32 = 2;
+/// Most machines that are told gone before their records are deleted.
+const GONE_MOST: usize = 400;
 /// Between its steps the duty leaves this many times the time that one took.
 const LEAVE: u32 = 8;
 /// Room is kept ready for this long after the latest GPU job.
@@ -79,6 +81,7 @@
             tell(&node.core());
         }
         self.give_back(node).await;
+        self.bury(node).await;
         self.settle_rentals(node).await;
         self.rent(node).await
     }
@@ -328,35 +331,55 @@
     }
 
     /// The release is confirmed: whatever was on the machines is gone.
-    async fn forget(&mut self, node: &Node, mut machines: Vec<Name>) {
-        let ops = node.settings.facts.state.txn_ops;
-        while !machines.is_empty() {
-            let rest = machines.split_off(machines.len().min(ops));
-            let known: Vec<(Name, u64, String)> = {
-                let core = node.core();
-                machines
-                    .iter()
-                    .filter_map(|id| {
-                        core.world.machines.get(id).map(|m| (id.clone(), m.version, m.value.addr.clone()))
-                    })
-                    .collect()
-            };
-            if !known.is_empty() {
-                let conditions =
-                    known.iter().map(|(id, v, _)| Condition { key: key::machine(id), version: *v }).collect();
-                let puts: Vec<Put> = known.iter().map(|(id, ..)| Put::delete(key::machine(id))).collect();
-                // Many at a time would take the changes that the ends of their
-                // tasks need.
-                node.pace_writes(puts.len()).await;
-                write(node, conditions, puts).await;
-                for (_, _, addr) in &known {
-                    node.http.forget(addr);
-                }
+    async fn forget(&mut self, node: &Node, machines: Vec<Name>) {
+        let known: Vec<(Name, String)> = {
+            let core = node.core();
+            let record = |id: &Name| core.world.machines.get(id).map(|m| m.value.addr.clone());
+            machines.iter().filter_map(|id| Some((id.clone(), record(id)?))).take(GONE_MOST).collect()
+        };
+        if known.is_empty() {
+            return;
+        }
+        let add = |f: &mut FleetRecord| {
+            let gone = f.gone.get_or_insert_default();
+            gone.extend(known.iter().map(|(id, _)| id.clone()));
+            gone.sort_unstable();
+            gone.dedup();
+        };
+        if self.put_fleet(node, add).await {
+            for (_, addr) in &known {
+                node.http.forget(addr);
             }
-            machines = rest;
         }
     }
 
+    /// Deletes the records of machines that are gone, while nothing else needs
+    /// the changes.
+    async fn bury(&mut self, node: &Node) {
+        let ops = node.settings.facts.state.txn_ops;
+        let (dead, mut fleet, version) = {
+            let mut core = node.core();
+            let (level, rate) = (core.writes.level(Instant::now()), core.writes.per_second());
+            let Some(f) = &core.world.fleet else { return };
+            let full = f.value.gone.iter().flatten().count() > GONE_MOST / 2;
+            if core.world.gone.is_empty() || level < rate * 0.6 && !full {
+                return;
+            }
+            let dead: Vec<(Name, u64)> =
+                core.world.gone.iter().take(ops - 1).map(|(id, m)| (id.clone(), m.version)).collect();
+            (dead, f.value.clone(), f.version)
+        };
+        if let Some(gone) = &mut fleet.gone {
+            gone.retain(|id| !dead.iter().any(|(d, _)| d == id));
+        }
+        fleet.gone = fleet.gone.filter(|g| !g.is_empty());
+        let mut conditions = vec![Condition { key: key::FLEET.into(), version }];
+        conditions.extend(dead.iter().map(|(id, v)| Condition { key: key::machine(id), version: *v }));
+        let mut puts = vec![Put::new(key::FLEET.into(), &fleet)];
+        puts.extend(dead.iter().map(|(id, _)| Put::delete(key::machine(id))));
+        write(node, conditions, puts).await;
+    }
+
     /// Drops rentals whose machines are all up, and gives up on those that are not.
     async fn settle_rentals(&mut self, node: &Node) {
         let now_ms = wall_ms();
@@ -387,7 +410,7 @@
             if rentals == f.value.rentals && late.is_empty() {
                 return;
             }
-            (FleetRecord { rentals }, f.version, late)
+            (FleetRecord { rentals, gone: f.value.gone.clone() }, f.version, late)
         };
         if !late.is_empty() {
             if node.cloud.release(names(&late)).await.is_err() {
@@ -550,7 +573,9 @@
             let rentals = node.core().world.fleet.as_ref().map_or(0, |f| {
                 // A name takes a character or two beside those before it.
                 let names = |r: &Rental| r.machines.as_ref().map_or(r.count as usize, Vec::len) * 2;
-                f.value.rentals.iter().map(|r| r.request.len() + r.zone.len() + 90 + names(r)).sum::<usize>()
+                let gone = f.value.gone.iter().flatten().count() * 2;
+                let rentals = f.value.rentals.iter().map(|r| r.request.len() + r.zone.len() + 90 + names(r));
+                rentals.sum::<usize>() + gone
             });
             if rentals as f64 > node.value_bytes() * 0.85 {
                 // The record of rentals is full until some of them are up.
@@ -639,6 +664,10 @@
     }
 
     async fn put_rentals(&self, node: &Node, change: impl Fn(&mut Vec<Rental>)) -> bool {
+        self.put_fleet(node, |f| change(&mut f.rentals)).await
+    }
+
+    async fn put_fleet(&self, node: &Node, change: impl Fn(&mut FleetRecord)) -> bool {
         for _ in 0..3 {
             let (mut fleet, version) = {
                 let core = node.core();
@@ -647,7 +676,7 @@
                     .as_ref()
                     .map_or((FleetRecord::default(), 0), |f| (f.value.clone(), f.version))
             };
-            change(&mut fleet.rentals);
+            change(&mut fleet);
             let put = Put::new(key::FLEET.into(), &fleet);
             if write(node, vec![Condition { key: key::FLEET.into(), version }], vec![put]).await {
                 return true;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -201,12 +201,6 @@
         }
     }
 
-    /// Waits until `n` changes may be written by somebody who takes them later.
-    pub async fn pace_writes(&self, n: usize) {
-        let wait = self.core().writes.wait(n as f64, Instant::now());
-        tokio::time::sleep(wait).await;
-    }
-
     /// Waits like [`Inner::may_write`] for a user's change; false at once if that
     /// would take too long.
     pub async fn may_write_now(&self) -> bool {
--- a/crates/sched/src/records.rs
+++ b/crates/sched/src/records.rs
@@ -357,6 +357,10 @@
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct FleetRecord {
     pub rentals: Vec<Rental>,
+    /// Machines whose release the cloud has confirmed, while their own records
+    /// are still to be deleted. One change tells of hundreds.
+    #[serde(default, skip_serializing_if = "Option::is_none", with = "packed::names")]
+    pub gone: Option<Vec<Name>>,
 }
 
 #[cfg(test)]
--- a/crates/sched/src/world.rs
+++ b/crates/sched/src/world.rs
@@ -110,6 +110,8 @@
     pub types: HashMap<String, MachineType>,
     pub types_version: u64,
     pub fleet: Option<Versioned<FleetRecord>>,
+    /// Records of machines that are gone by the fleet's record.
+    pub gone: BTreeMap<Name, Versioned<MachineRecord>>,
     /// Jobs whose records cannot be read. They are known all the same.
     pub unreadable: HashSet<String>,
     /// What each team's assignments take.
@@ -276,6 +278,10 @@
                 if self.machines.get(&id).is_some_and(|m| m.version > version) {
                     return;
                 }
+                if self.is_gone(&id) {
+                    self.gone.insert(id, Versioned { value, version });
+                    return;
+                }
                 if let Some(owner) = self.map.as_ref().and_then(|m| m.value.owner(&id, &value.zone)) {
                     self.owners.insert(id.clone(), owner.clone());
                 }
@@ -286,10 +292,8 @@
                 if self.machines.get(id.as_str()).is_some_and(|m| m.version > version) {
                     return;
                 }
-                self.machines.remove(id.as_str());
-                self.owners.remove(id.as_str());
-                self.images.remove(id.as_str());
-                self.touched.insert(id.into());
+                self.gone.remove(id.as_str());
+                self.drop_machine(&id);
             }
             Change::Team(id, Some(value)) => {
                 if self.teams.get(&id).is_some_and(|t| t.version > version) {
@@ -316,11 +320,33 @@
                     t.map(|t| t.types.into_iter().map(|t| (t.name.clone(), t)).collect()).unwrap_or_default();
                 self.types_version = version;
             }
-            Change::Fleet(f) => self.fleet = f.map(|value| Versioned { value, version }),
+            Change::Fleet(f) => {
+                if self.fleet.as_ref().is_some_and(|f| f.version > version) {
+                    return;
+                }
+                for id in f.iter().flat_map(|f| f.gone.iter().flatten()) {
+                    if let Some(record) = self.drop_machine(id) {
+                        self.gone.insert(id.clone(), record);
+                    }
+                }
+                self.fleet = f.map(|value| Versioned { value, version });
+            }
             Change::Other => {}
         }
     }
 
+    fn is_gone(&self, id: &str) -> bool {
+        let gone = self.fleet.iter().flat_map(|f| f.value.gone.iter().flatten());
+        gone.into_iter().any(|g| **g == *id)
+    }
+
+    fn drop_machine(&mut self, id: &str) -> Option<Versioned<MachineRecord>> {
+        self.owners.remove(id);
+        self.images.remove(id);
+        self.touched.insert(id.into());
+        self.machines.remove(id)
+    }
+
     /// The assignments on a machine, with their jobs.
     pub fn assignments<'a>(
         &'a self,
@@ -360,3 +386,48 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::placement::tests::{add, spec, world};
+    use wire::JobKind;
+
+    fn fleet(gone: &[&str]) -> Change {
+        let gone = Some(gone.iter().map(|g| (*g).into()).collect());
+        Change::Fleet(Some(FleetRecord { rentals: Vec::new(), gone }))
+    }
+
+    /// Hundreds of machines of a lost zone are told gone with one change; their
+    /// own records follow when there is time.
+    #[test]
+    fn machines_are_gone_with_the_fleets_record_whatever_comes_first() {
+        let mut w = world(&[("a1", "m", "a", false), ("a2", "m", "a", false)]);
+        add(&mut w, spec("j-1", JobKind::Array, 1), &[(0, "a1")]);
+        w.apply(fleet(&["a1"]), 5);
+        assert!(!w.machines.contains_key("a1") && w.machines.contains_key("a2"));
+        assert!(w.owner_of("a1").is_none() && w.gone.contains_key("a1"));
+        let record = w.gone["a1"].value.clone();
+        // Read anew, the records may come in any order.
+        w.apply(Change::Machine("a1".into(), Some(record)), 6);
+        assert!(!w.machines.contains_key("a1"));
+        w.apply(fleet(&[]), 7);
+        w.apply(Change::Machine("a1".into(), None), 7);
+        assert!(w.gone.is_empty() && !w.machines.contains_key("a1"));
+        assert_eq!(w.team_use["t"].cpus, 2.0, "the task's end is for its job's record");
+    }
+
+    /// News that comes after what this controller wrote itself.
+    #[test]
+    fn older_news_does_not_undo_newer() {
+        let mut w = world(&[("a1", "m", "a", false)]);
+        let job = JobRecord::new(spec("j-1", JobKind::Array, 2), None, 0);
+        let mut newer = job.clone();
+        newer.phase = Phase::Cancelled;
+        w.apply(Change::Job("j-1".into(), Some(Box::new(newer))), 9);
+        w.apply(Change::Job("j-1".into(), Some(Box::new(job))), 8);
+        assert_eq!(w.jobs["j-1"].value.phase, Phase::Cancelled);
+        w.unread(Change::Job("j-2".into(), None));
+        assert!(w.unreadable.contains("j-2"));
+    }
+}
--- a/crates/store/src/budget.rs
+++ b/crates/store/src/budget.rs
@@ -28,7 +28,7 @@
     }
 
     /// How long until there are `n` units.
-    pub fn wait(&mut self, n: f64, now: Instant) -> Duration {
+    fn wait(&mut self, n: f64, now: Instant) -> Duration {
         self.fill(now);
         Duration::from_secs_f64(((n - self.level) / self.per_s).clamp(0.0, DEBT_S))
     }
