--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -297,6 +297,11 @@
 /// cloud has confirmed the release, and nothing is launched without one.
 fn drop_gone(node: &Node, core: &Core, round: &mut Round, now_ms: u64) {
     for id in &core.world.open {
+        // The rest has its turn in the next rounds: what ends in this one can be
+        // placed in it, too.
+        if round.jobs.len() >= round.most_ended {
+            return;
+        }
         let Some(job) = core.world.jobs.get(id) else { continue };
         if core.world.placer_of(&job.value) != Some(&node.me.name) {
             continue;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -237,7 +237,7 @@
             core.live = state;
             let per_s = self.settings.facts.state.write_rps;
             let others = live as f64 - 1.0;
-            let mine = if leads { 0.7 } else { 0.7 / others.max(1.0) };
+            let mine = if leads { 0.65 } else { 0.45 / others.max(1.0) };
             core.writes.set_rate(per_s * mine, now);
         }
     }
