--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -152,9 +152,7 @@
     let (class, tasks) = (spec.class.clone(), spec.tasks);
     let record = JobRecord::new(spec, part, wall_ms());
     let put = Put::new(key::job(&id), &record);
-    if !node.may_write_now().await {
-        return Reply::busy("too much is being written", 2);
-    }
+    node.write_for_user();
     let conditions = vec![Condition { key: key::job(&id), version: 0 }];
     match node.state.txn(conditions, vec![put]).await {
         Ok(Outcome::Committed { .. }) => {
@@ -195,9 +193,7 @@
                 Err(reply) => return reply,
             },
         }
-        if !node.may_write_now().await {
-            return Reply::busy("too much is being written", 2);
-        }
+        node.write_for_user();
         let Some((mut record, version)) =
             node.core().world.jobs.get(id).map(|j| (j.value.clone(), j.version))
         else {
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -201,21 +201,10 @@
         }
     }
 
-    /// Waits like [`Inner::may_write`] for a user's change; false at once if that
-    /// would take too long.
-    pub async fn may_write_now(&self) -> bool {
-        let wait = {
-            let mut core = self.core();
-            let now = Instant::now();
-            if core.writes.level(now) < -core.writes.per_second() {
-                return false;
-            }
-            core.writes.take(1.0, 0.0, now)
-        };
-        if !wait.is_zero() {
-            tokio::time::sleep(wait).await;
-        }
-        true
+    /// Counts a user's change. It waits for nothing: what the state service does
+    /// not take is answered at once, and the rounds make up for the debt.
+    pub fn write_for_user(&self) {
+        self.core().writes.take(1.0, 0.0, Instant::now());
     }
 
     /// The pause between two requests for changes. There are two kinds of them,
