--- a/crates/daemon/src/fleet_duty.rs
+++ b/crates/daemon/src/fleet_duty.rs
@@ -12,7 +12,7 @@
 use store::{Outcome, Put, key};
 use tokio::time::sleep;
 use tracing::{debug, info, warn};
-use wire::{Condition, JobKind, JobSpec, ListedMachine, MachineStatus, RentRequest};
+use wire::{Condition, JobKind, JobSpec, ListedMachine, MachineStatus, MachineType, RentRequest};
 
 use crate::node::{Core, Node, wall_ms};
 
@@ -459,7 +459,7 @@
                     *in_zone.entry(m.value.zone.clone()).or_default() += 1;
                 }
             }
-            demands.push((job, Demand { spec, tasks, in_zone }));
+            demands.push((job, Demand { spec, tasks, in_zone, unsuited: unsuited(node, core, spec) }));
         }
         // What is to start within a time of its own comes before what is not.
         let in_time = |j: &JobRecord| {
@@ -533,11 +533,19 @@
         let mut demands: Vec<Demand> = demands.into_iter().map(|(_, d)| d).collect();
         let expected = forecast::services(&core.world, now_ms);
         if let Some((spec, tasks)) = &expected {
-            demands.insert(services, Demand { spec, tasks: *tasks, in_zone: HashMap::new() });
+            demands.insert(
+                services,
+                Demand { spec, tasks: *tasks, in_zone: HashMap::new(), unsuited: Vec::new() },
+            );
         }
         let spare = spare_spec(node, core).map(|s| JobSpec { one_zone: false, ..s.clone() });
         if let Some(spec) = &spare {
-            demands.push(Demand { spec, tasks: self.spare_tasks(node, now), in_zone: HashMap::new() });
+            demands.push(Demand {
+                spec,
+                tasks: self.spare_tasks(node, now),
+                in_zone: HashMap::new(),
+                unsuited: Vec::new(),
+            });
         }
         plan(
             &demands,
@@ -715,6 +723,18 @@
     info!(waiting = waiting.join("; "), machines = kinds.join("; "), "cluster");
 }
 
+/// Machine types that fetch a gang's image too slowly, unless all do.
+fn unsuited(node: &Node, core: &Core, spec: &JobSpec) -> Vec<Name> {
+    let wait = node.settings.facts.workers.gang_wait_s;
+    let may = |t: &&MachineType| {
+        Amount::of_task(spec).fits(Amount::of_type(t))
+            && spec.types.as_ref().is_none_or(|l| l.contains(&t.name))
+    };
+    let (slow, quick): (Vec<_>, Vec<_>) =
+        core.world.types.values().filter(may).partition(|t| placement::too_slow(spec, t, wait));
+    if quick.is_empty() { Vec::new() } else { slow.iter().map(|t| t.name.as_str().into()).collect() }
+}
+
 /// Whether an empty machine could hold a task of the job.
 fn fits_machine(spec: &JobSpec, m: &MachineRecord, core: &Core) -> bool {
     placement::allowed(spec, &m.machine_type, &m.zone, m.spot)
--- a/crates/daemon/src/placer.rs
+++ b/crates/daemon/src/placer.rs
@@ -140,7 +140,13 @@
         let size = Amount::of_task(&spec);
         let held = core.reserved.get(&id).map(|(m, _)| m.clone()).unwrap_or_default();
         board.reserve(&held, size, -1.0);
-        let limits = placement::Limits { most, window: node.window(), lossy: false, now_ms };
+        let limits = placement::Limits {
+            most,
+            window: node.window(),
+            lossy: false,
+            gang_wait_s: node.settings.facts.workers.gang_wait_s,
+            now_ms,
+        };
         let claim = if spec.kind == JobKind::Array {
             let of = |gangs| claims.get(&(spec.team.clone(), gangs)).copied().unwrap_or_default();
             if placement::pressed(&job, now_ms) { of(false) } else { of(false).plus(of(true), 1.0) }
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -15,6 +15,8 @@
     pub tasks: u32,
     /// The job's tasks already on machines, by zone.
     pub in_zone: HashMap<Name, u32>,
+    /// Machine types that do not suit the job, though it allows them.
+    pub unsuited: Vec<Name>,
 }
 
 /// Room that will be there: machines that boot.
@@ -77,6 +79,7 @@
             };
             let fits = |c: &Coming| {
                 size.fits(c.free)
+                    && !d.unsuited.contains(&c.machine_type)
                     && allowed(d.spec, &c.machine_type, &c.zone, c.spot)
                     && !kept(d.spec, c.free.gpus, &c.machine_type, &c.zone, c.spot)
                     && room(&c.zone, &fixed, &in_zone)
@@ -90,6 +93,7 @@
             let rentable = |o: &Offer, t: &MachineType| {
                 allowed(d.spec, &o.machine_type, &o.zone, o.spot)
                     && size.fits(Amount::of_type(t))
+                    && !d.unsuited.contains(&o.machine_type)
                     && !kept(d.spec, t.gpus, &o.machine_type, &o.zone, o.spot)
                     && room(&o.zone, &fixed, &in_zone)
                     && planned.get(o).is_none_or(|n| *n < most)
@@ -179,11 +183,15 @@
     let size = Amount::of_task(d.spec);
     let mut zones: BTreeMap<Name, (bool, bool, u32)> = BTreeMap::new();
     for (o, t) in offers {
-        if allowed(d.spec, &o.machine_type, &o.zone, o.spot) && size.fits(Amount::of_type(t)) {
+        let suits = !d.unsuited.contains(&o.machine_type);
+        if suits && allowed(d.spec, &o.machine_type, &o.zone, o.spot) && size.fits(Amount::of_type(t)) {
             zones.entry(o.zone.clone()).or_default().1 |= !blocked(o);
         }
     }
-    for c in pool.iter().filter(|c| allowed(d.spec, &c.machine_type, &c.zone, c.spot)) {
+    let suits = |c: &&Coming| {
+        allowed(d.spec, &c.machine_type, &c.zone, c.spot) && !d.unsuited.contains(&c.machine_type)
+    };
+    for c in pool.iter().filter(suits) {
         if let Some(z) = zones.get_mut(&c.zone) {
             z.2 = z.2.saturating_add(size.times_in(c.free));
             z.0 = z.2 >= d.tasks;
@@ -233,7 +241,7 @@
     use crate::placement::tests::{spec, team, world};
 
     fn demand(spec: &JobSpec, tasks: u32) -> Demand<'_> {
-        Demand { spec, tasks, in_zone: HashMap::new() }
+        Demand { spec, tasks, in_zone: HashMap::new(), unsuited: Vec::new() }
     }
 
     #[test]
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -121,6 +121,8 @@
     pub window: u32,
     /// Whether tasks without GPUs may take room that GPU jobs could use.
     pub lossy: bool,
+    /// How long a gang's tasks wait for each other; 0: without end.
+    pub gang_wait_s: f64,
     pub now_ms: u64,
 }
 
@@ -171,15 +173,25 @@
         true => job.attempt,
         false => job.attempt.max(1),
     };
-    let chosen = if spec.one_zone {
+    let whole = |candidates: &[usize]| {
+        if !spec.one_zone {
+            return choose(world, board, job, &spec, candidates, &wanted, limits);
+        }
         let tries = zones.iter().map(|z| {
             let here: Vec<usize> =
                 candidates.iter().copied().filter(|&i| board.slots[i].zone == *z).collect();
             choose(world, board, job, &spec, &here, &wanted, limits)
         });
         tries.max_by_key(Vec::len).unwrap_or_default()
+    };
+    let chosen = if gang && spec.tasks > 1 && limits.gang_wait_s > 0.0 && job.run.is_empty() {
+        let sets = ready_together(world, board, &spec, &candidates, limits.gang_wait_s);
+        let of_sets = sets.iter().map(|s| whole(s)).find(|c| c.len() == wanted.len());
+        // Better to try than to wait for ever.
+        let tries = waited_s(job, now_ms) >= TRY_ANYHOW_S;
+        of_sets.unwrap_or_else(|| if tries { whole(&candidates) } else { Vec::new() })
     } else {
-        choose(world, board, job, &spec, &candidates, &wanted, limits)
+        whole(&candidates)
     };
     if chosen.is_empty() || (gang && chosen.len() < wanted.len()) {
         return Vec::new();
@@ -206,6 +218,64 @@
     placed
 }
 
+/// Fetches differ by about this much from what their machine type promises.
+const FETCH_VARIES: f64 = 0.25;
+/// A gang that has waited this long is tried on machines of any kind.
+const TRY_ANYHOW_S: f64 = 100.0;
+
+/// About when, at the earliest and at the latest, a machine will have an image.
+fn fetch_s(spec: &JobSpec, gb_per_s: f64) -> (f64, f64) {
+    let usual = spec.image_gb / gb_per_s.max(1e-3);
+    (usual / (1.0 + FETCH_VARIES), usual / (1.0 - FETCH_VARIES))
+}
+
+/// Sets of machines whose images will be there within the time that a gang's
+/// tasks wait for one another. Where one machine has the image and another takes
+/// long to fetch it, the first gives up waiting, the others give up fetching,
+/// and the next try is no better.
+fn ready_together(
+    world: &World,
+    board: &Board,
+    spec: &JobSpec,
+    candidates: &[usize],
+    gang_wait_s: f64,
+) -> Vec<Vec<usize>> {
+    let times: Vec<(usize, f64, f64)> = candidates
+        .iter()
+        .map(|&i| {
+            let s = &board.slots[i];
+            let rate = world.types.get(&*s.machine_type).map_or(0.0, |t| t.fetch_gb_per_s);
+            let (early, late) =
+                if world.has_image(&s.id, &spec.image) { (0.0, 0.0) } else { fetch_s(spec, rate) };
+            (i, early, late)
+        })
+        .collect();
+    let mut starts: Vec<f64> = times.iter().map(|t| t.1).collect();
+    starts.sort_by(f64::total_cmp);
+    starts.dedup();
+    let set = |start: &f64| -> Vec<usize> {
+        let within = |t: &&(usize, f64, f64)| t.1 >= *start && t.2 <= *start + gang_wait_s;
+        times.iter().filter(within).map(|t| t.0).collect()
+    };
+    let mut sets: Vec<Vec<usize>> = starts.iter().map(set).filter(|s| !s.is_empty()).collect();
+    // On one machine there is one fetch for all.
+    let size = Amount::of_task(spec);
+    let one = candidates.iter().find(|&&i| size.times_in(board.slots[i].free()) >= spec.tasks);
+    sets.extend(one.map(|i| vec![*i]));
+    sets
+}
+
+/// Whether new machines of a type are too slow with a gang's image for its tasks
+/// to be ready within the time that they wait for each other.
+pub fn too_slow(spec: &JobSpec, t: &wire::MachineType, gang_wait_s: f64) -> bool {
+    let (early, late) = fetch_s(spec, t.fetch_gb_per_s);
+    spec.kind == JobKind::Gang
+        && spec.tasks > 1
+        && gang_wait_s > 0.0
+        && late - early > gang_wait_s
+        && Amount::of_task(spec).times_in(Amount::of_type(t)) < spec.tasks
+}
+
 /// Whether a job could take room that a gang needs.
 pub fn competes(spec: &JobSpec, gang: &JobSpec) -> bool {
     let types = |a: &JobSpec, b: &JobSpec| match (&a.types, &b.types) {
@@ -238,7 +308,7 @@
         .collect();
     let job = JobRecord::new(spec.clone(), None, 0);
     let wanted: Vec<u32> = (0..tasks).collect();
-    let limits = Limits { most: wanted.len(), window: tasks, lossy: true, now_ms };
+    let limits = Limits { most: wanted.len(), window: tasks, lossy: true, gang_wait_s: 0.0, now_ms };
     let chosen = choose(world, board, &job, spec, &candidates, &wanted, limits);
     chosen.into_iter().map(|(_, i)| board.slots[i].id.clone()).collect()
 }
@@ -538,7 +608,7 @@
 
     fn placed(w: &World, id: &str, team: &Team) -> Vec<(u32, String)> {
         let mut job = w.jobs[id].value.as_ref().clone();
-        let limits = Limits { most: 100, window: 1000, lossy: false, now_ms: 1000 };
+        let limits = Limits { most: 100, window: 1000, lossy: false, gang_wait_s: 0.0, now_ms: 1000 };
         let list = place(w, &mut board(w), &mut job, team, |_| true, limits);
         list.into_iter().map(|a| (a.task, a.machine.to_string())).collect()
     }
@@ -638,7 +708,7 @@
             for id in w.open.clone() {
                 let mut job = w.jobs[&id].value.as_ref().clone();
                 let spec = job.spec.clone().expect("open");
-                let limits = Limits { most: 9, window: 9, lossy: false, now_ms: 1000 };
+                let limits = Limits { most: 9, window: 9, lossy: false, gang_wait_s: 0.0, now_ms: 1000 };
                 let placed = place(&w, &mut b, &mut job, &team(), |_| true, limits);
                 if placed.is_empty() && job.run.is_empty() {
                     let room = collect(&b, &spec, |_| true);
@@ -661,7 +731,7 @@
         add(&mut w, s, &[(0, "a1"), (1, "gone")]);
         let mut job = w.jobs["j-1"].value.as_ref().clone();
         job.end(1, 1, End::Lost, 0, 0);
-        let limits = Limits { most: 9, window: 9, lossy: false, now_ms: 1000 };
+        let limits = Limits { most: 9, window: 9, lossy: false, gang_wait_s: 0.0, now_ms: 1000 };
         let mut whole = job.clone();
         let placed = place(&w, &mut board(&w), &mut whole, &team(), |_| true, limits);
         assert_eq!(placed.len(), 1);
@@ -705,6 +775,34 @@
         assert_eq!(longest_waiting(&w, 80_000), ["j-1"], "one at least");
     }
 
+    #[test]
+    fn a_gangs_machines_have_their_images_at_about_the_same_time() {
+        let mut w = world(&[("a1", "m", "a", false), ("a2", "m", "a", false), ("a3", "m", "a", false)]);
+        let mut s = spec("j-2", JobKind::Gang, 2);
+        (s.cpus, s.image_gb) = (8.0, 40.0);
+        let mut before = spec("j-1", JobKind::Array, 1);
+        before.image_gb = 40.0;
+        add(&mut w, before.clone(), &[(0, "a1")]);
+        w.apply(Change::Job("j-1".into(), None), 3);
+        add(&mut w, s.clone(), &[]);
+        let on = |w: &World, now_ms| -> Vec<String> {
+            let mut job = w.jobs["j-2"].value.as_ref().clone();
+            let limits = Limits { most: 9, window: 9, lossy: false, gang_wait_s: 30.0, now_ms };
+            let placed = place(w, &mut board(w), &mut job, &team(), |_| true, limits);
+            placed.into_iter().map(|a| a.machine.to_string()).collect()
+        };
+        assert_eq!(on(&w, 1000), ["a2", "a3"], "a1 has the image, the others take 40 s");
+        w.apply(Change::Machine("a3".into(), None), 4);
+        assert!(on(&w, 1000).is_empty());
+        assert_eq!(on(&w, 200_000).len(), 2, "better than to wait for ever");
+        let t = w.types["m"].clone();
+        assert!(!too_slow(&s, &t, 30.0));
+        s.image_gb = 80.0;
+        assert!(too_slow(&s, &t, 30.0));
+        s.cpus = 4.0;
+        assert!(!too_slow(&s, &t, 30.0), "one machine holds it all");
+    }
+
     #[test]
     fn a_gang_ends_together() {
         let mut job = JobRecord::new(spec("j-1", JobKind::Gang, 2), None, 0);
