--- a/crates/daemon/src/fleet_duty.rs
+++ b/crates/daemon/src/fleet_duty.rs
@@ -268,6 +268,7 @@
         // silent hundreds of marks would take a minute.
         let mut marks = Vec::new();
         let mut ready = Vec::new();
+        let mut reasons: BTreeMap<&str, Vec<Name>> = BTreeMap::new();
         {
             let core = node.core();
             for (id, why) in list {
@@ -275,9 +276,7 @@
                     Some(m) if why == "idle" && !m.value.release => marks.push((id, m.clone(), why)),
                     _ if self.released.contains_key(&id) => {}
                     _ => {
-                        if why != "marked" {
-                            debug!(machine = &*id, reason = why, "not worth keeping");
-                        }
+                        reasons.entry(why).or_default().push(id.clone());
                         ready.push(id);
                     }
                 }
@@ -312,6 +311,9 @@
         }
         match node.cloud.release(names(&ready)).await {
             Ok(()) => {
+                for (reason, machines) in reasons.into_iter().filter(|(r, _)| *r != "marked") {
+                    info!(?machines, reason, "giving the machines back");
+                }
                 info!(machines = ?ready, "released");
                 for id in &ready {
                     self.released.insert(id.clone(), now);
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -247,9 +247,9 @@
 
     /// Most assignments that one job's record holds within a value's size: each
     /// takes at most three characters for its task, and its machine up to six,
-    /// which others share. Two thirds of the value are theirs.
+    /// which others share.
     pub fn run_max(&self) -> usize {
-        (self.value_bytes() * 0.6 / 3.0).max(4.0) as usize
+        (self.value_bytes() * 0.5 / 3.0).max(4.0) as usize
     }
 
     /// How far beyond the first unfinished task an array's others may start. The
@@ -338,3 +338,45 @@
 pub fn wall_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::settings::tests::EXAMPLE;
+    use sched::world::Change;
+
+    fn summary(name: &str, epoch: u64, state_silent_ms: u64) -> Summary {
+        Summary { name: name.into(), incarnation: 9, epoch, state_silent_ms, machines: Vec::new() }
+    }
+
+    /// A controller that has lost the state service and its peers, but not its
+    /// workers, stops renewing leases in time for every cancellation that others
+    /// may have given meanwhile.
+    #[test]
+    fn renewal_ends_within_the_bound_unless_nobody_can_cancel() {
+        let settings = Settings::parse("example", EXAMPLE).expect("the example is valid");
+        let bound = settings.renewal_bound();
+        let w = &settings.facts.workers;
+        // What is renewed last, by the slowest clock, is over before a cancel
+        // accepted right after the last contact must have taken effect.
+        let over = bound.as_secs_f64() * 1.0005 + w.lease_s * 1.0005;
+        assert!(over < w.cancel_s && bound > Duration::from_secs(5), "{over}");
+        let node = Node::new(settings, Operators::default(), 1);
+        let (start, me) = (Instant::now(), node.me.clone());
+        let mut core = node.core();
+        core.ready = true;
+        core.world.apply(Change::Map(Some(MapRecord { epoch: 4, live: vec![me.clone()] })), 1);
+        core.fresh_at = Some(start);
+        let renews = |core: &Core, at: Duration| core.may_renew(&me, 1, bound, start + at);
+        assert!(renews(&core, bound - Duration::from_millis(1)));
+        assert!(!renews(&core, bound), "no peer says that it has no state service either");
+        let mut hear = |silent_ms, epoch, at| {
+            core.peers.insert("n-1".into(), PeerView { summary: summary("n-1", epoch, silent_ms), at });
+            renews(&core, bound)
+        };
+        assert!(!hear(100, 4, start + bound), "a peer can still take cancellations");
+        assert!(hear(60_000, 4, start + bound), "an outage for all");
+        assert!(!hear(60_000, 4, start), "its word is old");
+        assert!(!hear(60_000, 5, start + bound), "there is a newer map");
+    }
+}
