--- a/crates/daemon/src/fleet_duty.rs
+++ b/crates/daemon/src/fleet_duty.rs
@@ -40,7 +40,7 @@
 const RENT_AT_ONCE: usize = 6;
 /// Of one kind, only so many idle machines are kept for as long as their boot
 /// would cost.
-const IDLE_KEPT: u32 = 4;
+const IDLE_KEPT: u32 = 2;
 /// Most machines that are told gone before their records are deleted.
 const GONE_MOST: usize = 400;
 /// Between its steps the duty leaves this many times the time that one took.
