--- a/crates/daemon/src/client.rs
+++ b/crates/daemon/src/client.rs
@@ -62,7 +62,7 @@
         JobVerb::Withdraw { id } => ("POST", format!("/v1/jobs/{}/withdraw", checked(id)?), Vec::new()),
     };
     let answer =
-        Client::new().request(&args.controller, method, &path, body, wire::BODY_LIMIT, DEADLINE).await?;
+        Client::new(1).request(&args.controller, method, &path, body, wire::BODY_LIMIT, DEADLINE).await?;
     println!("{}", describe(&answer)?);
     Ok(())
 }
--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -296,25 +296,24 @@
 /// Ends assignments on machines without a record: a record goes only after the
 /// cloud has confirmed the release, and nothing is launched without one.
 fn drop_gone(node: &Node, core: &Core, round: &mut Round, now_ms: u64) {
-    for id in &core.world.open {
-        // The rest has its turn in the next rounds: what ends in this one can be
-        // placed in it, too.
-        if round.jobs.len() >= round.most_ended {
-            return;
-        }
-        let Some(job) = core.world.jobs.get(id) else { continue };
-        if core.world.placer_of(&job.value) != Some(&node.me.name) {
-            continue;
-        }
-        let gone = |a: &&Assignment| !core.world.machines.contains_key(&a.machine);
-        if !job.value.run.iter().any(|a| gone(&a)) {
-            continue;
-        }
-        let lost: Vec<(u32, u64)> = job.value.run.iter().filter(gone).map(|a| (a.task, a.attempt)).collect();
-        for (task, attempt) in lost {
+    for machine in &core.world.orphaned {
+        for (id, job, a) in core.world.assignments(machine) {
+            if core.world.placer_of(job) != Some(&node.me.name) {
+                continue;
+            }
+            // The rest has its turn in the next rounds: what ends in this one can
+            // be placed in it, too.
+            if round.jobs.len() >= round.most_ended && !round.jobs.contains_key(id) {
+                continue;
+            }
             if let Some(record) = edit(round, &core.world, id) {
-                record.end(task, attempt, End::Lost, now_ms, 0);
-                round.log.push(Event::Ended { job: id.clone(), task, attempt, how: End::Lost });
+                record.end(a.task, a.attempt, End::Lost, now_ms, 0);
+                round.log.push(Event::Ended {
+                    job: id.to_owned(),
+                    task: a.task,
+                    attempt: a.attempt,
+                    how: End::Lost,
+                });
             }
         }
     }
@@ -478,7 +477,7 @@
         let body = wire::encode(&commands);
         let deadline = Duration::from_millis(2500);
         let answer =
-            node.http.request(&addr, "POST", "/commands", body, wire::BODY_LIMIT * 4, deadline).await;
+            node.workers_http.request(&addr, "POST", "/commands", body, wire::BODY_LIMIT * 4, deadline).await;
         let report = match answer {
             Ok(a) if a.status == 200 || a.status == 409 => wire::decode::<Report>(&a.body).ok(),
             Ok(a) => {
@@ -526,7 +525,7 @@
             tasks.spawn(async move {
                 let deadline = Duration::from_millis(1200);
                 let answer = node
-                    .http
+                    .workers_http
                     .request(&addr, "GET", "/status", Vec::new(), wire::BODY_LIMIT * 4, deadline)
                     .await;
                 let Ok(answer) = answer else { return };
--- a/crates/daemon/src/fleet_duty.rs
+++ b/crates/daemon/src/fleet_duty.rs
@@ -337,7 +337,9 @@
         let known: Vec<(Name, String)> = {
             let core = node.core();
             let record = |id: &Name| core.world.machines.get(id).map(|m| m.value.addr.clone());
-            machines.iter().filter_map(|id| Some((id.clone(), record(id)?))).take(GONE_MOST).collect()
+            let room = core.world.fleet.as_ref().map_or(GONE_MOST, |f| names_left(&f.value, node));
+            let most = room.min(GONE_MOST);
+            machines.iter().filter_map(|id| Some((id.clone(), record(id)?))).take(most).collect()
         };
         if known.is_empty() {
             return;
@@ -350,7 +352,7 @@
         };
         if self.put_fleet(node, add).await {
             for (_, addr) in &known {
-                node.http.forget(addr);
+                node.workers_http.forget(addr);
             }
         }
     }
@@ -580,14 +582,8 @@
             }
         }
         for (offer, count) in kinds.into_iter().take(RENT_AT_ONCE) {
-            let rentals = node.core().world.fleet.as_ref().map_or(0, |f| {
-                // A name takes a character or two beside those before it.
-                let names = |r: &Rental| r.machines.as_ref().map_or(r.count as usize, Vec::len) * 2;
-                let gone = f.value.gone.iter().flatten().count() * 2;
-                let rentals = f.value.rentals.iter().map(|r| r.request.len() + r.zone.len() + 90 + names(r));
-                rentals.sum::<usize>() + gone
-            });
-            if rentals as f64 > node.value_bytes() * 0.85 {
+            let room = node.core().world.fleet.as_ref().map_or(usize::MAX, |f| names_left(&f.value, node));
+            if room < RENT_ROOM + RENT_MAX as usize {
                 // The record of rentals is full until some of them are up.
                 break;
             }
@@ -699,6 +695,20 @@
     }
 }
 
+/// Most characters that a machine's name takes in the fleet's record beside the
+/// one before it: names hold six digits mostly, five bits a character.
+const NAME_CHARS: usize = 4;
+/// What a rental takes, in names, until its machines are known.
+const RENT_ROOM: usize = 60;
+
+/// How many names more the fleet's record surely holds. Without this bound it
+/// could be refused once hundreds of machines are rented and lost at a time, and
+/// nothing would be told gone any more.
+fn names_left(fleet: &FleetRecord, node: &Node) -> usize {
+    let written = Put::new(key::FLEET.into(), fleet).json_len();
+    ((node.value_bytes() * 0.95) as usize).saturating_sub(written) / NAME_CHARS
+}
+
 /// Says in the log what waits, by class, and how full the machines are, by kind.
 fn tell(core: &Core) {
     let mut waiting: BTreeMap<&str, (u32, u32, u32)> = BTreeMap::new();
@@ -787,3 +797,45 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::scale;
+
+    /// Hundreds of rentals and hundreds of machines gone at a time: whatever the
+    /// record is said to have room for, the state service takes.
+    #[test]
+    fn the_fleets_record_never_outgrows_a_value() {
+        let node = scale::node(4, 1);
+        let mut fleet = FleetRecord::default();
+        let mut host = 0u32;
+        while names_left(&fleet, &node) >= RENT_ROOM + RENT_MAX as usize {
+            // Scattered names, as when several controllers' requests cross.
+            host += RENT_MAX;
+            let number = |n: u32| u64::from(host + n) * 7919 % 1_000_000;
+            let names = (0..RENT_MAX).map(|n| format!("host-{:06}", number(n)).as_str().into());
+            fleet.rentals.push(Rental {
+                request: format!("controller-4-{:x}-{host}", u64::MAX >> 12),
+                machine_type: "machine-type".into(),
+                zone: "zone-of-a-name".into(),
+                spot: true,
+                count: RENT_MAX,
+                asked_ms: 1_796_169_600_000,
+                machines: Some(names.collect()),
+            });
+        }
+        let rented = fleet.rentals.len();
+        assert!(rented >= 20, "{rented}");
+        loop {
+            let room = names_left(&fleet, &node).min(GONE_MOST);
+            if room == 0 {
+                break;
+            }
+            let gone = fleet.gone.get_or_insert_default();
+            gone.extend((0..room).map(|n| Name::from(format!("host-{:06}", n * 104_729 % 1_000_000))));
+            let json = serde_json::to_string(&fleet).expect("encodes").len() as f64;
+            assert!(json < node.value_bytes(), "{json}");
+        }
+    }
+}
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -1,5 +1,6 @@
 //! What users and workers ask.
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use net::{Reply, Request};
@@ -13,7 +14,7 @@
 use wire::{Condition, JobSpec, JobState, JobStatus, Redirect, Report, ReportAnswer};
 
 use crate::gossip;
-use crate::node::{Core, Node, wall_ms};
+use crate::node::{Core, Node, View, wall_ms};
 use crate::placer;
 use crate::worker::{Worker, first_token};
 
@@ -39,6 +40,14 @@
     }
 }
 
+/// The kinds of connections that share the front's sockets: their names, and of
+/// which kind a request is.
+pub const SHARES: [&str; 2] = ["workers", "users"];
+
+pub fn share_of(path: &str) -> usize {
+    usize::from(path != "/hello")
+}
+
 fn healthz(node: &Node) -> Reply {
     let core = node.core();
     if core.ready && !core.alone_without_state(Instant::now()) {
@@ -86,22 +95,47 @@
     }
 }
 
+/// How old the view may be by which new jobs are given to the parts. It is only
+/// a choice of who looks for a place; placement looks anew.
+const VIEW_FOR: Duration = Duration::from_millis(500);
+
 /// The part that a new job goes to: the one with most room, if any holds it.
-fn choose_part(node: &Node, spec: &JobSpec) -> Option<String> {
-    let core = node.core();
-    let map = core.map()?;
+pub(crate) fn choose_part(node: &Node, spec: &JobSpec) -> Option<String> {
+    let mut guard = node.core();
+    let core = &mut *guard;
     if placer::collected_for(&core.world, spec, wall_ms()) {
         return None;
     }
-    let (now, report) = (Instant::now(), node.report_every());
-    let board = Board::new(&core.world, |m| core.usable(m, &node.me, report, now));
-    let parts = map.live.iter().filter_map(|m| {
-        let whole = |s: &&Slot| s.owner == m.incarnation && gpu_loss(&core.world, spec, s) == 0;
-        let rooms: Vec<_> = board.slots.iter().filter(whole).cloned().collect();
-        let room: f64 = rooms.iter().map(|s| s.free().cpus).sum();
-        fits_whole(spec, &rooms).then_some((room, m))
+    let now = Instant::now();
+    let epoch = core.map()?.epoch;
+    let fresh = |v: &View| v.epoch == epoch && now.saturating_duration_since(v.at) < VIEW_FOR;
+    let mut view = match core.view.take().filter(fresh) {
+        Some(view) => view,
+        None => {
+            let report = node.report_every();
+            let board = Board::new(&core.world, |m| core.usable(m, &node.me, report, now));
+            let mut parts: BTreeMap<u64, Vec<Slot>> = BTreeMap::new();
+            for s in board.slots {
+                parts.entry(s.owner).or_default().push(s);
+            }
+            View { at: now, epoch, parts, given: BTreeMap::new() }
+        }
+    };
+    let core = &*core;
+    let parts = core.map()?.live.iter().filter_map(|m| {
+        let whole = |s: &&Slot| gpu_loss(&core.world, spec, s) == 0;
+        let slots = view.parts.get(&m.incarnation)?;
+        // What the last jobs will take is not to be seen on the machines yet.
+        let given = view.given.get(&m.incarnation).copied().unwrap_or(0.0);
+        let room = slots.iter().filter(whole).map(|s| s.free().cpus).sum::<f64>() - given;
+        fits_whole(spec, slots.iter().filter(whole)).then_some((room, m))
     });
-    parts.max_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, m)| m.name.clone())
+    let chosen = parts.max_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, m)| (m.incarnation, m.name.clone()));
+    if let Some((part, _)) = &chosen {
+        *view.given.entry(*part).or_default() += spec.cpus * f64::from(spec.tasks);
+    }
+    guard.view = Some(view);
+    chosen.map(|c| c.1)
 }
 
 async fn submit(node: &Node, body: &[u8]) -> Reply {
@@ -368,8 +402,10 @@
 
 async fn answers(node: &Node, machine: &str, record: &MachineRecord) -> bool {
     let deadline = Duration::from_millis(1500);
-    let answer =
-        node.http.request(&record.addr, "GET", "/status", Vec::new(), wire::BODY_LIMIT * 4, deadline).await;
+    let answer = node
+        .workers_http
+        .request(&record.addr, "GET", "/status", Vec::new(), wire::BODY_LIMIT * 4, deadline)
+        .await;
     answer.is_ok_and(|a| wire::decode::<Report>(&a.body).is_ok_and(|r| r.machine == machine))
 }
 
@@ -459,7 +495,8 @@
             }
         };
         let (stop, tasks) = (CancellationToken::new(), TaskTracker::new());
-        tokio::spawn(net::serve(listener, 64, 1 << 16, serve, stop, tasks));
+        let connections = Arc::new(net::Connections::new(64, &[], |_| 0));
+        tokio::spawn(net::serve(listener, connections, 1 << 16, serve, stop, tasks));
         addr
     }
 
@@ -516,7 +553,8 @@
             )
         };
         let (stop, tasks) = (CancellationToken::new(), TaskTracker::new());
-        tokio::spawn(net::serve(listener, 64, 1 << 16, serve, stop, tasks));
+        let connections = Arc::new(net::Connections::new(64, &[], |_| 0));
+        tokio::spawn(net::serve(listener, connections, 1 << 16, serve, stop, tasks));
         let node = node("127.0.0.1:1".into()).await;
         let record = |addr: &str| MachineRecord {
             addr: addr.into(),
--- a/crates/daemon/src/gossip.rs
+++ b/crates/daemon/src/gossip.rs
@@ -12,7 +12,7 @@
 
 const LARGE: usize = 1 << 20;
 
-fn summary(node: &Node) -> Summary {
+pub(crate) fn summary(node: &Node) -> Summary {
     let core = node.core();
     let now = Instant::now();
     let ms = |d: Duration| d.as_millis() as u64;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -7,6 +7,8 @@
 mod gossip;
 mod node;
 mod placer;
+#[cfg(test)]
+mod scale;
 mod settings;
 #[cfg(test)]
 mod sim;
@@ -130,7 +132,6 @@
     // Also part of names that must never be used again, hence drawn anew.
     let incarnation = rand::rng().random::<u64>() >> 12;
     info!(name = settings.node_name, zone = settings.zone, incarnation, "starting");
-    let sockets = settings.facts.limits.max_connections;
     let addresses: Vec<String> = settings.peers.iter().map(|p| p.address.clone()).collect();
     let node = Node::new(settings, operators, incarnation);
     node.spawn_duty(state_duty::mirror(node.clone()));
@@ -147,7 +148,7 @@
     let peers = move |request| gossip::serve(n.clone(), request);
     node.spawn_duty(net::serve(
         peer_listener,
-        sockets / 16,
+        node.internal.clone(),
         1 << 20,
         peers,
         node.stop.clone(),
@@ -155,11 +156,9 @@
     ));
     let n = node.clone();
     let users = move |request| front::serve(n.clone(), request);
-    // The rest of the sockets is for connections that this process opens.
-    let most = sockets * 3 / 4;
     node.spawn_duty(net::serve(
         front_listener,
-        most,
+        node.front.clone(),
         wire::BODY_LIMIT,
         users,
         node.stop.clone(),
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -5,8 +5,9 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use cloud::CloudClient;
-use net::Client;
+use net::{Client, Connections};
 use peer::{MachineRow, Summary};
+use sched::placement::Slot;
 use sched::records::{End, MachineRecord, MapRecord, Member, Name};
 use sched::world::{Team, World};
 use store::{Budget, StateClient};
@@ -15,6 +16,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::front;
 use crate::settings::{Operators, Settings};
 use crate::worker::{Key, Limits, Worker};
 
@@ -33,7 +35,12 @@
     pub me: Member,
     pub state: StateClient,
     pub cloud: CloudClient,
+    /// To the state service, the cloud and the peers.
     pub http: Client,
+    /// To workers: however many they are, the others are always reached.
+    pub workers_http: Client,
+    pub front: Arc<Connections>,
+    pub internal: Arc<Connections>,
     core: Mutex<Core>,
     /// Something changed that a round of decisions should look at.
     pub kick: Notify,
@@ -76,6 +83,16 @@
     pub at: Instant,
 }
 
+/// The machines of each part, by their owner's incarnation, as new jobs are given
+/// to the parts by.
+pub struct View {
+    pub at: Instant,
+    pub epoch: u64,
+    pub parts: BTreeMap<u64, Vec<Slot>>,
+    /// CPUs of the jobs that each part was given since.
+    pub given: BTreeMap<u64, f64>,
+}
+
 pub struct Core {
     pub world: World,
     /// The records have been read at least once.
@@ -104,11 +121,13 @@
     pub shunned: HashMap<String, Instant>,
     /// Machines that reported and have no record yet.
     pub arrivals: HashMap<Name, MachineRecord>,
+    pub view: Option<View>,
 }
 
 impl Node {
     pub fn new(settings: Settings, operators: Operators, incarnation: u64) -> Self {
-        let http = Client::new();
+        let sockets = settings.sockets();
+        let http = Client::new(sockets.others);
         let now = Instant::now();
         let per_s = settings.facts.state.write_rps;
         let core = Core {
@@ -128,6 +147,7 @@
             handed: BTreeMap::new(),
             shunned: HashMap::new(),
             arrivals: HashMap::new(),
+            view: None,
         };
         Self(Arc::new(Inner {
             teams: settings.teams(),
@@ -135,6 +155,13 @@
             state: StateClient::new(http.clone(), settings.external.state.clone()),
             cloud: CloudClient::new(http.clone(), settings.external.cloud.clone()),
             http,
+            workers_http: Client::new(sockets.to_workers),
+            front: Arc::new(Connections::new(
+                sockets.front,
+                &[(front::SHARES[0], sockets.workers_kept), (front::SHARES[1], sockets.users_kept)],
+                front::share_of,
+            )),
+            internal: Arc::new(Connections::new(sockets.peers, &[], |_| 0)),
             core: Mutex::new(core),
             kick: Notify::new(),
             gossip: Notify::new(),
--- a/crates/daemon/src/placer.rs
+++ b/crates/daemon/src/placer.rs
@@ -1,6 +1,6 @@
 //! Which waiting jobs start, and what makes way for them.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::{Duration, Instant};
 
 use sched::forecast;
@@ -105,18 +105,21 @@
         }
     }
     let leads = core.leads(me);
-    core.reserved.retain(|id, (_, until)| queue.contains(id) && now < *until);
-    core.searched.retain(|_, t| now.saturating_duration_since(*t) < LOOK_AGAIN);
-    for (id, (machines, _)) in &core.reserved {
-        let Some(spec) = core.world.jobs.get(id).and_then(|j| j.value.spec.as_deref()) else { continue };
+    let Core { world, reserved, searched, .. } = core;
+    let world: &World = world;
+    reserved.retain(|id, (_, until)| queue.contains(id) && now < *until);
+    searched.retain(|_, t| now.saturating_duration_since(*t) < LOOK_AGAIN);
+    let mut running: Option<preempt::Running> = None;
+    for (id, (machines, _)) in reserved.iter() {
+        let Some(spec) = world.jobs.get(id).and_then(|j| j.value.spec.as_deref()) else { continue };
         board.reserve(machines, Amount::of_task(spec), 1.0);
     }
     // Services start within seconds, on room that is there: some is kept from
     // everything else.
-    let mut expected = forecast::services(&core.world, now_ms);
+    let mut expected = forecast::services(world, now_ms);
     for id in queue {
         let full = node.run_max();
-        let Some(old) = round.jobs.get(&id).or_else(|| core.world.jobs.get(&id).map(|j| &j.value)) else {
+        let Some(old) = round.jobs.get(&id).or_else(|| world.jobs.get(&id).map(|j| &j.value)) else {
             continue;
         };
         let mut job = old.clone();
@@ -131,14 +134,14 @@
         if spec.kind != JobKind::Service
             && let Some((service, tasks)) = expected.take()
         {
-            let room = placement::room_for(&core.world, &board, &service, tasks, now_ms);
+            let room = placement::room_for(world, &board, &service, tasks, now_ms);
             board.reserve(&room, Amount::of_task(&service), 1.0);
         }
         let in_part = job.part.as_deref() == Some(me.name.as_str());
         let reach = |s: &placement::Slot| leads && !in_part || s.owner == me.incarnation;
         let most = full.saturating_sub(job.run.len());
         let size = Amount::of_task(&spec);
-        let held = core.reserved.get(&id).map(|(m, _)| m.clone()).unwrap_or_default();
+        let held = reserved.get(&id).map(|(m, _)| m.clone()).unwrap_or_default();
         board.reserve(&held, size, -1.0);
         let limits = placement::Limits {
             most,
@@ -155,13 +158,13 @@
         };
         claim_share(&mut board, &spec.team, claim, 1.0);
         // What the leader collects room for comes first.
-        let mut placed = if in_part && collected_for(&core.world, &spec, now_ms) {
+        let mut placed = if in_part && collected_for(world, &spec, now_ms) {
             Vec::new()
         } else {
-            placement::place(&core.world, &mut board, &mut job, team, reach, limits)
+            placement::place(world, &mut board, &mut job, team, reach, limits)
         };
         claim_share(&mut board, &spec.team, claim, -1.0);
-        let whole = |s: &placement::Slot| placement::gpu_loss(&core.world, &spec, s) == 0;
+        let whole = |s: &placement::Slot| placement::gpu_loss(world, &spec, s) == 0;
         // A service that finds no other room takes, in this order: room that was
         // made for it, room of array tasks, room that GPU jobs could use, and at
         // last the place of a GPU job.
@@ -170,12 +173,13 @@
             let limits = placement::Limits { lossy: true, ..limits };
             if !held.is_empty() {
                 let here = |s: &placement::Slot| held.contains(&s.id);
-                placed = placement::place(&core.world, &mut board, &mut job, team, here, limits);
+                placed = placement::place(world, &mut board, &mut job, team, here, limits);
             } else if round.searches >= SEARCHES || {
                 round.searches += 1;
-                preempt::victims(&core.world, &board, &spec, &within, &[], true, whole).is_none()
+                let running = running.get_or_insert_with(|| preempt::Running::new(world, &board));
+                preempt::victims(running, &board, &spec, &within, &[], true, whole).is_none()
             } {
-                placed = placement::place(&core.world, &mut board, &mut job, team, reach, limits);
+                placed = placement::place(world, &mut board, &mut job, team, reach, limits);
                 last_resort = placed.is_empty();
             }
         }
@@ -183,7 +187,7 @@
             round.log.push(Event::Placed { job: id.clone(), tasks: placed.len(), attempt: job.attempt });
             round.teams.insert(spec.team.clone());
             round.placing.insert(id.clone());
-            core.reserved.remove(&id);
+            reserved.remove(&id);
             round.jobs.insert(id, job);
             continue;
         }
@@ -198,10 +202,11 @@
             continue;
         }
         let needs = Needs { id: &id, job: &job, last_resort, within: &within, now, now_ms };
-        make_room(node, core, round, &mut board, &needs);
+        let mut search = Search { world, reserved, searched, running: &mut running };
+        make_room(node, &mut search, round, &mut board, &needs);
         // A large gang never starts if smaller work takes every place that comes
         // free: what is there is kept for it until the rest is.
-        if longest.contains(&id) && !core.reserved.contains_key(&id) {
+        if longest.contains(&id) && !reserved.contains_key(&id) {
             let in_use = board.team_use.get(&spec.team).copied().unwrap_or_default();
             let quota = team.limit().plus(Amount { memory_gb: 0.0, ..in_use }, -1.0);
             if size.times_in(quota) >= spec.tasks {
@@ -224,15 +229,24 @@
     now_ms: u64,
 }
 
+/// What a search for room looks at and leaves behind.
+struct Search<'a, 'w> {
+    world: &'w World,
+    reserved: &'a mut HashMap<String, (Vec<Name>, Instant)>,
+    searched: &'a mut HashMap<String, Instant>,
+    running: &'a mut Option<preempt::Running<'w>>,
+}
+
 /// Stops what may be stopped so that the job, or the first tasks of it, will fit.
-fn make_room(node: &Node, core: &mut Core, round: &mut Round, board: &mut Board, needs: &Needs) {
+fn make_room(node: &Node, search: &mut Search, round: &mut Round, board: &mut Board, needs: &Needs) {
     let Needs { id, job, last_resort, within, now, now_ms } = *needs;
+    let world = search.world;
     let Some(spec) = job.spec.as_deref() else { return };
     let Some(team) = node.team(&spec.team) else { return };
     let size = Amount::of_task(spec);
     let gang = spec.kind == JobKind::Gang;
     let quiet = placement::retry_at_ms(job) <= now_ms && (!gang || job.run.is_empty());
-    if core.reserved.contains_key(id) || !quiet {
+    if search.reserved.contains_key(id) || !quiet {
         return;
     }
     // A look at all that runs everywhere is dear, and what has not helped just
@@ -241,24 +255,25 @@
         return;
     }
     let again = if gang { LOOK_AGAIN } else { LOOK_AGAIN / 3 };
-    if core.searched.get(id).is_some_and(|t| now.saturating_duration_since(*t) < again) {
+    if search.searched.get(id).is_some_and(|t| now.saturating_duration_since(*t) < again) {
         return;
     }
-    core.searched.insert(id.to_owned(), now);
+    search.searched.insert(id.to_owned(), now);
     // A gang needs room for all its tasks; others start as room is made.
     let tasks = if gang { spec.tasks } else { placement::pending_count(job).min(PREEMPT_MOST) };
-    let in_use = core.world.team_use.get(&spec.team).copied().unwrap_or_default();
+    let in_use = world.team_use.get(&spec.team).copied().unwrap_or_default();
     let quota = team.limit().plus(Amount { memory_gb: 0.0, ..in_use }, -1.0);
-    let whole = |s: &placement::Slot| placement::gpu_loss(&core.world, spec, s) == 0;
+    let whole = |s: &placement::Slot| placement::gpu_loss(world, spec, s) == 0;
     let (machines, victims, save) = if size.times_in(quota) < tasks {
-        let Some(victims) = preempt::within_team(&core.world, board, spec, tasks, team) else { return };
+        let Some(victims) = preempt::within_team(world, board, spec, tasks, team) else { return };
         (Vec::new(), victims, 0.0)
     } else {
         let mut machines = Vec::new();
         let mut all = Vec::new();
         for _ in 0..tasks {
             round.searches += 1;
-            let found = preempt::victims(&core.world, board, spec, within, &all, !last_resort, |s| {
+            let running = search.running.get_or_insert_with(|| preempt::Running::new(world, board));
+            let found = preempt::victims(running, board, spec, within, &all, !last_resort, |s| {
                 last_resort || whole(s)
             });
             let Some((machine, victims)) = found else { break };
@@ -271,14 +286,14 @@
             return;
         }
         let save = |v: &preempt::Victim| {
-            core.world.jobs.get(&v.job).and_then(|j| j.value.spec.as_ref()).map_or(0.0, |s| s.save_s)
+            world.jobs.get(&v.job).and_then(|j| j.value.spec.as_ref()).map_or(0.0, |s| s.save_s)
         };
         let save = all.iter().map(save).fold(0.0, f64::max).min(600.0);
         (machines, all, save)
     };
-    core.reserved.insert(id.to_owned(), (machines, now + RESERVE_FOR + Duration::from_secs_f64(save)));
+    search.reserved.insert(id.to_owned(), (machines, now + RESERVE_FOR + Duration::from_secs_f64(save)));
     for v in victims {
-        let Some(record) = edit(round, &core.world, &v.job) else { continue };
+        let Some(record) = edit(round, world, &v.job) else { continue };
         preempt::mark(record, &v);
         round.log.push(Event::Preempted { by: id.to_owned(), victim: v });
     }
--- /dev/null
+++ b/crates/daemon/src/scale.rs
@@ -0,0 +1,196 @@
+//! Two thousand machines and ten thousand tasks, of which a controller owns its
+//! part or, left alone, all. What a round costs is counted, not timed.
+
+use std::time::{Duration, Instant};
+
+use sched::placement::{Board, Limits, place};
+use sched::records::*;
+use sched::world::{Change, World};
+use wire::{JobKind, JobSpec, MachineType, Priority, Report, TaskReport, TaskState};
+
+use crate::engine;
+use crate::node::{Core, Node};
+use crate::settings::tests::EXAMPLE;
+use crate::settings::{Operators, Settings};
+use crate::worker::tests::spec;
+use crate::worker::{Worker, first_token};
+
+const ZONES: [&str; 4] = ["a", "b", "c", "d"];
+const EPOCH: u64 = 7;
+const NOW_MS: u64 = 500_000;
+
+fn kind(name: &str, cpus: f64, gpus: f64) -> MachineType {
+    MachineType {
+        name: name.into(),
+        cpus,
+        gpus,
+        memory_gb: cpus * 4.0,
+        cache_gb: 50.0,
+        fetch_gb_per_s: 0.5,
+        price: cpus * 0.05 + gpus * 2.0,
+        spot_price: cpus * 0.01 + gpus * 0.7,
+        boot_s: 30.0,
+        zones: ZONES.map(Into::into).to_vec(),
+    }
+}
+
+fn apply(world: &mut World, change: Change) {
+    let version = world.revision + 1;
+    world.apply(change, version);
+    world.revision = version;
+}
+
+/// The leader of `live` controllers, with so many empty machines of five kinds.
+pub fn node(machines: usize, live: usize) -> Node {
+    let mut settings = Settings::parse("example", EXAMPLE).expect("the example is valid");
+    (settings.facts.teams[0].cpus, settings.facts.teams[0].cpus_max) = (1e6, 1e6);
+    let node = Node::new(settings, Operators::default(), 1);
+    let kinds = [kind("s", 4.0, 0.0), kind("m", 8.0, 0.0), kind("l", 16.0, 0.0), kind("g", 16.0, 2.0)];
+    let mut core = node.core();
+    let w = &mut core.world;
+    apply(w, Change::Types(Some(TypesRecord { types: kinds.to_vec() })));
+    let mut members = vec![node.me.clone()];
+    members.extend((1..live).map(|n| Member {
+        name: format!("n-{n}"),
+        zone: ZONES[n % 4].into(),
+        incarnation: 1 + n as u64,
+    }));
+    apply(w, Change::Leader(Some(node.me.clone())));
+    apply(w, Change::Map(Some(MapRecord { epoch: EPOCH, live: members })));
+    for n in 0..machines {
+        let record = MachineRecord {
+            addr: "10.1.0.1:9000".into(),
+            machine_type: kinds[n / 4 % 4].name.as_str().into(),
+            zone: ZONES[n % 4].into(),
+            spot: false,
+            release: false,
+        };
+        apply(w, Change::Machine(format!("host-{n:06}"), Some(record)));
+    }
+    core.ready = true;
+    drop(core);
+    node
+}
+
+/// Adds a job; it is placed as far as there is room.
+fn add(node: &Node, board: &mut Board, core: &mut Core, spec: JobSpec) {
+    let id = spec.id.clone();
+    let mut job = JobRecord::new(spec, None, 1000);
+    let limits = Limits { most: 400, window: 9999, lossy: true, gang_wait_s: 30.0, now_ms: NOW_MS };
+    place(&core.world, board, &mut job, &node.teams[0], |_| true, limits);
+    apply(&mut core.world, Change::Job(id, Some(Box::new(job))));
+}
+
+/// Fills the machines with services, gangs and arrays; their workers report what
+/// the records say.
+fn fill(node: &Node, now: Instant) {
+    let mut core = node.core();
+    let mut board = Board::new(&core.world, |_| true);
+    for n in 0..600 {
+        let mut s = spec(&format!("j-{n:06}"), [JobKind::Service, JobKind::Gang, JobKind::Array][n % 3]);
+        s.image = format!("i-{}", n % 40);
+        match s.kind {
+            JobKind::Service => {
+                (s.tasks, s.cpus, s.spread, s.priority) =
+                    ([2, 4, 9, 16][n / 3 % 4], 4.0, true, Priority::Production);
+            }
+            JobKind::Gang => (s.tasks, s.cpus, s.gpus, s.one_zone) = ([1, 2, 4][n / 3 % 3], 14.0, 2.0, true),
+            JobKind::Array => (s.tasks, s.cpus) = (70, 1.2),
+        }
+        add(node, &mut board, &mut core, s);
+    }
+    let ids: Vec<Name> = core.world.owned_by(&node.me).cloned().collect();
+    for id in ids {
+        let running = |(job, _, a): (&str, &JobRecord, &Assignment)| TaskReport {
+            task: format!("{job}/{}", a.task),
+            attempt: a.attempt,
+            state: TaskState::Running,
+            cause: None,
+            saved: None,
+        };
+        let report = Report {
+            machine: id.to_string(),
+            addr: "10.1.0.1:9000".into(),
+            machine_type: "m".into(),
+            zone: "a".into(),
+            spot: false,
+            session: 1,
+            seq: 1,
+            token: first_token(EPOCH),
+            notice_s: None,
+            tasks: core.world.assignments(&id).map(running).collect(),
+        };
+        let mut worker = Worker::new(report.addr.clone(), EPOCH, now);
+        worker.ingest(report, true, now);
+        worker.renew(now);
+        core.workers.insert(id, worker);
+    }
+    core.fresh_at = Some(now);
+}
+
+fn due(core: &Core, now: Instant) -> usize {
+    core.workers.values().filter(|w| w.due(now)).count()
+}
+
+#[test]
+fn a_round_looks_only_at_machines_with_news() {
+    let node = node(2000, 1);
+    let now = Instant::now();
+    fill(&node, now);
+    let mut core = node.core();
+    let tasks: usize = core.world.on_machine.values().flatten().map(|(_, t)| t.len()).sum();
+    assert!(core.workers.len() == 2000 && tasks > 10_000, "{} machines, {tasks} tasks", core.workers.len());
+    let round = engine::decide(&node, &mut core, false, 0, now, NOW_MS).expect("entitled");
+    assert!(round.sends.is_empty(), "what runs is left alone");
+    assert_eq!(due(&core, now + Duration::from_millis(100)), 0, "nothing is open");
+    // One job is cancelled: only its machines are looked at.
+    let id = core.world.open.iter().next().expect("some").clone();
+    let mut job = core.world.jobs[&id].value.clone();
+    job.phase = Phase::Cancelled;
+    let machines: std::collections::BTreeSet<_> = job.run.iter().map(|a| a.machine.clone()).collect();
+    apply(&mut core.world, Change::Job(id, Some(job)));
+    let later = now + Duration::from_millis(200);
+    let round = engine::decide(&node, &mut core, false, 0, later, NOW_MS).expect("entitled");
+    let sent: std::collections::BTreeSet<_> = round.sends.iter().map(|s| s.0.clone()).collect();
+    assert!(sent == machines && !sent.is_empty());
+}
+
+/// A zone of hundreds of machines is lost at once. Each job with something on them
+/// costs one change for all its ends, whatever their number, and what is placed
+/// anew in the same round costs no further one but its team's.
+#[test]
+fn a_lost_zone_costs_a_change_for_each_job() {
+    let node = node(2000, 1);
+    let now = Instant::now();
+    fill(&node, now);
+    let mut core = node.core();
+    let lost: Vec<Name> =
+        core.world.machines.iter().filter(|(_, m)| *m.value.zone == *"d").map(|(id, _)| id.clone()).collect();
+    assert_eq!(lost.len(), 500);
+    let hit: std::collections::BTreeSet<String> =
+        lost.iter().flat_map(|id| core.world.assignments(id).map(|(job, ..)| job.to_owned())).collect();
+    apply(
+        &mut core.world,
+        Change::Fleet(Some(FleetRecord { rentals: Vec::new(), gone: Some(lost.clone()) })),
+    );
+    let mut changes = 0;
+    let mut rounds = 0;
+    while !core.world.orphaned.is_empty() {
+        rounds += 1;
+        assert!(rounds < 200, "{} left", core.world.orphaned.len());
+        let at = now + Duration::from_millis(100 * rounds);
+        let mut round = engine::decide(&node, &mut core, false, 16, at, NOW_MS).expect("entitled");
+        let (_, puts, left_out, teams) = engine::assemble(&core.world, &round, 16, 8192.0);
+        changes += puts.len();
+        for (id, record) in std::mem::take(&mut round.jobs) {
+            if !left_out.contains(&id) {
+                apply(&mut core.world, Change::Job(id, Some(record)));
+            }
+        }
+        for (team, record) in teams {
+            apply(&mut core.world, Change::Team(team, Some(record)));
+        }
+    }
+    assert!(hit.len() > 100, "{}", hit.len());
+    assert!(changes <= hit.len() * 3 / 2, "{changes} changes for {} jobs", hit.len());
+}
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -231,6 +231,20 @@
         Some((least, times.into_iter().fold(least, f64::max)))
     }
 
+    pub fn sockets(&self) -> Sockets {
+        let all = self.facts.limits.max_connections;
+        let sixteenth = (all / 16).max(1);
+        Sockets {
+            front: sixteenth * 9,
+            workers_kept: sixteenth * 6,
+            users_kept: sixteenth * 2,
+            peers: sixteenth,
+            to_workers: sixteenth * 4,
+            // What is left is for listeners, files and what is being closed.
+            others: sixteenth,
+        }
+    }
+
     /// How long a controller that cannot confirm its authority still answers
     /// reports. Everything it renews until then is over before a cancellation
     /// that it cannot know of must have taken effect.
@@ -240,6 +254,23 @@
     }
 }
 
+/// How the sockets that a process may have are shared. None of the purposes can
+/// use up those of another.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Sockets {
+    /// Connections from workers and users together, and how many of each kind stay
+    /// open between requests. The rest is for those that are closed after an answer.
+    pub front: usize,
+    pub workers_kept: usize,
+    pub users_kept: usize,
+    /// Connections from peers.
+    pub peers: usize,
+    /// Connections to workers.
+    pub to_workers: usize,
+    /// Connections to the state service, the cloud and peers.
+    pub others: usize,
+}
+
 /// The operators' own settings. Every attribute has a default.
 #[derive(Debug, Clone, PartialEq, Deserialize, Default)]
 #[serde(deny_unknown_fields, default)]
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -1,5 +1,5 @@
-use std::collections::HashMap;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::collections::{BTreeMap, HashMap};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -7,7 +7,8 @@
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::sync::Semaphore;
+use tokio::time::{Instant, timeout_at};
 
 #[derive(Debug, thiserror::Error)]
 pub enum NetError {
@@ -25,45 +26,106 @@
     pub body: Bytes,
 }
 
-type Idle = HashMap<String, Vec<SendRequest<Full<Bytes>>>>;
+type Sender = SendRequest<Full<Bytes>>;
 
 const IDLE_PER_HOST: usize = 4;
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1500);
 
-/// A client that keeps a few idle connections for each address.
-#[derive(Clone, Default)]
-pub struct Client {
-    idle: Arc<Mutex<Idle>>,
+/// Connections without a request, each with its place in the order of last use.
+#[derive(Default)]
+struct Idle {
+    by_addr: HashMap<String, Vec<(u64, Sender)>>,
+    by_use: BTreeMap<u64, String>,
+    uses: u64,
 }
 
-impl Client {
-    pub fn new() -> Self {
-        Self::default()
-    }
-
-    fn take_idle(&self, addr: &str) -> Option<SendRequest<Full<Bytes>>> {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let list = idle.get_mut(addr)?;
-        while let Some(sender) = list.pop() {
+impl Idle {
+    fn take(&mut self, addr: &str) -> Option<Sender> {
+        let list = self.by_addr.get_mut(addr)?;
+        let mut found = None;
+        while let Some((at, sender)) = list.pop() {
+            self.by_use.remove(&at);
             if !sender.is_closed() && sender.is_ready() {
-                return Some(sender);
+                found = Some(sender);
+                break;
             }
         }
-        None
+        if list.is_empty() {
+            self.by_addr.remove(addr);
+        }
+        found
     }
 
-    fn keep(&self, addr: &str, sender: SendRequest<Full<Bytes>>) {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let list = idle.entry(addr.to_owned()).or_default();
-        list.retain(|s| !s.is_closed());
+    fn keep(&mut self, addr: &str, sender: Sender) {
+        let list = self.by_addr.entry(addr.to_owned()).or_default();
+        let by_use = &mut self.by_use;
+        list.retain(|(at, s)| {
+            let open = !s.is_closed();
+            if !open {
+                by_use.remove(at);
+            }
+            open
+        });
         if list.len() < IDLE_PER_HOST {
-            list.push(sender);
+            self.uses += 1;
+            list.push((self.uses, sender));
+            self.by_use.insert(self.uses, addr.to_owned());
+        }
+    }
+
+    fn forget(&mut self, addr: &str) {
+        for (at, _) in self.by_addr.remove(addr).unwrap_or_default() {
+            self.by_use.remove(&at);
+        }
+    }
+
+    /// Closes those that were not used for longest, until there are `most`.
+    fn shrink(&mut self, most: usize) {
+        while self.by_use.len() > most
+            && let Some((at, addr)) = self.by_use.pop_first()
+        {
+            if let Some(list) = self.by_addr.get_mut(&addr) {
+                list.retain(|(a, _)| *a != at);
+                if list.is_empty() {
+                    self.by_addr.remove(&addr);
+                }
+            }
         }
     }
+}
+
+/// A client that keeps a few idle connections for each address, and never has
+/// more connections open than it was made for: those idle for longest are closed
+/// when others are needed, and a request waits for its turn, within its deadline.
+#[derive(Clone)]
+pub struct Client {
+    idle: Arc<Mutex<Idle>>,
+    most: usize,
+    turns: Arc<Semaphore>,
+}
+
+impl Client {
+    pub fn new(most: usize) -> Self {
+        let most = most.clamp(1, Semaphore::MAX_PERMITS);
+        Self { idle: Arc::default(), most, turns: Arc::new(Semaphore::new(most)) }
+    }
+
+    fn idle(&self) -> MutexGuard<'_, Idle> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn in_use(&self) -> usize {
+        self.most - self.turns.available_permits()
+    }
+
+    /// How many connections are open, idle ones too.
+    pub fn open(&self) -> usize {
+        self.in_use() + self.idle().by_use.len()
+    }
 
     /// Drops the idle connections to an address that is not needed any more.
     pub fn forget(&self, addr: &str) {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner).remove(addr);
+        self.idle().forget(addr);
     }
 
     /// Sends one request and reads the whole answer before the deadline.
@@ -77,9 +139,19 @@
         deadline: Duration,
     ) -> Result<Answer, NetError> {
         let unknown = |why: String| NetError::Unknown(addr.to_owned(), why);
-        let mut sender = match self.take_idle(addr) {
+        let busy = || NetError::Connect(addr.to_owned(), "too many requests are open".into());
+        let until = Instant::now() + deadline;
+        let turn = timeout_at(until, self.turns.acquire()).await;
+        let _turn = turn.ok().and_then(Result::ok).ok_or_else(busy)?;
+        let idle = {
+            let mut idle = self.idle();
+            let found = idle.take(addr);
+            idle.shrink(self.most - self.in_use());
+            found
+        };
+        let mut sender = match idle {
             Some(sender) => sender,
-            None => self.connect(addr, deadline.min(CONNECT_TIMEOUT)).await?,
+            None => self.connect(addr, until.min(Instant::now() + CONNECT_TIMEOUT)).await?,
         };
         let request = hyper::Request::builder()
             .method(method)
@@ -103,16 +175,19 @@
             Ok::<_, NetError>((Answer { status, body }, closing))
         };
         let (answer, closing) =
-            timeout(deadline, exchange).await.map_err(|_| unknown("deadline passed".into()))??;
+            timeout_at(until, exchange).await.map_err(|_| unknown("deadline passed".into()))??;
         if !closing && sender.ready().await.is_ok() {
-            self.keep(addr, sender);
+            let mut idle = self.idle();
+            idle.keep(addr, sender);
+            // This request's own turn passes on to the idle connection.
+            idle.shrink(self.most + 1 - self.in_use());
         }
         Ok(answer)
     }
 
-    async fn connect(&self, addr: &str, limit: Duration) -> Result<SendRequest<Full<Bytes>>, NetError> {
+    async fn connect(&self, addr: &str, until: Instant) -> Result<Sender, NetError> {
         let failed = |why: String| NetError::Connect(addr.to_owned(), why);
-        let stream = timeout(limit, TcpStream::connect(addr))
+        let stream = timeout_at(until, TcpStream::connect(addr))
             .await
             .map_err(|_| failed("timed out".into()))?
             .map_err(|e| failed(e.to_string()))?;
@@ -126,3 +201,57 @@
         Ok(sender)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::{Connections, Reply, serve};
+    use tokio::net::TcpListener;
+    use tokio_util::sync::CancellationToken;
+    use tokio_util::task::TaskTracker;
+
+    /// One controller is left that commands all the workers: its connections to
+    /// them stay within their share, and each request gets its turn.
+    #[tokio::test]
+    async fn connections_to_many_addresses_stay_within_their_number() {
+        let (stop, tasks) = (CancellationToken::new(), TaskTracker::new());
+        let mut workers = Vec::new();
+        for _ in 0..30 {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let addr = listener.local_addr().expect("an address").to_string();
+            let connections = Arc::new(Connections::new(8, &[], |_| 0));
+            let handler = |_| async { Reply::new(200, &"fine") };
+            tokio::spawn(serve(listener, connections.clone(), 1 << 16, handler, stop.clone(), tasks.clone()));
+            workers.push((addr, connections));
+        }
+        let client = Client::new(5);
+        for _ in 0..2 {
+            let all: Vec<_> = workers
+                .iter()
+                .map(|(addr, _)| {
+                    let (client, addr) = (client.clone(), addr.clone());
+                    tokio::spawn(async move {
+                        let deadline = Duration::from_secs(5);
+                        client.request(&addr, "GET", "/status", Vec::new(), 1 << 16, deadline).await
+                    })
+                })
+                .collect();
+            for a in all {
+                assert_eq!(a.await.expect("ends").expect("an answer").status, 200);
+                assert!(client.open() <= 5, "{}", client.open());
+            }
+        }
+        // Only those that were used last are still open.
+        let open = || workers.iter().map(|w| w.1.open()).sum::<usize>();
+        for _ in 0..100 {
+            if open() <= 5 {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        assert!(open() <= 5 && client.open() == 5, "{} {}", open(), client.open());
+        client.forget(&workers[29].0);
+        assert!(client.open() <= 5);
+        stop.cancel();
+    }
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -5,4 +5,4 @@
 mod server;
 
 pub use client::{Answer, Client, NetError};
-pub use server::{Reply, Request, serve};
+pub use server::{Connections, Reply, Request, serve};
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -1,7 +1,7 @@
 use std::convert::Infallible;
 use std::future::Future;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -62,11 +62,104 @@
 const HEADER_TIMEOUT: Duration = Duration::from_secs(30);
 const BODY_TIMEOUT: Duration = Duration::from_secs(4);
 
-/// Serves connections until cancelled. Connections above `max_connections` are
-/// closed at once, so that the process never runs out of sockets.
+/// What some of a server's connections are for, and how many of them may stay
+/// open between requests.
+#[derive(Debug)]
+pub struct Share {
+    pub name: &'static str,
+    keep: usize,
+    open: AtomicUsize,
+}
+
+/// The connections of one server, counted by what they are for.
+///
+/// Whoever comes beyond its share is answered as well, but its connection is
+/// closed after the answer: a few sockets then serve any number of clients, and
+/// none of one kind keeps out those of another.
+#[derive(Debug)]
+pub struct Connections {
+    most: usize,
+    open: AtomicUsize,
+    shares: Vec<Share>,
+    /// Tells by the path which share a request belongs to.
+    share_of: fn(&str) -> usize,
+    closed: AtomicUsize,
+}
+
+impl Connections {
+    /// At most `most` at a time, and of each kind as many as given kept open.
+    pub fn new(most: usize, shares: &[(&'static str, usize)], share_of: fn(&str) -> usize) -> Self {
+        let share =
+            |(name, keep): &(&'static str, usize)| Share { name, keep: *keep, open: AtomicUsize::new(0) };
+        Self {
+            most,
+            open: AtomicUsize::new(0),
+            shares: shares.iter().map(share).collect(),
+            share_of,
+            closed: AtomicUsize::new(0),
+        }
+    }
+
+    /// How many are open now, of any kind.
+    pub fn open(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+
+    /// How many are open of each kind now.
+    pub fn by_share(&self) -> impl Iterator<Item = (&'static str, usize)> + '_ {
+        self.shares.iter().map(|s| (s.name, s.open.load(Ordering::Relaxed)))
+    }
+
+    /// How many were closed at once for want of sockets, since the last call.
+    pub fn take_closed(&self) -> usize {
+        self.closed.swap(0, Ordering::Relaxed)
+    }
+}
+
+/// One open connection; counted until it is dropped.
+struct Counted {
+    of: Arc<Connections>,
+    share: OnceLock<usize>,
+}
+
+impl Counted {
+    fn new(of: Arc<Connections>) -> Option<Self> {
+        if of.open.load(Ordering::Relaxed) >= of.most {
+            of.closed.fetch_add(1, Ordering::Relaxed);
+            return None;
+        }
+        of.open.fetch_add(1, Ordering::Relaxed);
+        Some(Self { of, share: OnceLock::new() })
+    }
+
+    /// Counts the connection for what its first request is; false if there are
+    /// too many of the kind for this one to stay open.
+    fn stays(&self, path: &str) -> bool {
+        let i = *self.share.get_or_init(|| {
+            let i = (self.of.share_of)(path);
+            if let Some(share) = self.of.shares.get(i) {
+                share.open.fetch_add(1, Ordering::Relaxed);
+            }
+            i
+        });
+        self.of.shares.get(i).is_none_or(|s| s.open.load(Ordering::Relaxed) <= s.keep)
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.of.open.fetch_sub(1, Ordering::Relaxed);
+        if let Some(share) = self.share.get().and_then(|i| self.of.shares.get(*i)) {
+            share.open.fetch_sub(1, Ordering::Relaxed);
+        }
+    }
+}
+
+/// Serves connections until cancelled. Connections above the most are closed at
+/// once, so that the process never runs out of sockets.
 pub async fn serve<H, F>(
     listener: TcpListener,
-    max_connections: usize,
+    connections: Arc<Connections>,
     body_limit: usize,
     handler: H,
     stop: CancellationToken,
@@ -75,7 +168,6 @@
     H: Fn(Request) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Reply> + Send + 'static,
 {
-    let open = Arc::new(AtomicUsize::new(0));
     loop {
         let accepted = tokio::select! {
             _ = stop.cancelled() => return,
@@ -86,14 +178,13 @@
             sleep(Duration::from_millis(50)).await;
             continue;
         };
-        if open.load(Ordering::Relaxed) >= max_connections {
-            continue;
-        }
-        open.fetch_add(1, Ordering::Relaxed);
+        let Some(counted) = Counted::new(connections.clone()) else { continue };
+        let counted = Arc::new(counted);
         let _ = stream.set_nodelay(true);
-        let (handler, open, stop) = (handler.clone(), open.clone(), stop.clone());
+        let (handler, stop) = (handler.clone(), stop.clone());
         tasks.spawn(async move {
-            let service = service_fn(move |request| answer(request, body_limit, handler.clone()));
+            let of = counted.clone();
+            let service = service_fn(move |request| answer(request, body_limit, handler.clone(), of.clone()));
             let mut builder = http1::Builder::new();
             builder.timer(TokioTimer::new()).header_read_timeout(HEADER_TIMEOUT).max_buf_size(96 * 1024);
             let connection = builder.serve_connection(TokioIo::new(stream), service);
@@ -105,7 +196,7 @@
                     let _ = timeout(Duration::from_secs(1), connection).await;
                 }
             }
-            open.fetch_sub(1, Ordering::Relaxed);
+            drop(counted);
         });
     }
 }
@@ -114,18 +205,78 @@
     request: hyper::Request<Incoming>,
     body_limit: usize,
     handler: H,
+    counted: Arc<Counted>,
 ) -> Result<hyper::Response<Full<Bytes>>, Infallible>
 where
     H: Fn(Request) -> F,
     F: Future<Output = Reply>,
 {
     let (parts, body) = request.into_parts();
-    let body = match timeout(BODY_TIMEOUT, Limited::new(body, body_limit).collect()).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(_)) => return Ok(Reply::error(400, "the body is too large or was cut off").into_response()),
-        Err(_) => return Ok(Reply::error(400, "the body did not arrive in time").into_response()),
+    let stays = counted.stays(parts.uri.path());
+    let reply = match timeout(BODY_TIMEOUT, Limited::new(body, body_limit).collect()).await {
+        Ok(Ok(body)) => {
+            let path = parts.uri.path_and_query().map_or("/", |p| p.as_str()).to_owned();
+            handler(Request { method: parts.method.as_str().to_owned(), path, body: body.to_bytes() }).await
+        }
+        Ok(Err(_)) => Reply::error(400, "the body is too large or was cut off"),
+        Err(_) => Reply::error(400, "the body did not arrive in time"),
     };
-    let path = parts.uri.path_and_query().map_or("/", |p| p.as_str()).to_owned();
-    let request = Request { method: parts.method.as_str().to_owned(), path, body };
-    Ok(handler(request).await.into_response())
+    let mut response = reply.into_response();
+    if !stays {
+        let close = hyper::header::HeaderValue::from_static("close");
+        response.headers_mut().insert(hyper::header::CONNECTION, close);
+    }
+    Ok(response)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::net::TcpStream;
+
+    async fn ask(stream: &mut TcpStream, path: &str) -> String {
+        let request = format!("GET {path} HTTP/1.1\r\nhost: x\r\n\r\n");
+        stream.write_all(request.as_bytes()).await.expect("sent");
+        let mut buffer = vec![0; 4096];
+        let n = stream.read(&mut buffer).await.expect("an answer");
+        String::from_utf8_lossy(&buffer[..n]).into_owned()
+    }
+
+    /// One controller is left with all the workers: they take no more than their
+    /// share of the sockets, and all are answered; so are users and health checks.
+    #[tokio::test]
+    async fn clients_beyond_their_share_are_answered_and_closed() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let addr = listener.local_addr().expect("an address");
+        let share_of = |path: &str| usize::from(path != "/hello");
+        let connections = Arc::new(Connections::new(12, &[("workers", 4), ("users", 2)], share_of));
+        let handler = |_| async { Reply::new(200, &"fine") };
+        let (stop, tasks) = (CancellationToken::new(), TaskTracker::new());
+        tokio::spawn(serve(listener, connections.clone(), 1 << 16, handler, stop.clone(), tasks));
+        let mut kept = Vec::new();
+        let mut closed = 0;
+        for _ in 0..40 {
+            let mut stream = TcpStream::connect(addr).await.expect("accepted");
+            let answer = ask(&mut stream, "/hello").await;
+            assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+            if answer.contains("connection: close") {
+                closed += 1;
+                assert_eq!(stream.read(&mut [0; 1]).await.expect("the end"), 0);
+            } else {
+                kept.push(stream);
+            }
+        }
+        assert_eq!((kept.len(), closed), (4, 36));
+        for n in 0..3 {
+            let mut stream = TcpStream::connect(addr).await.expect("accepted");
+            let answer = ask(&mut stream, "/healthz").await;
+            assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+            assert_eq!(answer.contains("connection: close"), n == 2);
+            kept.push(stream);
+        }
+        assert!(ask(&mut kept[0], "/hello").await.starts_with("HTTP/1.1 200"), "those that stayed go on");
+        assert_eq!(connections.take_closed(), 0);
+        stop.cancel();
+    }
 }
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -68,6 +68,9 @@
         let limit = zone_limit(d.spec);
         let mut in_zone = d.in_zone.clone();
         let mut left = d.tasks;
+        // Room only shrinks while one job's tasks are planned: what was passed over
+        // once need not be looked at again. New machines are added at the end.
+        let (mut from_ready, mut from_any) = (0, 0);
         // One zone for all of a gang: the first choice fixes it.
         let mut fixed: Option<Name> = None;
         if d.spec.one_zone {
@@ -87,8 +90,14 @@
             // What needs no GPU and sits on a machine that has some is there at
             // last: where another machine can be rented, that costs far less.
             let plain = |c: &Coming| d.spec.gpus > 0.0 || c.gpus == 0.0;
-            let ready = pool.iter().position(|c| plain(c) && fits(c));
-            let misplaced = || pool.iter().position(&fits);
+            let next = |from: &mut usize, suits: &dyn Fn(&Coming) -> bool| {
+                while *from < pool.len() && !suits(&pool[*from]) {
+                    *from += 1;
+                }
+                (*from < pool.len()).then_some(*from)
+            };
+            let ready = next(&mut from_ready, &|c| plain(c) && fits(c));
+            let mut misplaced = || next(&mut from_any, &fits);
             let may_rent = |t: &MachineType| d.spec.gpus > 0.0 || t.gpus == 0.0;
             let rentable = |o: &Offer, t: &MachineType| {
                 allowed(d.spec, &o.machine_type, &o.zone, o.spot)
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -507,10 +507,10 @@
 }
 
 /// Whether every one of the job's tasks fits into the room that is free.
-pub fn fits_whole(spec: &JobSpec, rooms: &[Slot]) -> bool {
+pub fn fits_whole<'a>(spec: &JobSpec, rooms: impl Iterator<Item = &'a Slot>) -> bool {
     let size = Amount::of_task(spec);
     let mut by_zone: HashMap<&str, u32> = HashMap::new();
-    for s in rooms.iter().filter(|s| allowed(spec, &s.machine_type, &s.zone, s.spot)) {
+    for s in rooms.filter(|s| allowed(spec, &s.machine_type, &s.zone, s.spot)) {
         let n = by_zone.entry(&*s.zone).or_default();
         *n = n.saturating_add(size.times_in(s.free()));
     }
--- a/crates/sched/src/preempt.rs
+++ b/crates/sched/src/preempt.rs
@@ -4,8 +4,8 @@
 
 use wire::{JobKind, JobSpec};
 
-use crate::placement::{Board, allowed};
-use crate::records::{Name, Want};
+use crate::placement::{Board, Slot, allowed};
+use crate::records::{Assignment, JobRecord, Name, Want};
 use crate::world::{Amount, Team, World};
 
 /// A task to stop, and whether it is an array's (others lose more).
@@ -17,6 +17,24 @@
     pub machine: Name,
 }
 
+/// What runs on each machine of a board, gathered once for all the searches of a
+/// round.
+pub struct Running<'a> {
+    slots: Vec<Vec<(&'a str, &'a JobRecord, &'a Assignment, &'a JobSpec)>>,
+}
+
+impl<'a> Running<'a> {
+    pub fn new(world: &'a World, board: &Board) -> Self {
+        let of_slot = |slot: &Slot| {
+            let specs = |(id, job, a): (&'a str, &'a JobRecord, &'a Assignment)| {
+                job.spec.as_deref().map(|spec| (id, job, a, spec))
+            };
+            world.assignments(&slot.id).filter_map(specs).collect()
+        };
+        Self { slots: board.slots.iter().map(of_slot).collect() }
+    }
+}
+
 /// Finds the machine on which the fewest tasks have to go so that one task of
 /// the job fits. Lower priority may always be stopped; other teams' work beyond
 /// their guarantee may be stopped for work within it, though not work of a higher
@@ -24,17 +42,17 @@
 /// jobs that are within their teams' guarantees. A whole team being beyond does
 /// not do: its oldest jobs are still within, and would be stopped in turns.
 pub fn victims(
-    world: &World,
+    running: &Running,
     board: &Board,
     spec: &JobSpec,
     guaranteed: &BTreeSet<String>,
     chosen_before: &[Victim],
     spare_gpu_jobs: bool,
-    within: impl Fn(&crate::placement::Slot) -> bool,
+    within: impl Fn(&Slot) -> bool,
 ) -> Option<(Name, Vec<Victim>)> {
     let size = Amount::of_task(spec);
     let mut best: Option<(usize, &Name, Vec<Victim>)> = None;
-    for slot in &board.slots {
+    for (slot, on_it) in board.slots.iter().zip(&running.slots) {
         if !allowed(spec, &slot.machine_type, &slot.zone, slot.spot)
             || !within(slot)
             || !size.fits(slot.whole)
@@ -44,8 +62,7 @@
         let mut free = slot.free();
         // Room that is being made already counts, so that it is not made twice.
         let mut list = Vec::new();
-        for (id, job, a) in world.assignments(&slot.id) {
-            let Some(other) = job.spec.as_deref() else { continue };
+        for &(id, job, a, other) in on_it {
             let chosen =
                 chosen_before.iter().any(|v| v.job == id && v.task == a.task && v.attempt == a.attempt);
             if chosen || !job.wants(a) {
@@ -163,7 +180,7 @@
         let s = spec("j-2", JobKind::Array, 1);
         let find = |within: &[&str]| {
             let within = within.iter().map(|s| (*s).to_owned()).collect();
-            victims(&w, &board(&w), &s, &within, &[], false, |_| true)
+            victims(&Running::new(&w, &board(&w)), &board(&w), &s, &within, &[], false, |_| true)
         };
         assert!(find(&[]).is_none(), "same priority, no guarantee");
         assert!(find(&["j-1", "j-2"]).is_none(), "both within their guarantees");
@@ -180,12 +197,16 @@
         add(&mut w, spec("j-2", JobKind::Array, 1), &[(0, "a1")]);
         let mut s = spec("j-3", JobKind::Service, 2);
         s.priority = Priority::High;
-        let found =
-            |chosen: &[Victim]| victims(&w, &board(&w), &s, &BTreeSet::new(), chosen, false, |_| true);
+        let found = |chosen: &[Victim]| {
+            victims(&Running::new(&w, &board(&w)), &board(&w), &s, &BTreeSet::new(), chosen, false, |_| true)
+        };
         let (_, first) = found(&[]).expect("the array's task");
         assert_eq!(first[0].job, "j-2");
         s.cpus = 4.0;
-        assert!(victims(&w, &board(&w), &s, &BTreeSet::new(), &first, false, |_| true).is_none());
+        assert!(
+            victims(&Running::new(&w, &board(&w)), &board(&w), &s, &BTreeSet::new(), &first, false, |_| true)
+                .is_none()
+        );
     }
 
     #[test]
@@ -198,7 +219,8 @@
         add(&mut w, spec("j-2", JobKind::Gang, 2), &[(0, "a2"), (1, "a2")]);
         let mut s = spec("j-3", JobKind::Service, 1);
         (s.priority, s.cpus) = (Priority::Production, 7.0);
-        let found = victims(&w, &board(&w), &s, &BTreeSet::new(), &[], false, |_| true);
+        let found =
+            victims(&Running::new(&w, &board(&w)), &board(&w), &s, &BTreeSet::new(), &[], false, |_| true);
         assert_eq!(found.map(|f| f.0.to_string()), Some("a2".to_owned()));
     }
 
--- a/crates/sched/src/rescheduler.rs
+++ b/crates/sched/src/rescheduler.rs
@@ -1,7 +1,7 @@
 //! Controlled rescheduling: which service task should move, after the design's
 //! threshold-gated evictions under a disruption budget.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 use wire::{JobKind, JobSpec};
@@ -51,6 +51,8 @@
     let index = &board.index;
     let mut board_use: Vec<Amount> = board.slots.iter().map(|s| s.used).collect();
     let mut out = Vec::new();
+    // The least-used fitting machines, for every kind of task met so far.
+    let mut least = Vec::new();
     for id in &world.open {
         let Some(job) = world.jobs.get(id).map(|j| &j.value) else { continue };
         let Some(spec) = job.spec.as_deref() else { continue };
@@ -71,26 +73,25 @@
             let rooms = Rooms { world, board, used: &board_use, in_zone: &in_zone };
             rooms.better_than_gpus(job, spec)
         });
+        let kind = (size, &spec.types, &spec.zone, spec.spot);
+        if !least.iter().any(|(k, _)| *k == kind) {
+            least.push((kind, least_used(board, &board_use, spec, size)));
+        }
+        let rooms = least.iter().find(|(k, _)| *k == kind).map(|(_, rooms)| rooms);
         let found = misplaced.flatten().or_else(|| {
             job.run.iter().find_map(|a| {
                 let from = *index.get(&a.machine)?;
                 let here = &*board.slots[from].zone;
                 let mine = in_zone.get(here).copied().unwrap_or(0);
                 let share = board_use[from].share_of(board.slots[from].whole);
-                board.slots.iter().enumerate().filter(|(i, _)| *i != from).find_map(|(i, s)| {
-                    if !allowed(spec, &s.machine_type, &s.zone, s.spot)
-                        || s.whole.gpus > spec.gpus && spec.gpus == 0.0
-                        || !size.fits(s.whole.plus(board_use[i], -1.0))
-                    {
-                        return None;
-                    }
-                    let there = in_zone.get(&*s.zone).copied().unwrap_or(0);
-                    let better_zone = there + 1 < mine;
-                    let crowded = *s.zone == *here || there < mine;
-                    if spec.spread && better_zone {
-                        Some((a, from, i, "zone spread"))
-                    } else if crowded && share - board_use[i].share_of(s.whole) > policy.threshold {
-                        Some((a, from, i, "crowded machine"))
+                rooms.into_iter().flatten().find_map(|(zone, to, least)| {
+                    let there = in_zone.get(*zone).copied().unwrap_or(0);
+                    if *to == from {
+                        None
+                    } else if spec.spread && there + 1 < mine {
+                        Some((a, from, *to, "zone spread"))
+                    } else if (*zone == here || there < mine) && share - least > policy.threshold {
+                        Some((a, from, *to, "crowded machine"))
                     } else {
                         None
                     }
@@ -100,12 +101,39 @@
         if let Some((a, from, to, reason)) = found {
             board_use[from] = board_use[from].plus(size, -1.0);
             board_use[to] = board_use[to].plus(size, 1.0);
+            least.clear();
             out.push(Eviction { job: id.clone(), task: a.task, machine: a.machine.clone(), reason });
         }
     }
     out
 }
 
+/// The least-used machine of each zone that a task of this kind fits on, and the
+/// share that is used of it.
+fn least_used<'a>(
+    board: &'a Board,
+    used: &[Amount],
+    spec: &JobSpec,
+    size: Amount,
+) -> Vec<(&'a str, usize, f64)> {
+    let mut zones: BTreeMap<&str, (usize, f64)> = BTreeMap::new();
+    for (i, s) in board.slots.iter().enumerate() {
+        let gpus_kept = s.whole.gpus > 0.0 && spec.gpus == 0.0;
+        if gpus_kept
+            || !size.fits(s.whole.plus(used[i], -1.0))
+            || !allowed(spec, &s.machine_type, &s.zone, s.spot)
+        {
+            continue;
+        }
+        let share = used[i].share_of(s.whole);
+        let best = zones.entry(&*s.zone).or_insert((i, share));
+        if share < best.1 {
+            *best = (i, share);
+        }
+    }
+    zones.into_iter().map(|(z, (i, share))| (z, i, share)).collect()
+}
+
 /// Where one service's tasks are, and what room there is.
 struct Rooms<'a> {
     world: &'a World,
--- a/crates/sched/src/world.rs
+++ b/crates/sched/src/world.rs
@@ -119,6 +119,8 @@
     pub machine_use: HashMap<Name, Amount>,
     /// The jobs with something on a machine, and which tasks.
     pub on_machine: HashMap<Name, BTreeMap<Name, Vec<u32>>>,
+    /// Machines that hold assignments and have no record.
+    pub orphaned: BTreeSet<Name>,
     /// Images used on each machine, the latest last. A guess at its cache.
     pub images: HashMap<Name, VecDeque<(String, f64)>>,
     /// Each machine's owner by the map: hashing them all anew takes long.
@@ -179,6 +181,9 @@
         let tasks = self.on_machine.entry(a.machine.clone()).or_default().entry(job.clone()).or_default();
         let first = tasks.is_empty();
         tasks.push(a.task);
+        if first && !self.machines.contains_key(&a.machine) {
+            self.orphaned.insert(a.machine.clone());
+        }
         if first {
             self.note_image(&a.machine, &spec.image, spec.image_gb);
         }
@@ -198,6 +203,7 @@
             }
             if jobs.is_empty() {
                 self.on_machine.remove(&a.machine);
+                self.orphaned.remove(&a.machine);
                 self.machine_use.remove(&a.machine);
             }
         }
@@ -286,6 +292,7 @@
                     self.owners.insert(id.clone(), owner.clone());
                 }
                 self.touched.insert(id.clone());
+                self.orphaned.remove(&id);
                 self.machines.insert(id, Versioned { value, version });
             }
             Change::Machine(id, None) => {
@@ -344,6 +351,9 @@
         self.owners.remove(id);
         self.images.remove(id);
         self.touched.insert(id.into());
+        if self.on_machine.contains_key(id) {
+            self.orphaned.insert(id.into());
+        }
         self.machines.remove(id)
     }
 
@@ -407,6 +417,7 @@
         w.apply(fleet(&["a1"]), 5);
         assert!(!w.machines.contains_key("a1") && w.machines.contains_key("a2"));
         assert!(w.owner_of("a1").is_none() && w.gone.contains_key("a1"));
+        assert_eq!(w.orphaned.iter().map(|n| &**n).collect::<Vec<_>>(), ["a1"], "what is to be ended");
         let record = w.gone["a1"].value.clone();
         // Read anew, the records may come in any order.
         w.apply(Change::Machine("a1".into(), Some(record)), 6);
@@ -415,6 +426,14 @@
         w.apply(Change::Machine("a1".into(), None), 7);
         assert!(w.gone.is_empty() && !w.machines.contains_key("a1"));
         assert_eq!(w.team_use["t"].cpus, 2.0, "the task's end is for its job's record");
+        w.apply(Change::Job("j-1".into(), None), 8);
+        assert!(w.orphaned.is_empty());
+        // Read anew, a job may come before its machine.
+        add(&mut w, spec("j-2", JobKind::Array, 1), &[(0, "a3")]);
+        assert_eq!(w.orphaned.len(), 1);
+        let record = w.machines["a2"].value.clone();
+        w.apply(Change::Machine("a3".into(), Some(record)), 9);
+        assert!(w.orphaned.is_empty());
     }
 
     /// News that comes after what this controller wrote itself.
