A dark zone is given up as fast as its replicas find room

Replicas run on there until their leases end; given up, they waited for 50 changes a second, for room that was not rented before, and on a site of two zones for a zone that their spread allows. Now: released an eighth at a time as what was given up before is placed; room is rented once the machines are silent for 2.5 reports; machines that a new owner has never met are silent after 3 reports, not 4; an owner that hears some machines is not taken for cut off; leases are renewed 3 s longer (the margin to a cancellation's time was 5 s); silent machines are probed in turns.

--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -506,9 +506,10 @@
 /// Asks owned workers that have not been heard of for their status, so that a
 /// new owner need not wait for their reports.
 pub async fn prober(node: Node) {
+    let mut turn = 0;
     loop {
         sleep(Duration::from_millis(700)).await;
-        let quiet: Vec<(Name, String)> = {
+        let mut quiet: Vec<(Name, String)> = {
             let core = node.core();
             let now = Instant::now();
             let limit = node.report_every() * 3 / 2 + Duration::from_millis(500);
@@ -519,7 +520,15 @@
                 .map(|(id, w)| (id.clone(), w.addr.clone()))
                 .collect()
         };
-        for (machine, addr) in quiet.into_iter().take(16) {
+        // In turns: where hundreds are silent, those that are lost must not keep
+        // the others from being asked.
+        let few = (quiet.len() / 4).clamp(16, 64).min(quiet.len());
+        if !quiet.is_empty() {
+            let from = turn % quiet.len();
+            quiet.rotate_left(from);
+            turn = from + few;
+        }
+        for (machine, addr) in quiet.into_iter().take(few) {
             let node = node.clone();
             let tasks = node.tasks.clone();
             tasks.spawn(async move {
--- a/crates/daemon/src/fleet_duty.rs
+++ b/crates/daemon/src/fleet_duty.rs
@@ -33,6 +33,13 @@
     /// One job of each kind that waits for room and has its team's leave.
     waiting: Vec<JobSpec>,
     first_seen: HashMap<Name, Instant>,
+    /// Machines that are to be released for their silence.
+    silent: HashMap<Name, Silent>,
+}
+
+struct Silent {
+    /// When whatever is on the machine has surely lost its lease.
+    ends: Instant,
 }
 
 const TICK: Duration = Duration::from_millis(300);
@@ -43,6 +50,12 @@
 const IDLE_KEPT: u32 = 2;
 /// Most machines that are told gone before their records are deleted.
 const GONE_MOST: usize = 400;
+/// Silent machines are released with as many replicas at a time as are placed anew
+/// in about this time; it has to be longer than a release takes.
+const PACE_S: f64 = 1.0;
+/// And of those that are left, only this part at a time: where there is no room for
+/// them, hardly more than that are down before their leases end.
+const PACE_PART: usize = 8;
 /// Between its steps the duty leaves this many times the time that one took.
 const LEAVE: u32 = 8;
 /// Room is kept ready for this long after the latest GPU job.
@@ -131,16 +144,16 @@
         let mut idle_of_kind: HashMap<Offer, u32> = HashMap::new();
         for (id, m) in &core.world.machines {
             let Some(owner) = core.world.owner_of(id) else { continue };
-            let (quiet, sick, notice) = if *owner == node.me {
+            let (quiet, met, sick, notice) = if *owner == node.me {
                 match core.workers.get(id) {
-                    Some(w) => (w.silent_for(now), w.sick(), w.notice_until.is_some()),
+                    Some(w) => (w.silent_for(now), w.heard.is_some(), w.sick(), w.notice_until.is_some()),
                     None => continue,
                 }
             } else {
                 let view = core.peers.get(&owner.name);
                 match (core.rows.get(id), view) {
                     (Some(r), Some(v)) if now.saturating_duration_since(v.at) < Duration::from_secs(4) => {
-                        (Duration::from_millis(r.silent_ms), r.sick, r.notice)
+                        (Duration::from_millis(r.silent_ms), r.met, r.sick, r.notice)
                     }
                     _ => continue,
                 }
@@ -148,7 +161,7 @@
             let count = silent_by_owner.entry(&owner.name).or_default();
             count.0 += 1;
             count.1 += u32::from(quiet >= silent / 2);
-            rows.push((id, &m.value, owner.name.as_str(), quiet, sick, notice));
+            rows.push((id, &m.value, owner.name.as_str(), quiet, met, sick, notice));
         }
         let idle: HashSet<&Name> =
             core.world.machines.keys().filter(|id| !core.world.on_machine.contains_key(*id)).collect();
@@ -178,15 +191,24 @@
             .filter(|(_, m)| !m.value.release)
             .map(|(id, m)| spare_room(&m.value, core.world.machine_use.get(id).copied().unwrap_or_default()))
             .sum();
-        for (id, record, owner, quiet, sick, notice) in rows {
-            // An owner that hears nothing of most of its machines is itself cut
-            // off, most likely: its word takes longer to count.
+        for (id, record, owner, quiet, met, sick, notice) in rows {
+            // An owner that hears nothing of nearly all its machines is itself cut
+            // off, most likely: its word takes longer to count. Not so one that
+            // hears some: of two zones, a dark one makes half of all machines.
             let (all, mute) = silent_by_owner.get(owner).copied().unwrap_or_default();
-            let patience = if all >= 3 && mute * 2 > all { silent * 4 } else { silent };
+            let patience = if all >= 3 && mute * 8 > all * 7 { silent * 4 } else { silent };
+            // A new owner asks each of its machines at once, and those that it has
+            // never met were silent before it came.
+            let patience = if met { patience } else { patience * 3 / 4 };
             let patience = if notice { patience / 2 } else { patience };
             if record.release {
                 out.push((id.clone(), "marked"));
             } else if quiet >= patience {
+                // Until its owner came, a controller that is cut off with the machine
+                // may have renewed its lease, for as long as it may at all.
+                let renewed = if met { Duration::ZERO } else { node.settings.renewal_bound() };
+                let left = (node.worker_limits(None).lease + renewed).saturating_sub(quiet);
+                self.silent.entry(id.clone()).or_insert(Silent { ends: now + left });
                 out.push((id.clone(), "silent"));
             } else if sick {
                 out.push((id.clone(), "sick"));
@@ -217,6 +239,7 @@
                 }
             }
         }
+        self.silent.retain(|id, _| out.iter().any(|(o, why)| o == id && *why == "silent"));
         // Failed by the list, or never come up.
         let rented: HashSet<&Name> = core
             .world
@@ -268,7 +291,7 @@
         // silent hundreds of marks would take a minute.
         let mut marks = Vec::new();
         let mut ready = Vec::new();
-        let mut reasons: BTreeMap<&str, Vec<Name>> = BTreeMap::new();
+        let mut reasons: HashMap<Name, &str> = HashMap::new();
         {
             let core = node.core();
             for (id, why) in list {
@@ -276,12 +299,13 @@
                     Some(m) if why == "idle" && !m.value.release => marks.push((id, m.clone(), why)),
                     _ if self.released.contains_key(&id) => {}
                     _ => {
-                        reasons.entry(why).or_default().push(id.clone());
+                        reasons.insert(id.clone(), why);
                         ready.push(id);
                     }
                 }
             }
         }
+        self.pace(node, &node.core(), &mut ready, now);
         marks.truncate(node.settings.facts.state.txn_ops);
         if !marks.is_empty() {
             let conditions = marks
@@ -298,7 +322,7 @@
                 return;
             }
             for (id, _, why) in marks {
-                info!(machine = &*id, reason = why, "giving the machine back");
+                debug!(machine = &*id, reason = why, "giving the machine back");
                 // A task may have been placed just before the mark.
                 if !node.core().world.on_machine.contains_key(&id) {
                     ready.push(id);
@@ -311,10 +335,14 @@
         }
         match node.cloud.release(names(&ready)).await {
             Ok(()) => {
-                for (reason, machines) in reasons.into_iter().filter(|(r, _)| *r != "marked") {
-                    info!(?machines, reason, "giving the machines back");
+                let mut by_reason: BTreeMap<&str, Vec<&Name>> = BTreeMap::new();
+                for id in &ready {
+                    by_reason.entry(reasons.get(id).copied().unwrap_or("idle")).or_default().push(id);
+                }
+                for (reason, machines) in by_reason {
+                    info!(count = machines.len(), machines = few(&machines), reason, "machines given back");
                 }
-                info!(machines = ?ready, "released");
+                debug!(machines = ?ready, "released");
                 for id in &ready {
                     self.released.insert(id.clone(), now);
                     // There is capacity for one of its kind again.
@@ -332,6 +360,40 @@
         }
     }
 
+    /// Replicas run on while their machines cannot be reached, until their leases
+    /// end. So where many fall silent, they are released only as fast as their
+    /// replicas can be placed anew: released all at once, most of them would wait
+    /// for their turn of the changes a second, or for room that is nowhere else.
+    /// What holds no replicas follows them.
+    fn pace(&self, node: &Node, core: &Core, ready: &mut Vec<Name>, now: Instant) {
+        let service = |job: &JobRecord| job.spec.as_ref().is_some_and(|s| s.kind == JobKind::Service);
+        let replicas =
+            |id: &Name| core.world.assignments(id).filter(|(_, job, a)| service(job) && job.wants(a)).count();
+        let open = core.world.open.iter().filter_map(|id| core.world.jobs.get(id)).map(|j| j.value.as_ref());
+        let waiting = open.filter(|j| service(j)).map(|j| placement::pending_count(j) as usize);
+        let down = waiting.sum::<usize>() + core.world.orphaned.iter().map(replicas).sum::<usize>();
+        let (held, free): (Vec<Name>, Vec<Name>) = std::mem::take(ready)
+            .into_iter()
+            .partition(|id| self.silent.get(id).is_some_and(|s| now < s.ends));
+        *ready = free;
+        let (with, without): (Vec<Name>, Vec<Name>) = held.into_iter().partition(|id| replicas(id) > 0);
+        let all = with.len();
+        let most = (node.settings.facts.state.write_rps * PACE_S) as usize;
+        let at_once = (with.iter().map(replicas).sum::<usize>() / PACE_PART).clamp(1, most.max(1));
+        let mut left = at_once.saturating_sub(down);
+        let released = with.into_iter().take_while(|id| {
+            let n = replicas(id);
+            let fits = n <= left || left == at_once;
+            left = left.saturating_sub(n);
+            fits
+        });
+        let before = ready.len();
+        ready.extend(released);
+        if ready.len() - before == all {
+            ready.extend(without);
+        }
+    }
+
     /// The release is confirmed: whatever was on the machines is gone.
     async fn forget(&mut self, node: &Node, machines: Vec<Name>) {
         let known: Vec<(Name, String)> = {
@@ -420,7 +482,8 @@
             if node.cloud.release(names(&late)).await.is_err() {
                 return;
             }
-            info!(machines = ?late, "released: they never came up");
+            let machines: Vec<&Name> = late.iter().collect();
+            info!(count = late.len(), machines = few(&machines), "released: they never came up");
             for id in &late {
                 self.released.insert(id.clone(), Instant::now());
             }
@@ -429,6 +492,21 @@
         write(node, vec![Condition { key: key::FLEET.into(), version }], vec![put]).await;
     }
 
+    /// Machines that have not been heard of for longer than placement would wait.
+    fn about_to_go(&self, node: &Node, core: &Core, now: Instant) -> HashSet<Name> {
+        let limit = node.report_every() * 5 / 2;
+        let quiet = |id: &Name| match core.workers.get(id) {
+            Some(w) => w.silent_for(now) > limit,
+            None => core.rows.get(id).is_some_and(|r| Duration::from_millis(r.silent_ms) > limit),
+        };
+        core.world
+            .on_machine
+            .keys()
+            .filter(|id| core.world.machines.contains_key(*id) && quiet(id))
+            .cloned()
+            .collect()
+    }
+
     /// What is wanted beyond the room that is there or coming.
     fn wanted(&mut self, node: &Node, core: &Core, now: Instant) -> Vec<Offer> {
         let settled =
@@ -438,12 +516,20 @@
         }
         let now_ms = wall_ms();
         let mut demands = Vec::new();
+        let lost = self.about_to_go(node, core, now);
         let mut left: HashMap<&str, Amount> = HashMap::new();
         for id in &core.world.open {
             let Some(job) = core.world.jobs.get(id).map(|j| j.value.as_ref()) else { continue };
             let Some(spec) = job.spec.as_deref() else { continue };
+            // Room for replicas on machines that are lost, most likely, is rented before
+            // they are given up. They have their share of the team's limit already.
+            let there = |a: &&Assignment| lost.contains(&a.machine) && job.wants(a);
+            let replaced = match spec.kind {
+                JobKind::Service if !lost.is_empty() => job.run.iter().filter(there).count() as u32,
+                _ => 0,
+            };
             let waiting = placement::pending_count(job);
-            if waiting == 0 || job.errors >= 3 || now_ms.saturating_sub(job.submitted_ms) < 300 {
+            if waiting + replaced == 0 || job.errors >= 3 || now_ms.saturating_sub(job.submitted_ms) < 300 {
                 continue;
             }
             let Some(team) = node.team(&spec.team) else { continue };
@@ -452,13 +538,14 @@
                 team.limit().plus(Amount { memory_gb: 0.0, ..used }, -1.0)
             });
             let size = Amount { memory_gb: 0.0, ..Amount::of_task(spec) };
-            let tasks = waiting.min(size.times_in(*room));
+            let admitted = waiting.min(size.times_in(*room));
+            let tasks = admitted + replaced;
             if tasks == 0 {
                 continue;
             }
-            *room = room.plus(size, -f64::from(tasks));
+            *room = room.plus(size, -f64::from(admitted));
             let mut in_zone: HashMap<Name, u32> = HashMap::new();
-            for a in &job.run {
+            for a in job.run.iter().filter(|a| !lost.contains(&a.machine)) {
                 if let Some(m) = core.world.machines.get(&a.machine) {
                     *in_zone.entry(m.value.zone.clone()).or_default() += 1;
                 }
@@ -633,7 +720,8 @@
                     zone = &*offer.zone,
                     spot = offer.spot,
                     asked = count,
-                    ?machines,
+                    got = machines.len(),
+                    first = machines.first().map(|m| &**m),
                     "rented"
                 );
                 if (machines.len() as u32) < count {
@@ -755,6 +843,12 @@
         })
 }
 
+/// A few names, as hundreds at a time make no readable line.
+fn few(machines: &[&Name]) -> String {
+    let some: Vec<&str> = machines.iter().take(5).map(|m| &***m).collect();
+    some.join(" ") + if machines.len() > some.len() { " …" } else { "" }
+}
+
 fn names(machines: &[Name]) -> Vec<String> {
     machines.iter().map(|m| m.to_string()).collect()
 }
@@ -802,6 +896,70 @@
 mod tests {
     use super::*;
     use crate::scale;
+    use sched::world::Change;
+
+    /// A dark zone's replicas are up until their leases end: they are given up as
+    /// fast as they find room, and room for all is asked for at once.
+    #[test]
+    fn a_dark_zone_is_given_up_as_its_replicas_find_room() {
+        let node = scale::node(2400, 1);
+        let now = Instant::now();
+        scale::fill(&node, now);
+        let mut core = node.core();
+        let dark: Vec<Name> = core
+            .world
+            .machines
+            .iter()
+            .filter(|(_, m)| *m.value.zone == *"d")
+            .map(|(id, _)| id.clone())
+            .collect();
+        let later = now + node.report_every() * 3;
+        let hear = |core: &mut Core, at: Instant| {
+            core.workers
+                .iter_mut()
+                .filter(|(id, _)| !dark.contains(id))
+                .for_each(|(_, w)| w.heard = Some(at));
+        };
+        hear(&mut core, later);
+        let mut fleet = Fleet {
+            led_since: Some(now - Duration::from_secs(60)),
+            listed_at: Some(now),
+            ..Fleet::default()
+        };
+        let replicas = |core: &Core, ids: &[Name]| {
+            let of = |id: &Name| {
+                let service = |j: &JobRecord| j.spec.as_ref().is_some_and(|s| s.kind == JobKind::Service);
+                core.world.assignments(id).filter(|(_, j, _)| service(j)).count()
+            };
+            ids.iter().map(of).sum::<usize>()
+        };
+        let all = replicas(&core, &dark);
+        assert!(all > 100, "{all}");
+        let cpus = |offers: &[Offer]| {
+            offers.iter().map(|o| core.world.types[&*o.machine_type].cpus).sum::<f64>() as usize
+        };
+        assert!(cpus(&fleet.wanted(&node, &core, later)) >= all * 4, "room for all of them is rented");
+        assert_eq!(fleet.surplus(&node, &core, later), [], "too early to give them up");
+        let silent = now + node.silent_limit();
+        hear(&mut core, silent);
+        let mut ready: Vec<Name> = fleet.surplus(&node, &core, silent).into_iter().map(|s| s.0).collect();
+        assert_eq!(ready.len(), dark.len());
+        fleet.pace(&node, &core, &mut ready, silent);
+        let first = replicas(&core, &ready);
+        assert!(first > 0 && first <= all / PACE_PART + 16, "{first} of {all}");
+        // They find no room: hardly any others follow.
+        let gone = Some(ready.clone());
+        core.world.apply(Change::Fleet(Some(FleetRecord { rentals: Vec::new(), gone })), 1 << 40);
+        let mut more: Vec<Name> = fleet.surplus(&node, &core, silent).into_iter().map(|s| s.0).collect();
+        let left = more.clone();
+        fleet.pace(&node, &core, &mut more, silent);
+        assert!(more.is_empty(), "{}", more.len());
+        // Once their leases are over there is nothing to wait for.
+        let over = silent + node.worker_limits(None).lease;
+        let mut rest = left.clone();
+        fleet.pace(&node, &core, &mut rest, over);
+        assert_eq!(rest, left);
+    }
 
     /// Hundreds of rentals and hundreds of machines gone at a time: whatever the
     /// record is said to have room for, the state service takes.
--- a/crates/daemon/src/gossip.rs
+++ b/crates/daemon/src/gossip.rs
@@ -28,6 +28,7 @@
                 id: id.to_string(),
                 usable: core.usable(id, &node.me, report, now),
                 silent_ms: ms(w.silent_for(now)),
+                met: w.heard.is_some(),
                 free_cpus: kind.cpus - used.cpus,
                 free_gpus: kind.gpus - used.gpus,
                 free_memory_gb: kind.memory_gb - used.memory_gb,
--- a/crates/daemon/src/scale.rs
+++ b/crates/daemon/src/scale.rs
@@ -83,19 +83,19 @@
 
 /// Fills the machines with services, gangs and arrays; their workers report what
 /// the records say.
-fn fill(node: &Node, now: Instant) {
+pub fn fill(node: &Node, now: Instant) {
     let mut core = node.core();
     let mut board = Board::new(&core.world, |_| true);
     for n in 0..600 {
-        let mut s = spec(&format!("j-{n:06}"), [JobKind::Service, JobKind::Gang, JobKind::Array][n % 3]);
+        let mut s = spec(&format!("j-{n:06}"), [JobKind::Service, JobKind::Gang, JobKind::Array][n / 200]);
         s.image = format!("i-{}", n % 40);
         match s.kind {
             JobKind::Service => {
                 (s.tasks, s.cpus, s.spread, s.priority) =
-                    ([2, 4, 9, 16][n / 3 % 4], 4.0, true, Priority::Production);
+                    ([2, 4, 9, 16][n % 4], 4.0, true, Priority::Production);
             }
-            JobKind::Gang => (s.tasks, s.cpus, s.gpus, s.one_zone) = ([1, 2, 4][n / 3 % 3], 14.0, 2.0, true),
-            JobKind::Array => (s.tasks, s.cpus) = (70, 1.2),
+            JobKind::Gang => (s.tasks, s.cpus, s.gpus, s.one_zone) = ([1, 2, 4][n % 3], 14.0, 2.0, true),
+            JobKind::Array => (s.tasks, s.cpus) = (80, 1.0),
         }
         add(node, &mut board, &mut core, s);
     }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -250,7 +250,7 @@
     /// that it cannot know of must have taken effect.
     pub fn renewal_bound(&self) -> Duration {
         let w = &self.facts.workers;
-        Duration::from_secs_f64((w.cancel_s - w.lease_s * 1.001 - 5.0).max(1.0))
+        Duration::from_secs_f64((w.cancel_s - w.lease_s * 1.001 - RENEWAL_MARGIN_S).max(1.0))
     }
 }
 
@@ -271,6 +271,11 @@
     pub others: usize,
 }
 
+/// What lies between the last lease's end and the time by which a cancellation must
+/// have taken effect. A lease counts from when its report was sent, so that only
+/// the clocks' drift, timers that fire late and the worker's own stop take of it.
+const RENEWAL_MARGIN_S: f64 = 2.0;
+
 /// The operators' own settings. Every attribute has a default.
 #[derive(Debug, Clone, PartialEq, Deserialize, Default)]
 #[serde(deny_unknown_fields, default)]
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -11,6 +11,8 @@
     pub usable: bool,
     /// The owner has heard nothing of it for so long.
     pub silent_ms: u64,
+    /// The owner has heard of it since it owns it.
+    pub met: bool,
     pub free_cpus: f64,
     pub free_gpus: f64,
     pub free_memory_gb: f64,
