--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -17,6 +17,7 @@
 use wire::{Command, Commands, Condition, Report};
 
 use crate::gossip;
+use crate::load::{Counts, Purpose};
 use crate::node::{Core, HandedProof, Node, wall_ms};
 use crate::placer;
 use crate::worker::{Key, Worker};
@@ -91,6 +92,8 @@
             decide(&node, &mut core, scan, ops, now, wall_ms())
         };
         let cost = now.elapsed();
+        Counts::add(&node.counts.rounds, 1);
+        Counts::add(&node.counts.round_us, cost.as_micros() as u64);
         let Some(mut round) = round else {
             sleep(GAP).await;
             continue;
@@ -339,6 +342,7 @@
         let mut core = node.core();
         let assembled = assemble(&core.world, &round, node.settings.facts.state.txn_ops, node.value_bytes());
         core.writes.take(assembled.1.len() as f64, 0.0, Instant::now());
+        node.counts.spend(Purpose::Rounds, assembled.1.len());
         assembled
     };
     if puts.is_empty() {
@@ -361,6 +365,7 @@
             }
         }
         Ok(Outcome::Conflict { failed, revision }) => {
+            Counts::add(&node.counts.conflicts, 1);
             debug!(?failed, puts = round.puts(), "a round met newer records");
             round.release(node);
             node.reach(revision, Duration::from_secs(2)).await;
--- a/crates/daemon/src/fleet_duty.rs
+++ b/crates/daemon/src/fleet_duty.rs
@@ -14,6 +14,7 @@
 use tracing::{debug, info, warn};
 use wire::{Condition, JobKind, JobSpec, ListedMachine, MachineStatus, MachineType, RentRequest};
 
+use crate::load::Purpose;
 use crate::node::{Core, Node, wall_ms};
 
 #[derive(Default)]
@@ -875,6 +876,7 @@
     // Machines take long to boot; a request for some does not wait behind rounds
     // that are in debt.
     node.core().writes.take(puts.len() as f64, 0.0, Instant::now());
+    node.counts.spend(Purpose::Fleet, puts.len());
     match node.state.txn(conditions, puts).await {
         Ok(Outcome::Committed { revision }) => node.reach(revision, Duration::from_secs(2)).await,
         Ok(Outcome::Conflict { revision, .. }) => {
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -14,6 +14,7 @@
 use wire::{Condition, JobSpec, JobState, JobStatus, Redirect, Report, ReportAnswer};
 
 use crate::gossip;
+use crate::load::{Counts, Purpose};
 use crate::node::{Core, Node, View, wall_ms};
 use crate::placer;
 use crate::worker::{Worker, first_token};
@@ -276,8 +277,12 @@
         Ok(r) => r,
         Err(e) => return Reply::error(400, &e.to_string()),
     };
+    Counts::add(&node.counts.reports, 1);
     match take_report(node, &report, relayed) {
-        Disposal::Answer(reply) => reply,
+        Disposal::Answer(reply) => {
+            Counts::add(&node.counts.turned_away, u64::from(reply.status != 200));
+            reply
+        }
         Disposal::Relay(owner) => {
             gossip::relay(node, &owner, body.to_vec()).await.unwrap_or_else(|| elsewhere(None))
         }
@@ -414,6 +419,7 @@
         return;
     }
     node.may_write(list.len(), 0.0).await;
+    node.counts.spend(Purpose::Machines, list.len());
     let conditions = list.iter().map(|(id, _)| Condition { key: key::machine(id), version: 0 }).collect();
     let puts = list.iter().map(|(id, r)| Put::new(key::machine(id), r)).collect();
     match node.state.txn(conditions, puts).await {
--- /dev/null
+++ b/crates/daemon/src/load.rs
@@ -0,0 +1,103 @@
+//! What a controller's own work amounts to, told in the log every ten seconds.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use tokio::time::sleep;
+use tracing::info;
+
+use crate::node::Node;
+
+/// What changes of the state service are spent on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Purpose {
+    Rounds,
+    Users,
+    Members,
+    Machines,
+    Fleet,
+}
+
+const PURPOSES: [(Purpose, &str); 5] = [
+    (Purpose::Rounds, "rounds"),
+    (Purpose::Users, "users"),
+    (Purpose::Members, "members"),
+    (Purpose::Machines, "machines"),
+    (Purpose::Fleet, "fleet"),
+];
+
+/// Counted since the last line.
+#[derive(Debug, Default)]
+pub struct Counts {
+    changes: [AtomicU64; PURPOSES.len()],
+    pub conflicts: AtomicU64,
+    pub rounds: AtomicU64,
+    pub round_us: AtomicU64,
+    pub reports: AtomicU64,
+    /// Reports that were sent elsewhere or answered without renewing a lease.
+    pub turned_away: AtomicU64,
+}
+
+impl Counts {
+    pub fn spend(&self, purpose: Purpose, changes: usize) {
+        if let Some(i) = PURPOSES.iter().position(|(p, _)| *p == purpose) {
+            self.changes[i].fetch_add(changes as u64, Ordering::Relaxed);
+        }
+    }
+
+    pub fn add(counter: &AtomicU64, n: u64) {
+        counter.fetch_add(n, Ordering::Relaxed);
+    }
+
+    fn take_changes(&self) -> String {
+        let of = |(i, (_, name)): (usize, &(Purpose, &str))| {
+            format!("{name} {}", self.changes[i].swap(0, Ordering::Relaxed))
+        };
+        PURPOSES.iter().enumerate().map(of).collect::<Vec<_>>().join(", ")
+    }
+}
+
+const EVERY: Duration = Duration::from_secs(10);
+
+pub async fn tell(node: Node) {
+    loop {
+        sleep(EVERY).await;
+        let take = |c: &AtomicU64| c.swap(0, Ordering::Relaxed);
+        let c = &node.counts;
+        let front: Vec<String> = node.front.by_share().map(|(name, n)| format!("{name} {n}")).collect();
+        let rounds = take(&c.rounds);
+        let round_us = take(&c.round_us);
+        info!(
+            connections = format!(
+                "{}, peers {}, to workers {}, to others {}",
+                front.join(", "),
+                node.internal.open(),
+                node.workers_http.open(),
+                node.http.open()
+            ),
+            closed_for_want = node.front.take_closed() + node.internal.take_closed(),
+            changes = c.take_changes(),
+            conflicts = take(&c.conflicts),
+            rounds,
+            round_us = round_us / rounds.max(1),
+            reports = take(&c.reports),
+            turned_away = take(&c.turned_away),
+            "load"
+        );
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn changes_are_told_by_purpose_once() {
+        let counts = Counts::default();
+        counts.spend(Purpose::Rounds, 3);
+        counts.spend(Purpose::Fleet, 1);
+        counts.spend(Purpose::Rounds, 2);
+        assert_eq!(counts.take_changes(), "rounds 5, users 0, members 0, machines 0, fleet 1");
+        assert_eq!(counts.take_changes(), "rounds 0, users 0, members 0, machines 0, fleet 0");
+    }
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -5,6 +5,7 @@
 mod fleet_duty;
 mod front;
 mod gossip;
+mod load;
 mod node;
 mod placer;
 #[cfg(test)]
@@ -141,6 +142,7 @@
     node.spawn_duty(engine::prober(node.clone()));
     node.spawn_duty(front::arrivals(node.clone()));
     node.spawn_duty(fleet_duty::fleet(node.clone()));
+    node.spawn_duty(load::tell(node.clone()));
     for address in addresses {
         node.spawn_duty(gossip::tell(node.clone(), address));
     }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -17,6 +17,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::front;
+use crate::load::{Counts, Purpose};
 use crate::settings::{Operators, Settings};
 use crate::worker::{Key, Limits, Worker};
 
@@ -41,6 +42,7 @@
     pub workers_http: Client,
     pub front: Arc<Connections>,
     pub internal: Arc<Connections>,
+    pub counts: Counts,
     core: Mutex<Core>,
     /// Something changed that a round of decisions should look at.
     pub kick: Notify,
@@ -161,6 +163,7 @@
                 &[(front::SHARES[0], sockets.workers_kept), (front::SHARES[1], sockets.users_kept)],
                 front::share_of,
             )),
+            counts: Counts::default(),
             internal: Arc::new(Connections::new(sockets.peers, &[], |_| 0)),
             core: Mutex::new(core),
             kick: Notify::new(),
@@ -231,6 +234,7 @@
     /// Counts a user's change. It waits for nothing: what the state service does
     /// not take is answered at once, and the rounds make up for the debt.
     pub fn write_for_user(&self) {
+        self.counts.spend(Purpose::Users, 1);
         self.core().writes.take(1.0, 0.0, Instant::now());
     }
 
--- a/crates/daemon/src/state_duty.rs
+++ b/crates/daemon/src/state_duty.rs
@@ -10,6 +10,7 @@
 use tracing::{info, warn};
 use wire::{Changes, Condition};
 
+use crate::load::Purpose;
 use crate::node::{MEMBER_TTL, Node};
 
 const WATCH: Duration = Duration::from_secs(8);
@@ -283,6 +284,7 @@
     // Never behind other changes: the lease would run out meanwhile, and a
     // controller in debt would join again and again without ever being live.
     node.core().writes.take(1.0, 0.0, Instant::now());
+    node.counts.spend(Purpose::Members, 1);
     match node.state.txn(conditions, vec![put]).await? {
         Outcome::Committed { revision } => Ok(node.reach(revision, Duration::from_secs(2)).await),
         Outcome::Conflict { revision, .. } => {
