A gang on two thousand machines fits into a value of 8 KiB

A gang's tasks go on from machine to machine, so that only the step from the last one is written: four characters a machine at most, where it took up to nine.

--- a/crates/sched/src/packed.rs
+++ b/crates/sched/src/packed.rs
@@ -63,6 +63,18 @@
     None
 }
 
+/// How far a machine's first task is from the one after the last machine's last, up
+/// or down: nothing for a gang, whose tasks go on from machine to machine.
+fn step(next: u32, task: u32) -> u64 {
+    let by = i64::from(task) - i64::from(next);
+    (by.unsigned_abs() << 1) | u64::from(by < 0)
+}
+
+fn stepped(next: u32, step: u64) -> Option<u32> {
+    let by = i64::try_from(step >> 1).ok()?;
+    u32::try_from(i64::from(next) + if step & 1 == 1 { -by } else { by }).ok()
+}
+
 /// A name's last digits as a number, and how many they are.
 fn split(name: &str) -> (&str, usize, u64) {
     let digits = name.bytes().rev().take_while(u8::is_ascii_digit).take(15).count();
@@ -133,19 +145,17 @@
             let ((stem, digits, attempt, want), ..) = group[0];
             let mut text = String::new();
             let mut machine_before = 0;
+            let mut next = 0;
             for of_machine in group.chunk_by(|a, b| a.1 == b.1) {
                 put(&mut text, of_machine[0].1 - machine_before);
                 machine_before = of_machine[0].1;
                 let in_a_row = of_machine.windows(2).all(|w| w[1].2 == w[0].2 + 1);
                 put(&mut text, of_machine.len() as u64 * 2 + u64::from(in_a_row));
-                let mut before = 0;
-                for (_, _, task) in of_machine {
-                    put(&mut text, u64::from(task - before));
-                    before = *task;
-                    if in_a_row {
-                        break;
-                    }
+                put(&mut text, step(next, of_machine[0].2));
+                if !in_a_row {
+                    of_machine.windows(2).for_each(|w| put(&mut text, u64::from(w[1].2 - w[0].2)));
                 }
+                next = of_machine.last().map_or(0, |t| t.2.wrapping_add(1));
             }
             out.push((stem.to_owned(), digits, attempt, want, text));
         }
@@ -158,21 +168,25 @@
         for (stem, digits, attempt, want, text) in groups {
             let mut text = text.bytes().peekable();
             let mut number = 0u64;
+            let mut next = 0u32;
             while text.peek().is_some() {
                 let bad = || serde::de::Error::custom("a list of assignments is cut off");
                 number += take(&mut text).ok_or_else(bad)?;
                 let machine = name(&stem, digits, number);
-                let mut task = 0u32;
                 let count = take(&mut text).ok_or_else(bad)?;
                 let in_a_row = count % 2 == 1;
+                let mut task = take(&mut text).and_then(|n| stepped(next, n)).ok_or_else(bad)?;
                 for i in 0..count / 2 {
-                    let step = match i > 0 && in_a_row {
-                        true => 1,
-                        false => take(&mut text).and_then(|n| u32::try_from(n).ok()).ok_or_else(bad)?,
-                    };
-                    task = task.checked_add(step).ok_or_else(bad)?;
+                    if i > 0 {
+                        let step = match in_a_row {
+                            true => Some(1),
+                            false => take(&mut text).and_then(|n| u32::try_from(n).ok()),
+                        };
+                        task = step.and_then(|s| task.checked_add(s)).ok_or_else(bad)?;
+                    }
                     run.push(Assignment { task, attempt, machine: machine.clone(), want });
                 }
+                next = task.wrapping_add(1);
             }
         }
         run.sort_unstable_by_key(|a| a.task);
@@ -240,6 +254,28 @@
         assert_eq!(Ranges::from((prefix, bits)), r);
     }
 
+    /// A gang with a task or two on each machine of the largest fleet still is one
+    /// value of the smallest size that sites have.
+    #[test]
+    fn a_gang_on_two_thousand_machines_fits_into_a_value() {
+        let spec = crate::placement::tests::spec("j-000412", JobKind::Gang, 3000);
+        let mut job = JobRecord::new(spec, None, 1_796_169_600_000);
+        // Not every machine is in it, as others are taken.
+        let on = |task: u32| format!("host-{:06}", task * 2 / 3 + task / 500 * 37).into();
+        let run = |task| Assignment { task, attempt: 12, machine: on(task), want: Want::Run };
+        job.run = (0..3000).map(run).collect();
+        let machines: std::collections::BTreeSet<_> = job.run.iter().map(|a| &a.machine).collect();
+        assert!(machines.len() >= 2000, "{}", machines.len());
+        let json = serde_json::to_string(&job).expect("encodes");
+        assert!(json.len() < 8 * 1024 - 500, "{} bytes", json.len());
+        assert_eq!(serde_json::from_str::<JobRecord>(&json).expect("decodes"), job);
+        // In two attempts, as when some were replaced, and with tasks missing.
+        job.run.retain(|a| a.task % 7 != 3);
+        job.run.iter_mut().filter(|a| a.task % 50 == 0).for_each(|a| a.want = Want::Stop);
+        let json = serde_json::to_string(&job).expect("encodes");
+        assert_eq!(serde_json::from_str::<JobRecord>(&json).expect("decodes"), job);
+    }
+
     /// The tasks of a gang lie in a row on each machine, however many they are.
     #[test]
     fn a_gang_takes_a_few_characters_for_each_machine() {
