What was proven over is never launched after all; a gang's fetches go on

Found by the fault test once controllers stand still in it: on waking one proves by the lease's end that everything on a machine is over, also an assignment that was placed meanwhile and that it has not launched. The worker then reports, the owner launches it, and the proof that is on its way to the record lets it start elsewhere: ran_twice. An assignment whose end was proven is not launched any more. A gang's task that gave up waiting no longer stops the others' fetches: gangs of four tried again and again every 30 s, each time from the beginning. No machine sees the same attempt of a task twice. Services go where their image comes soonest.

--- a/crates/daemon/src/sim.rs
+++ b/crates/daemon/src/sim.rs
@@ -1,8 +1,10 @@
 //! A seeded random-fault test over decisions, records and workers, on a clock of
 //! its own, with a checker for the rules. Messages are delayed, lost, reordered
 //! and delivered minutes late, reports also as copies and to the wrong controller;
-//! owners change; controllers start anew and know nothing; workers lose their
-//! lease, or are heard but do not hear; machines are released; jobs are cancelled.
+//! owners change; controllers start anew and know nothing, or stand still and go
+//! on with what they knew; requests that were carried out are repeated; workers lose
+//! their lease, are heard but do not hear, or fail every task; machines are released,
+//! several at a time; jobs are cancelled.
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::{Duration, Instant};
@@ -21,7 +23,7 @@
 use crate::worker::tests::spec;
 
 const STEP: Duration = Duration::from_millis(100);
-const MACHINES: usize = 6;
+const MACHINES: usize = 8;
 const CONTROLLERS: usize = 4;
 const LEASE_STEPS: u64 = 60;
 /// As the example settings have it, and what the workers' clocks may be off.
@@ -94,6 +96,8 @@
     tasks: BTreeMap<(String, u64), (TaskState, Option<Cause>)>,
     /// Until when nothing reaches it, though its reports arrive.
     deaf: u64,
+    /// Until when every task that it starts fails.
+    sick: u64,
 }
 
 impl Machine {
@@ -162,6 +166,8 @@
     nodes: Vec<Node>,
     /// How much of the log each controller has seen.
     seen: Vec<usize>,
+    /// Until when each controller stands still.
+    frozen: Vec<u64>,
     machines: Vec<Machine>,
     mail: Vec<(u64, Message)>,
     /// Requests on their way: controller and machine, and the token.
@@ -211,6 +217,7 @@
             renewed: 0,
             tasks: BTreeMap::new(),
             deaf: 0,
+            sick: 0,
         };
         let mut sim = Self {
             rng: StdRng::seed_from_u64(seed),
@@ -218,6 +225,7 @@
             step: 0,
             state: State::default(),
             seen: vec![0; nodes.len()],
+            frozen: vec![0; nodes.len()],
             nodes,
             machines: (0..MACHINES).map(|_| machine()).collect(),
             mail: Vec::new(),
@@ -298,6 +306,9 @@
     }
 
     fn controller(&mut self, n: usize) {
+        if self.step < self.frozen[n] {
+            return;
+        }
         let now = self.now();
         // The mirror lags by whole revisions.
         if self.rng.random_range(0..4) > 0 {
@@ -345,8 +356,13 @@
             machine.session += 1;
             machine.renewed = self.step;
         }
+        let sick = self.step < self.machines[m].sick;
         for (name, (state, cause)) in &mut self.machines[m].tasks {
             match state {
+                TaskState::Fetching if sick => {
+                    *state = TaskState::Exited;
+                    *cause = Some(Cause::Error);
+                }
                 TaskState::Fetching if self.rng.random_bool(0.3) => *state = TaskState::Running,
                 // Replicas run until they are stopped.
                 TaskState::Running if self.rng.random_bool(if replica(&name.0) { 0.001 } else { 0.02 }) => {
@@ -361,6 +377,9 @@
                 _ => {}
             }
         }
+        if self.rng.random_bool(0.001) {
+            self.machines[m].sick = self.step + self.rng.random_range(50..300);
+        }
         if self.rng.random_bool(0.002) {
             self.machines[m].deaf = self.step + self.rng.random_range(20..200);
         }
@@ -389,6 +408,9 @@
     }
 
     fn answer_report(&mut self, n: usize, m: usize, report: Report) -> Option<(u64, Vec<Command>)> {
+        if self.step < self.frozen[n] {
+            return None;
+        }
         let now = self.now();
         let node = &self.nodes[n];
         let mut core = node.core();
@@ -508,6 +530,7 @@
         let n = self.rng.random_range(0..CONTROLLERS);
         self.nodes[n] = Self::node(n, 1000 + self.step, self.sabotage);
         self.seen[n] = 0;
+        self.frozen[n] = 0;
         self.waiting.retain(|(of, _), _| *of != n);
     }
 
@@ -519,18 +542,34 @@
         }
         self.mail = rest;
         for message in due {
+            // What comes to a controller that stands still waits there for it.
+            if let Message::Copy { to, .. } | Message::Proofs { to, .. } | Message::Answer { to, .. } =
+                &message
+                && self.step < self.frozen[*to]
+            {
+                self.mail.push((self.frozen[*to], message));
+                continue;
+            }
             match message {
                 Message::Copy { to, machine, report } => {
                     // Nobody reads the answer.
                     let _ = self.answer_report(to, machine, report);
                 }
                 Message::Proofs { to, epoch, list } => {
+                    if self.rng.random_bool(0.1) {
+                        let at = self.step + self.rng.random_range(1..400);
+                        self.mail.push((at, Message::Proofs { to, epoch, list: list.clone() }));
+                    }
                     engine::take_proofs(&self.nodes[to], epoch, list, self.now());
                 }
                 Message::Txn { conditions, puts } => {
                     self.state.txn(&conditions, puts);
                 }
                 Message::Commands { to, from, commands } => {
+                    if self.rng.random_bool(0.05) {
+                        let at = self.step + self.rng.random_range(1..400);
+                        self.mail.push((at, Message::Commands { to, from, commands: commands.clone() }));
+                    }
                     let reached = self.machines[to].up && self.step >= self.machines[to].deaf;
                     let lost = self.rng.random_bool(0.1) || !reached;
                     let heeds = self.sabotage != Sabotage::Tokens;
@@ -602,15 +641,24 @@
             if self.rng.random_bool(0.005) {
                 self.cancel();
             }
+            if self.rng.random_bool(0.004) {
+                let n = self.rng.random_range(0..CONTROLLERS);
+                self.frozen[n] = self.step + self.rng.random_range(10..400);
+            }
             self.check_cancelled();
             if self.step.is_multiple_of(400) {
-                // The leader gives a machine back: gone first, then its record.
-                let m = self.rng.random_range(1..MACHINES);
-                if self.machines.iter().filter(|m| m.up).count() <= 3 {
-                    continue;
+                // The leader gives machines back: gone first, then their records,
+                // which several at a time have in one change.
+                let mut gone = Vec::new();
+                for _ in 0..self.rng.random_range(1..3) {
+                    let m = self.rng.random_range(1..MACHINES);
+                    if self.machines.iter().filter(|m| m.up).count() > 4 {
+                        self.machines[m].up = false;
+                        gone.push(id(m).as_str().into());
+                    }
                 }
-                self.machines[m].up = false;
-                self.state.txn(&[], vec![Put::delete(key::machine(&id(m)))]);
+                let fleet = FleetRecord { rentals: Vec::new(), gone: Some(gone) };
+                self.state.txn(&[], vec![Put::new(key::FLEET.into(), &fleet)]);
             }
         }
         self.check_records();
--- a/crates/daemon/src/worker.rs
+++ b/crates/daemon/src/worker.rs
@@ -284,7 +284,9 @@
                     }
                 }
                 Some(_) => {}
-                None if run && !self.present.contains(&key) => {
+                // An end that was proven once may be written at any moment: what it
+                // is the end of must never start after all.
+                None if run && !self.present.contains(&key) && !self.ended.contains_key(&key) => {
                     launches.push(Command::Start { task: name, attempt: a.attempt });
                 }
                 // Seen before and gone now: a new session.
@@ -392,7 +394,7 @@
                 self.errors += 1;
                 self.error_jobs.insert(job.to_owned());
             }
-            End::Stopped | End::Refused | End::Lost => {}
+            End::Stopped | End::Refused | End::Lost | End::Alone => {}
         }
     }
 
@@ -428,6 +430,7 @@
     match cause {
         Some(Cause::Done) => End::Done,
         Some(Cause::Error) => End::Error,
+        Some(Cause::Alone) => End::Alone,
         _ if refused(cause) => End::Refused,
         _ => End::Stopped,
     }
@@ -534,6 +537,27 @@
         assert_eq!(ends(&worker.reconcile("host-1", &w, &limits(now), now)), [End::Lost]);
     }
 
+    /// A controller stands still for longer than the lease. On waking it proves that
+    /// whatever was on a machine is over, an assignment too that it has not launched
+    /// yet. Then the worker reports; the proof is on its way to the record.
+    #[test]
+    fn what_was_proven_over_is_not_launched_after_all() {
+        let now = Instant::now();
+        let w = world(assigned(Want::Run), Phase::Active);
+        let mut worker = Worker::new("a".into(), 5, now);
+        worker.ingest(report(1, first_token(5), &[]), true, now);
+        worker.renew(now);
+        let woken = now + Duration::from_secs(30);
+        let plan = worker.reconcile("host-1", &w, &limits(woken), woken);
+        assert_eq!(ends(&plan), [End::Lost]);
+        worker.ended_since(&plan.ends[0].0, woken);
+        worker.ingest(Report { session: 2, ..report(2, first_token(5), &[]) }, true, woken);
+        worker.renew(woken);
+        assert_eq!(worker.answer("host-1", &w, &limits(woken), woken), []);
+        let plan = worker.reconcile("host-1", &w, &limits(woken), woken);
+        assert!(plan.commands.is_empty() && ends(&plan) == [End::Lost], "it is still over");
+    }
+
     #[test]
     fn an_unanswered_launch_is_ruled_out_only_by_a_later_token() {
         let now = Instant::now();
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -159,7 +159,10 @@
     let candidates: Vec<usize> = (0..board.slots.len())
         .filter(|&i| {
             let s = &board.slots[i];
-            size.fits(s.free()) && allowed(&spec, &s.machine_type, &s.zone, s.spot) && within(s)
+            size.fits(s.free())
+                && allowed(&spec, &s.machine_type, &s.zone, s.spot)
+                && within(s)
+                && !job.left.contains(&s.id)
         })
         .collect();
     // All tasks of a one-zone job share the zone of those that are still out.
@@ -379,7 +382,10 @@
                 !s.spot,
             ),
             then: (
-                !taken.contains_key(&i) && !world.has_image(&s.id, &spec.image),
+                match taken.contains_key(&i) || world.has_image(&s.id, &spec.image) {
+                    true => 0,
+                    false => fetch_class(spec, of_type.map_or(0.0, |t| t.fetch_gb_per_s)),
+                },
                 // Machines with GPUs are filled one by one, so that the others
                 // stay whole for jobs that need the GPUs.
                 if s.whole.gpus > 0.0 { !share } else { share },
@@ -426,9 +432,21 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Rank {
     first: (bool, bool, u64, bool, bool),
-    then: (bool, u64, u64, usize),
+    then: (u64, u64, u64, usize),
 }
 
+/// How late an image comes that is not at hand. Services start within seconds, so
+/// that the fetch decides; the others only care whether there is one.
+fn fetch_class(spec: &JobSpec, gb_per_s: f64) -> u64 {
+    match spec.kind {
+        JobKind::Service => 1 + (spec.image_gb / gb_per_s.max(1e-3) / FETCH_STEP_S).min(1e6) as u64,
+        JobKind::Array | JobKind::Gang => 1,
+    }
+}
+
+/// Fetches that differ by less than this count as alike.
+const FETCH_STEP_S: f64 = 2.0;
+
 /// Numbers of 0 or more as integers in the same order.
 fn order_of(v: f64) -> u64 {
     v.max(0.0).to_bits()
@@ -803,6 +821,55 @@
         assert!(!too_slow(&s, &t, 30.0), "one machine holds it all");
     }
 
+    /// One task of a gang has the image, the other fetches it for longer than the
+    /// first waits: the fetch goes on, and the first gets another machine.
+    #[test]
+    fn a_fetch_goes_on_when_another_task_gives_up_waiting() {
+        let mut w = world(&[("a1", "m", "a", false), ("a2", "m", "a", false), ("a3", "m", "a", false)]);
+        let mut s = spec("j-1", JobKind::Gang, 2);
+        (s.one_zone, s.cpus) = (true, 8.0);
+        add(&mut w, s, &[(0, "a1"), (1, "a2")]);
+        let mut job = w.jobs["j-1"].value.as_ref().clone();
+        job.attempt = 1;
+        job.end(0, 1, End::Alone, 0, 0);
+        assert_eq!(job.run.iter().map(|a| a.want).collect::<Vec<_>>(), [Want::Run], "it goes on fetching");
+        w.apply(Change::Job("j-1".into(), Some(Box::new(job.clone()))), 3);
+        let limits = Limits { most: 9, window: 9, lossy: false, gang_wait_s: 30.0, now_ms: 1000 };
+        let placed = place(&w, &mut board(&w), &mut job, &team(), |_| true, limits);
+        assert_eq!(placed.len(), 1);
+        assert_eq!((placed[0].task, placed[0].attempt, &*placed[0].machine), (0, 1, "a3"));
+        // Nor may any machine see the same attempt twice.
+        let mut alone = w.jobs["j-1"].value.as_ref().clone();
+        w.apply(Change::Machine("a3".into(), None), 4);
+        assert!(place(&w, &mut board(&w), &mut alone, &team(), |_| true, limits).is_empty());
+        // At last all have given up: the next attempt may be anywhere.
+        alone.end(1, 1, End::Alone, 0, 0);
+        assert!(alone.run.is_empty() && alone.left.is_empty());
+        w.apply(Change::Job("j-1".into(), Some(Box::new(alone.clone()))), 5);
+        let placed = place(&w, &mut board(&w), &mut alone, &team(), |_| true, limits);
+        assert_eq!(placed.iter().map(|a| a.attempt).collect::<Vec<_>>(), [2, 2]);
+        for _ in 0..LEFT_MAX {
+            job.left.push("x".into());
+        }
+        job.end(1, 1, End::Alone, 0, 0);
+        assert!(job.run.iter().all(|a| a.want == Want::Stop), "not without end");
+    }
+
+    #[test]
+    fn services_go_where_their_image_comes_soonest() {
+        let mut w = world(&[("a1", "m", "a", false), ("a2", "f", "a", false), ("a3", "m", "a", false)]);
+        let slow = w.types["m"].clone();
+        w.types.insert(
+            "f".into(),
+            MachineType { name: "f".into(), fetch_gb_per_s: slow.fetch_gb_per_s * 8.0, ..slow },
+        );
+        let mut s = spec("j-1", JobKind::Service, 2);
+        s.image_gb = 20.0;
+        add(&mut w, s, &[]);
+        let machines: Vec<String> = placed(&w, "j-1", &team()).into_iter().map(|p| p.1).collect();
+        assert_eq!(machines, ["a2", "a2"]);
+    }
+
     #[test]
     fn a_gang_ends_together() {
         let mut job = JobRecord::new(spec("j-1", JobKind::Gang, 2), None, 0);
--- a/crates/sched/src/records.rs
+++ b/crates/sched/src/records.rs
@@ -134,6 +134,11 @@
     /// Machines that placement avoids, and until what time of day.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub avoid: Vec<(String, u64)>,
+    /// Machines that a task of the gang's current attempt was on and is no longer.
+    /// No task of that attempt is placed there again: a late copy of the word of
+    /// its end would else be taken for the end of the later one.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub left: Vec<Name>,
     /// When the rescheduler last took from the disruption budget.
     #[serde(default)]
     pub evicted_ms: u64,
@@ -155,6 +160,7 @@
             done: Ranges::default(),
             run: Vec::new(),
             avoid: Vec::new(),
+            left: Vec::new(),
             // The disruption budget fills from the submission on.
             evicted_ms: submitted_ms,
             errors: 0,
@@ -199,11 +205,20 @@
             if self.phase == Phase::Active && self.done.len() == spec.tasks {
                 self.phase = Phase::Done;
             }
-        } else if gang && !matches!(how, End::Lost | End::Refused) {
-            // What is left of this attempt cannot go on. If a task is only lost,
-            // its gang may still wait, and take another for it; a gang that runs
-            // tells by its other tasks' ends that it broke up.
-            self.run.iter_mut().for_each(|a| a.want = Want::Stop);
+        } else if gang {
+            // If a task is only lost, or gave up waiting for others that still fetch
+            // their image, its gang may take another machine for it; a gang that
+            // runs tells by its other tasks' ends that it broke up. Were the others
+            // stopped, they would give up fetching, and each further try would take
+            // as long and fail alike.
+            let may_wait = matches!(how, End::Lost | End::Refused | End::Alone);
+            if !may_wait || self.left.len() >= LEFT_MAX {
+                self.run.iter_mut().for_each(|a| a.want = Want::Stop);
+            }
+            match self.run.is_empty() {
+                true => self.left.clear(),
+                false => self.left.push(ended.machine.clone()),
+            }
         }
         if how == End::Error {
             self.errors = self.errors.saturating_add(1);
@@ -230,6 +245,7 @@
                 done: if done.pieces() <= 1 { done } else { Ranges::all(done.len()) },
                 run: Vec::new(),
                 avoid: Vec::new(),
+                left: Vec::new(),
                 evicted_ms: 0,
                 errors: 0,
                 error_ms: 0,
@@ -241,6 +257,10 @@
 /// Longest list of avoided machines in a job's record.
 pub const AVOID_MAX: usize = 8;
 
+/// Most machines that the tasks of one attempt of a gang may leave before it is
+/// started anew.
+pub const LEFT_MAX: usize = 8;
+
 /// How an assignment ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum End {
@@ -252,6 +272,8 @@
     Error,
     /// Proven gone without a word of its own.
     Lost,
+    /// Its gang was not complete in time.
+    Alone,
 }
 
 impl End {
@@ -263,11 +285,14 @@
             End::Error => 2,
             End::Lost => 3,
             End::Refused => 4,
+            End::Alone => 5,
         }
     }
 
     pub fn from_code(code: u8) -> Option<Self> {
-        [End::Done, End::Stopped, End::Error, End::Lost, End::Refused].into_iter().find(|e| e.code() == code)
+        [End::Done, End::Stopped, End::Error, End::Lost, End::Refused, End::Alone]
+            .into_iter()
+            .find(|e| e.code() == code)
     }
 }
 
