--- a/crates/daemon/src/worker.rs
+++ b/crates/daemon/src/worker.rs
@@ -43,6 +43,10 @@
     pub heard: Option<Instant>,
     pub renewed: Option<Instant>,
     tasks: Vec<TaskReport>,
+    /// The list of tasks is from after this controller became the owner: it answers
+    /// a request of ours, or shows a token of ours. Any other report may be a late
+    /// copy from long before, and what ended then may have been started anew since.
+    trusted: bool,
     /// Assignments that have been seen on the worker.
     present: HashSet<Key>,
     stops: HashMap<Key, Instant>,
@@ -106,6 +110,7 @@
             heard: None,
             renewed: None,
             tasks: Vec::new(),
+            trusted: false,
             present: HashSet::new(),
             stops: HashMap::new(),
             strays: HashMap::new(),
@@ -178,6 +183,7 @@
             // the last has been executed or dropped.
             self.offered = false;
         }
+        self.trusted |= !by_itself || report.token >= first_token(self.owned_epoch);
         self.heard = Some(now);
         self.session = report.session;
         self.seq = report.seq;
@@ -263,6 +269,7 @@
                 continue;
             }
             match report {
+                Some(t) if t.state == TaskState::Exited && !self.trusted => plan.poke = true,
                 Some(t) if t.state == TaskState::Exited => {
                     plan.ends.push((key.clone(), end_of(t.cause)));
                 }
@@ -537,6 +544,27 @@
         assert_eq!(ends(&worker.reconcile("host-1", &w, &limits(now), now)), [End::Lost]);
     }
 
+    /// A task ended, its machine lost the lease before that was recorded, and the
+    /// next owner started it there once more. A copy of the report from before, which
+    /// comes to yet another owner as the first it hears, ends nothing.
+    #[test]
+    fn a_late_copy_of_an_end_is_no_proof_to_a_new_owner() {
+        let now = Instant::now();
+        let w = world(assigned(Want::Run), Phase::Active);
+        let mut worker = Worker::new("a".into(), 9, now);
+        let old = report(316, first_token(7) + 3, &[(1, TaskState::Exited, Some(Cause::Done))]);
+        worker.ingest(old, true, now);
+        let plan = worker.reconcile("host-1", &w, &limits(now), now);
+        assert!(plan.ends.is_empty() && plan.poke, "the worker is asked");
+        let running = [(1, TaskState::Running, None)];
+        worker.ingest(Report { session: 2, ..report(317, first_token(8) + 1, &running) }, false, now);
+        let plan = worker.reconcile("host-1", &w, &limits(now), now);
+        assert!(plan.ends.is_empty() && !plan.poke);
+        let ended = [(1, TaskState::Exited, Some(Cause::Done))];
+        worker.ingest(Report { session: 2, ..report(318, first_token(9), &ended) }, true, now);
+        assert_eq!(ends(&worker.reconcile("host-1", &w, &limits(now), now)), [End::Done]);
+    }
+
     /// A controller stands still for longer than the lease. On waking it proves that
     /// whatever was on a machine is over, an assignment too that it has not launched
     /// yet. Then the worker reports; the proof is on its way to the record.
