--- a/crates/store/src/codec.rs
+++ b/crates/store/src/codec.rs
@@ -125,6 +125,7 @@
                 done: Ranges::all(3),
                 run: vec![Assignment { task: 4, attempt: 2, machine: "host-1".into(), want: Want::Run }],
                 avoid: vec![("host-9".into(), 77)],
+                left: vec!["host-8".into()],
                 evicted_ms: 0,
                 errors: 1,
                 error_ms: 9,
