Nothing is given up on waking; late copies of summaries say nothing

A leader that stood still saw all its machines silent for half a minute: once a few reports were in, the guard for controllers that are cut off no longer held, and live machines would have been released. Silence during a stand-still is not counted; nothing is given up without a fresh view; a controller's word counts only for machines that it owns by the map, and only if it is newer than what it said before (a late "no state service" could have prolonged another's renewals).

--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -508,6 +508,14 @@
     });
 }
 
+/// Notices when the process has stood still.
+pub async fn pulse(node: Node) {
+    loop {
+        node.core().beat(Instant::now());
+        sleep(Duration::from_millis(250)).await;
+    }
+}
+
 /// Asks owned workers that have not been heard of for their status, so that a
 /// new owner need not wait for their reports.
 pub async fn prober(node: Node) {
--- a/crates/daemon/src/fleet_duty.rs
+++ b/crates/daemon/src/fleet_duty.rs
@@ -139,6 +139,11 @@
     /// Which machines to give back, and why.
     fn surplus(&mut self, node: &Node, core: &Core, now: Instant) -> Vec<(Name, &'static str)> {
         let mut out = Vec::new();
+        // Woken with a view from before: nothing is given up by it.
+        let fresh = |t: Instant| now.saturating_duration_since(t) < Duration::from_secs(4);
+        if core.stood_still(now) || !core.fresh_at.is_some_and(fresh) {
+            return out;
+        }
         let silent = node.silent_limit();
         let mut silent_by_owner: HashMap<&str, (u32, u32)> = HashMap::new();
         let mut rows = Vec::new();
@@ -941,9 +946,12 @@
             offers.iter().map(|o| core.world.types[&*o.machine_type].cpus).sum::<f64>() as usize
         };
         assert!(cpus(&fleet.wanted(&node, &core, later)) >= all * 4, "room for all of them is rented");
+        let awake = |core: &mut Core, at: Instant| (core.fresh_at, core.beat) = (Some(at), at);
+        awake(&mut core, later);
         assert_eq!(fleet.surplus(&node, &core, later), [], "too early to give them up");
         let silent = now + node.silent_limit();
         hear(&mut core, silent);
+        awake(&mut core, silent);
         let mut ready: Vec<Name> = fleet.surplus(&node, &core, silent).into_iter().map(|s| s.0).collect();
         assert_eq!(ready.len(), dark.len());
         fleet.pace(&node, &core, &mut ready, silent);
@@ -963,6 +971,30 @@
         assert_eq!(rest, left);
     }
 
+    /// A controller that stood still for half a minute holds a view in which all its
+    /// machines were silent for so long. It gives up none of them for that.
+    #[test]
+    fn nothing_is_given_up_on_waking() {
+        let node = scale::node(100, 1);
+        let now = Instant::now();
+        scale::fill(&node, now);
+        let mut core = node.core();
+        let mut fleet = Fleet::default();
+        core.beat(now);
+        let woken = now + Duration::from_secs(32);
+        // Some reports are taken in before anything else runs.
+        core.workers.values_mut().take(40).for_each(|w| w.heard = Some(woken));
+        assert_eq!(fleet.surplus(&node, &core, woken), [], "before the beat");
+        core.fresh_at = Some(woken);
+        core.beat(woken);
+        assert_eq!(fleet.surplus(&node, &core, woken), [], "after it");
+        let later = woken + node.silent_limit();
+        (0..9).for_each(|n| core.beat(woken + node.silent_limit() * n / 8));
+        core.fresh_at = Some(later);
+        core.workers.values_mut().take(40).for_each(|w| w.heard = Some(later));
+        assert_eq!(fleet.surplus(&node, &core, later).len(), 60, "but for what it does not hear now");
+    }
+
     /// Hundreds of rentals and hundreds of machines gone at a time: whatever the
     /// record is said to have room for, the state service takes.
     #[test]
--- a/crates/daemon/src/gossip.rs
+++ b/crates/daemon/src/gossip.rs
@@ -1,5 +1,6 @@
 //! Free-room summaries among the controllers, and relayed reports.
 
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use net::{Reply, Request};
@@ -27,7 +28,7 @@
             Some(MachineRow {
                 id: id.to_string(),
                 usable: core.usable(id, &node.me, report, now),
-                silent_ms: ms(w.silent_for(now)),
+                silent_ms: if core.stood_still(now) { 0 } else { ms(w.silent_for(now)) },
                 met: w.heard.is_some(),
                 free_cpus: kind.cpus - used.cpus,
                 free_gpus: kind.gpus - used.gpus,
@@ -40,6 +41,7 @@
     Summary {
         name: node.me.name.clone(),
         incarnation: node.me.incarnation,
+        count: node.counts.summaries.fetch_add(1, Ordering::Relaxed) + 1,
         epoch: core.map().map_or(0, |m| m.epoch),
         state_silent_ms: core.fresh_at.map_or(u64::MAX, |f| ms(now.saturating_duration_since(f))),
         machines,
@@ -48,19 +50,36 @@
 
 fn take(node: &Node, summary: Summary) {
     let mut core = node.core();
-    if !node.settings.peers.iter().any(|p| p.node_name == summary.name) {
+    if !node.settings.peers.iter().any(|p| p.node_name == summary.name) || !newer(&core, &summary) {
         return;
     }
+    let Core { world, rows, .. } = &mut *core;
     for row in &summary.machines {
-        core.rows.insert(row.id.as_str().into(), row.clone());
+        // Not what a controller says of machines that are another's by now.
+        let owner = world.owner_of(&row.id);
+        if owner.is_some_and(|o| o.name == summary.name && o.incarnation == summary.incarnation) {
+            rows.insert(row.id.as_str().into(), row.clone());
+        }
     }
-    let Core { world, rows, .. } = &mut *core;
     if rows.len() > world.machines.len() {
         rows.retain(|id, _| world.machines.contains_key(id));
     }
     core.peers.insert(summary.name.clone(), PeerView { summary, at: Instant::now() });
 }
 
+/// Whether a summary is newer than what is known of its sender. A late copy, of an
+/// earlier process too, must not pass for the sender's word of now: that it has no
+/// state service may be all that lets this controller renew leases.
+fn newer(core: &Core, summary: &Summary) -> bool {
+    let known = core.peers.get(&summary.name).map(|p| &p.summary);
+    let member = core.world.members.get(&summary.name).map(|m| m.value.incarnation);
+    match known {
+        Some(k) if k.incarnation == summary.incarnation => summary.count > k.count,
+        Some(k) => summary.epoch >= k.epoch && member.is_none_or(|m| m == summary.incarnation),
+        None => member.is_none_or(|m| m == summary.incarnation),
+    }
+}
+
 /// Tells one peer about this controller's machines, and hears of its own.
 pub async fn tell(node: Node, address: String) {
     loop {
@@ -126,3 +145,37 @@
     };
     Reply { status: 200, body: peer::encode(&answer), retry_after: None }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::settings::tests::EXAMPLE;
+    use crate::settings::{Operators, Settings};
+    use sched::records::Member;
+    use sched::world::Change;
+
+    #[test]
+    fn late_copies_of_summaries_say_nothing() {
+        let text = EXAMPLE.replacen(
+            "[external]",
+            "[[peers]]\nnode_name = \"n-1\"\naddress = \"127.0.0.1:3\"\n[external]",
+            1,
+        );
+        let node = Node::new(Settings::parse("example", &text).expect("valid"), Operators::default(), 1);
+        let hear = |incarnation, count, state_silent_ms| {
+            let name = "n-1".to_owned();
+            take(
+                &node,
+                Summary { name, incarnation, count, epoch: 3, state_silent_ms, machines: Vec::new() },
+            );
+            node.core().peers["n-1"].summary.state_silent_ms
+        };
+        assert_eq!(hear(7, 1, 60_000), 60_000, "an outage");
+        assert_eq!(hear(7, 2, 100), 100);
+        assert_eq!(hear(7, 1, 60_000), 100, "a copy of the first");
+        let member = Member { name: "n-1".into(), zone: "a".into(), incarnation: 8 };
+        node.core().world.apply(Change::Member("n-1".into(), Some(member)), 1);
+        assert_eq!(hear(8, 1, 50), 50, "a new process counts anew");
+        assert_eq!(hear(7, 9, 60_000), 50, "its predecessor is gone");
+    }
+}
--- a/crates/daemon/src/load.rs
+++ b/crates/daemon/src/load.rs
@@ -34,6 +34,8 @@
     pub rounds: AtomicU64,
     pub round_us: AtomicU64,
     pub reports: AtomicU64,
+    /// Summaries sent since the start.
+    pub summaries: AtomicU64,
     /// Reports that were sent elsewhere or answered without renewing a lease.
     pub turned_away: AtomicU64,
 }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -138,6 +138,7 @@
     node.spawn_duty(state_duty::mirror(node.clone()));
     node.spawn_duty(state_duty::verifier(node.clone()));
     node.spawn_duty(state_duty::membership(node.clone()));
+    node.spawn_duty(engine::pulse(node.clone()));
     node.spawn_duty(engine::rounds(node.clone()));
     node.spawn_duty(engine::prober(node.clone()));
     node.spawn_duty(front::arrivals(node.clone()));
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -23,6 +23,9 @@
 
 /// How long a controller may be out of touch before it is no longer live.
 pub const MEMBER_TTL: Duration = Duration::from_secs(4);
+/// A gap of so long between two beats is a stand-still: more than the processor's
+/// share makes timers late, less than workers need to count as silent.
+pub const STOOD_STILL: Duration = Duration::from_secs(2);
 /// How old a peer's summary may be to say anything about its sender.
 const SUMMARY_FRESH: Duration = Duration::from_millis(2500);
 
@@ -105,6 +108,8 @@
     pub rows: HashMap<Name, MachineRow>,
     /// When the last request was sent after which the mirror was known fresh.
     pub fresh_at: Option<Instant>,
+    /// When this process was last seen to run, by a duty that does nothing else.
+    pub beat: Instant,
     pub asked: u64,
     pub lease: Option<u64>,
     pub writes: Budget,
@@ -139,6 +144,7 @@
             peers: HashMap::new(),
             rows: HashMap::new(),
             fresh_at: None,
+            beat: now,
             asked: 0,
             lease: None,
             writes: Budget::new(per_s * 0.5, per_s * 0.5, now),
@@ -340,6 +346,20 @@
         peers > 0 && self.peers.values().filter(out).count() == peers
     }
 
+    /// Whether this process stood still until just now: what it knows of others'
+    /// silence is then its own.
+    pub fn stood_still(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.beat) > STOOD_STILL
+    }
+
+    /// The process runs. If it stood still before, nobody is blamed for it.
+    pub fn beat(&mut self, now: Instant) {
+        if self.stood_still(now) {
+            self.workers.values_mut().for_each(|w| w.excuse(now));
+        }
+        self.beat = now;
+    }
+
     /// Whether some peer has the state service while this controller has not.
     pub fn alone_without_state(&self, now: Instant) -> bool {
         let silent =
@@ -377,7 +397,7 @@
     use sched::world::Change;
 
     fn summary(name: &str, epoch: u64, state_silent_ms: u64) -> Summary {
-        Summary { name: name.into(), incarnation: 9, epoch, state_silent_ms, machines: Vec::new() }
+        Summary { name: name.into(), incarnation: 9, count: 1, epoch, state_silent_ms, machines: Vec::new() }
     }
 
     /// A controller that has lost the state service and its peers, but not its
--- a/crates/daemon/src/worker.rs
+++ b/crates/daemon/src/worker.rs
@@ -42,6 +42,8 @@
     /// Last sign of life, and last report that was answered with 200.
     pub heard: Option<Instant>,
     pub renewed: Option<Instant>,
+    /// Until when silence is this controller's own fault, as it stood still.
+    excused: Option<Instant>,
     tasks: Vec<TaskReport>,
     /// The list of tasks is from after this controller became the owner: it answers
     /// a request of ours, or shows a token of ours. Any other report may be a late
@@ -109,6 +111,7 @@
             owned_since: now,
             heard: None,
             renewed: None,
+            excused: None,
             tasks: Vec::new(),
             trusted: false,
             present: HashSet::new(),
@@ -411,10 +414,20 @@
         self.errors >= 2 && self.error_jobs.len() >= 2
     }
 
+    /// This controller stood still until now: what it did not hear meanwhile says
+    /// nothing of the worker.
+    pub fn excuse(&mut self, now: Instant) {
+        self.excused = Some(now);
+    }
+
     /// How long nothing has been heard, or nothing could be said.
     pub fn silent_for(&self, now: Instant) -> Duration {
-        let silent = now.saturating_duration_since(self.heard.unwrap_or(self.owned_since));
-        let deaf = self.deaf_since.map_or(Duration::ZERO, |t| now.saturating_duration_since(t));
+        let for_long = |since: Instant| {
+            let since = self.excused.map_or(since, |e| e.max(since));
+            now.saturating_duration_since(since)
+        };
+        let silent = for_long(self.heard.unwrap_or(self.owned_since));
+        let deaf = self.deaf_since.map_or(Duration::ZERO, for_long);
         silent.max(deaf)
     }
 
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -27,6 +27,8 @@
 pub struct Summary {
     pub name: String,
     pub incarnation: u64,
+    /// Counts the sender's summaries: a late copy of an older one says nothing.
+    pub count: u64,
     /// Epoch of the newest map the sender knows.
     pub epoch: u64,
     /// The sender's last contact with the state service was so long ago.
