--- /dev/null
+++ b/crates/daemon/src/fleet_duty/rentals.rs
@@ -0,0 +1,351 @@
+//! What is rented: demand, plan and requests.
+
+use std::collections::{BTreeSet, HashMap, HashSet};
+use std::time::{Duration, Instant};
+
+use cloud::{CloudError, RENT_MAX};
+use sched::fleet::{Coming, Demand, Offer, plan};
+use sched::forecast;
+use sched::placement;
+use sched::records::*;
+use sched::world::Amount;
+use store::{Put, key};
+use tokio::time::sleep;
+use tracing::{debug, info};
+use wire::{Condition, JobKind, JobSpec, MachineStatus, MachineType, RentRequest};
+
+use super::{Fleet, few, names, names_left, spare_spec, write};
+use crate::node::{Core, Node, wall_ms};
+
+/// Most kinds of machines asked for between two looks at what is wanted.
+const RENT_AT_ONCE: usize = 6;
+const BLOCK_FIRST: Duration = Duration::from_secs(20);
+const BLOCK_MOST: Duration = Duration::from_secs(60);
+
+/// What a rental takes, in names, until its machines are known.
+pub(super) const RENT_ROOM: usize = 60;
+
+/// Machine types that fetch a gang's image too slowly, unless all do.
+fn unsuited(node: &Node, core: &Core, spec: &JobSpec) -> Vec<Name> {
+    let wait = node.settings.facts.workers.gang_wait_s;
+    let may = |t: &&MachineType| {
+        Amount::of_task(spec).fits(Amount::of_type(t))
+            && spec.types.as_ref().is_none_or(|l| l.contains(&t.name))
+    };
+    let (slow, quick): (Vec<_>, Vec<_>) =
+        core.world.types.values().filter(may).partition(|t| placement::too_slow(spec, t, wait));
+    if quick.is_empty() { Vec::new() } else { slow.iter().map(|t| t.name.as_str().into()).collect() }
+}
+
+impl Fleet {
+    /// Drops rentals whose machines are all up, and gives up on those that are not.
+    pub(super) async fn settle_rentals(&mut self, node: &Node) {
+        let now_ms = wall_ms();
+        let (fleet, version, late) = {
+            let core = node.core();
+            let Some(f) = &core.world.fleet else { return };
+            let mut late: Vec<Name> = Vec::new();
+            let mut rentals = Vec::new();
+            for r in &f.value.rentals {
+                let boot = core.world.types.get(&*r.machine_type).map_or(60.0, |t| t.boot_s);
+                let age = now_ms.saturating_sub(r.asked_ms) as f64 / 1000.0;
+                let mut r = r.clone();
+                if let Some(machines) = &mut r.machines {
+                    machines
+                        .retain(|m| !core.world.machines.contains_key(m) && !self.released.contains_key(m));
+                    if age > boot * 3.0 + 15.0 {
+                        late.append(machines);
+                    }
+                    if machines.is_empty() {
+                        continue;
+                    }
+                } else if age > 30.0 {
+                    // Never answered: whatever comes of it will report by itself.
+                    continue;
+                }
+                rentals.push(r);
+            }
+            if rentals == f.value.rentals && late.is_empty() {
+                return;
+            }
+            (FleetRecord { rentals, gone: f.value.gone.clone() }, f.version, late)
+        };
+        if !late.is_empty() {
+            if node.cloud.release(names(&late)).await.is_err() {
+                return;
+            }
+            let machines: Vec<&Name> = late.iter().collect();
+            info!(count = late.len(), machines = few(&machines), "released: they never came up");
+            for id in &late {
+                self.released.insert(id.clone(), Instant::now());
+            }
+        }
+        let put = Put::new(key::FLEET.into(), &fleet);
+        write(node, vec![Condition { key: key::FLEET.into(), version }], vec![put]).await;
+    }
+
+    /// Machines that have not been heard of for longer than placement would wait.
+    pub(super) fn about_to_go(&self, node: &Node, core: &Core, now: Instant) -> HashSet<Name> {
+        let limit = node.report_every() * 5 / 2;
+        let quiet = |id: &Name| match core.workers.get(id) {
+            Some(w) => w.silent_for(now) > limit,
+            None => core.rows.get(id).is_some_and(|r| Duration::from_millis(r.silent_ms) > limit),
+        };
+        core.world
+            .on_machine
+            .keys()
+            .filter(|id| core.world.machines.contains_key(*id) && quiet(id))
+            .cloned()
+            .collect()
+    }
+
+    /// What is wanted beyond the room that is there or coming.
+    pub(super) fn wanted(&mut self, node: &Node, core: &Core, now: Instant) -> Vec<Offer> {
+        let settled =
+            self.led_since.is_some_and(|t| now.saturating_duration_since(t) > Duration::from_secs(2));
+        if !settled || core.world.types.is_empty() || self.listed_at.is_none() {
+            return Vec::new();
+        }
+        let now_ms = wall_ms();
+        let mut demands = Vec::new();
+        let lost = self.about_to_go(node, core, now);
+        let mut left: HashMap<&str, Amount> = HashMap::new();
+        for id in &core.world.open {
+            let Some(job) = core.world.jobs.get(id).map(|j| j.value.as_ref()) else { continue };
+            let Some(spec) = job.spec.as_deref() else { continue };
+            // Room for replicas on machines that are lost, most likely, is rented before
+            // they are given up. They have their share of the team's limit already.
+            let there = |a: &&Assignment| lost.contains(&a.machine) && job.wants(a);
+            let replaced = match spec.kind {
+                JobKind::Service if !lost.is_empty() => job.run.iter().filter(there).count() as u32,
+                _ => 0,
+            };
+            let waiting = placement::pending_count(job);
+            if waiting + replaced == 0 || job.errors >= 3 || now_ms.saturating_sub(job.submitted_ms) < 300 {
+                continue;
+            }
+            let Some(team) = node.team(&spec.team) else { continue };
+            let room = left.entry(&spec.team).or_insert_with(|| {
+                let used = core.world.team_use.get(&spec.team).copied().unwrap_or_default();
+                team.limit().plus(Amount { memory_gb: 0.0, ..used }, -1.0)
+            });
+            let size = Amount { memory_gb: 0.0, ..Amount::of_task(spec) };
+            let admitted = waiting.min(size.times_in(*room));
+            let tasks = admitted + replaced;
+            if tasks == 0 {
+                continue;
+            }
+            *room = room.plus(size, -f64::from(admitted));
+            let mut in_zone: HashMap<Name, u32> = HashMap::new();
+            for a in job.run.iter().filter(|a| !lost.contains(&a.machine)) {
+                if let Some(m) = core.world.machines.get(&a.machine) {
+                    *in_zone.entry(m.value.zone.clone()).or_default() += 1;
+                }
+            }
+            demands.push((job, Demand { spec, tasks, in_zone, unsuited: unsuited(node, core, spec) }));
+        }
+        // What is to start within a time of its own comes before what is not.
+        let in_time = |j: &JobRecord| {
+            let starts = j.spec.as_ref().is_some_and(|s| node.settings.starts_in_time(&s.class));
+            (!starts, false, 0)
+        };
+        demands.sort_by(|a, b| placement::queue_order((a.0, in_time(a.0)), (b.0, in_time(b.0))));
+        self.waiting.clear();
+        for (_, d) in &demands {
+            let like = |s: &JobSpec| {
+                (s.kind, s.spot, &s.types, &s.zone) == (d.spec.kind, d.spec.spot, &d.spec.types, &d.spec.zone)
+                    && Amount::of_task(s) == Amount::of_task(d.spec)
+            };
+            if !self.waiting.iter().any(like) {
+                self.waiting.push(d.spec.clone());
+            }
+        }
+        let mut coming: Vec<Coming> = Vec::new();
+        let mut counted: BTreeSet<&Name> = BTreeSet::new();
+        let full = |t: &str| core.world.types.get(t).map(Amount::of_type).unwrap_or_default();
+        for r in core.world.fleet.iter().flat_map(|f| f.value.rentals.iter()) {
+            let n = match &r.machines {
+                Some(list) => {
+                    counted.extend(list);
+                    list.iter().filter(|m| !core.world.machines.contains_key(*m)).count()
+                }
+                None => r.count as usize,
+            };
+            for _ in 0..n {
+                coming.push(Coming {
+                    machine_type: r.machine_type.clone(),
+                    zone: r.zone.clone(),
+                    spot: r.spot,
+                    free: full(&r.machine_type),
+                    gpus: full(&r.machine_type).gpus,
+                    up: false,
+                });
+            }
+        }
+        for (id, m) in &self.listed {
+            let known = core.world.machines.contains_key(id)
+                || counted.contains(id)
+                || self.released.contains_key(id);
+            if !known && m.status != MachineStatus::Failed {
+                coming.push(Coming {
+                    machine_type: m.machine_type.as_str().into(),
+                    zone: m.zone.as_str().into(),
+                    spot: m.spot,
+                    free: full(&m.machine_type),
+                    gpus: full(&m.machine_type).gpus,
+                    up: false,
+                });
+            }
+        }
+        for (id, m) in &core.world.machines {
+            let report = node.report_every();
+            if m.value.release || !core.usable(id, &node.me, report, now) {
+                continue;
+            }
+            let used = core.world.machine_use.get(id).copied().unwrap_or_default();
+            coming.push(Coming {
+                machine_type: m.value.machine_type.clone(),
+                zone: m.value.zone.clone(),
+                spot: m.value.spot,
+                free: full(&m.value.machine_type).plus(used, -1.0),
+                gpus: full(&m.value.machine_type).gpus,
+                up: true,
+            });
+        }
+        let services = demands.partition_point(|(_, d)| d.spec.kind == JobKind::Service);
+        let mut demands: Vec<Demand> = demands.into_iter().map(|(_, d)| d).collect();
+        let expected = forecast::services(&core.world, now_ms);
+        if let Some((spec, tasks)) = &expected {
+            demands.insert(
+                services,
+                Demand { spec, tasks: *tasks, in_zone: HashMap::new(), unsuited: Vec::new() },
+            );
+        }
+        let spare = spare_spec(node, core).map(|s| JobSpec { one_zone: false, ..s.clone() });
+        if let Some(spec) = &spare {
+            demands.push(Demand {
+                spec,
+                tasks: self.spare_tasks(node, now),
+                in_zone: HashMap::new(),
+                unsuited: Vec::new(),
+            });
+        }
+        plan(
+            &demands,
+            &coming,
+            &core.world.types,
+            core.world.gpu_spec.as_deref(),
+            |o| self.blocked.get(o).is_some_and(|(t, _)| now < *t),
+            RENT_MAX as usize,
+        )
+    }
+
+    /// Room kept ready for so many GPU tasks.
+    pub(super) fn spare_tasks(&self, node: &Node, now: Instant) -> u32 {
+        node.operators.spare_gpu_tasks.max(self.gpu_demand.growth(now))
+    }
+
+    pub(super) async fn rent(&mut self, node: &Node) -> Duration {
+        let now = Instant::now();
+        let wanted = {
+            let core = node.core();
+            self.gpu_demand.note(&core.world, now);
+            self.wanted(node, &core, now)
+        };
+        let cost = now.elapsed();
+        let mut kinds: Vec<(Offer, u32)> = Vec::new();
+        for offer in wanted {
+            match kinds.iter_mut().find(|(o, _)| *o == offer) {
+                Some((_, n)) => *n = (*n + 1).min(RENT_MAX),
+                None => kinds.push((offer, 1)),
+            }
+        }
+        for (offer, count) in kinds.into_iter().take(RENT_AT_ONCE) {
+            let room = node.core().world.fleet.as_ref().map_or(usize::MAX, |f| names_left(&f.value, node));
+            if room < RENT_ROOM + RENT_MAX as usize {
+                // The record of rentals is full until some of them are up.
+                break;
+            }
+            self.rent_kind(node, offer, count, now).await;
+        }
+        cost
+    }
+
+    pub(super) async fn rent_kind(&mut self, node: &Node, offer: Offer, count: u32, now: Instant) {
+        self.requests += 1;
+        let request = format!("{}-{:x}-{}", node.me.name, node.me.incarnation, self.requests);
+        let rental = Rental {
+            request: request.clone(),
+            machine_type: offer.machine_type.clone(),
+            zone: offer.zone.clone(),
+            spot: offer.spot,
+            count,
+            asked_ms: wall_ms(),
+            machines: None,
+        };
+        // Recorded first: a successor knows what may still come.
+        if !self.put_rentals(node, |l| l.push(rental.clone())).await {
+            return;
+        }
+        let ask = RentRequest {
+            request: request.clone(),
+            machine_type: offer.machine_type.to_string(),
+            zone: offer.zone.to_string(),
+            spot: offer.spot,
+            count,
+        };
+        let mut answer = node.cloud.rent(&ask).await;
+        for _ in 0..2 {
+            if !matches!(answer, Err(CloudError::Net(_))) {
+                break;
+            }
+            // The same name again: it cannot rent twice.
+            sleep(Duration::from_millis(500)).await;
+            answer = node.cloud.rent(&ask).await;
+        }
+        match answer {
+            Ok(machines) => {
+                let machines: Vec<Name> = machines.iter().map(|m| m.as_str().into()).collect();
+                info!(
+                    request,
+                    kind = &*offer.machine_type,
+                    zone = &*offer.zone,
+                    spot = offer.spot,
+                    asked = count,
+                    got = machines.len(),
+                    first = machines.first().map(|m| &**m),
+                    "rented"
+                );
+                if (machines.len() as u32) < count {
+                    self.block(offer, now);
+                } else {
+                    self.blocked.remove(&offer);
+                }
+                self.put_rentals(node, |l| {
+                    if let Some(r) = l.iter_mut().find(|r| r.request == request) {
+                        r.machines = Some(machines.clone());
+                    }
+                })
+                .await;
+            }
+            Err(e) => {
+                debug!(request, kind = &*offer.machine_type, zone = &*offer.zone, spot = offer.spot, error = %e, "not rented");
+                let sure = !matches!(e, CloudError::Net(_) | CloudError::Answer(_));
+                if matches!(e, CloudError::NoCapacity) {
+                    self.block(offer, now);
+                } else {
+                    sleep(Duration::from_secs(1)).await;
+                }
+                if sure {
+                    self.put_rentals(node, |l| l.retain(|r| r.request != request)).await;
+                }
+            }
+        }
+    }
+
+    /// No capacity: ask again later, and ever later.
+    pub(super) fn block(&mut self, offer: Offer, now: Instant) {
+        let pause = self.blocked.get(&offer).map_or(BLOCK_FIRST, |(_, p)| (*p * 2).min(BLOCK_MOST));
+        self.blocked.insert(offer, (now + pause, pause));
+    }
+}
