--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -350,9 +350,7 @@
     }
     match node.state.txn(conditions, puts).await {
         Ok(Outcome::Committed { revision }) => {
-            for e in round.log.iter().filter(|e| !left_out.contains(e.job())) {
-                e.tell();
-            }
+            tell(round.log.iter().filter(|e| !left_out.contains(e.job())));
             // The next round need not wait until the news of this one arrives.
             let mut core = node.core();
             for (id, record) in round.jobs {
@@ -447,12 +445,9 @@
     fn tell(&self) {
         match self {
             Event::Placed { job, tasks, attempt } => debug!(job, tasks, attempt, "placed"),
-            Event::Ended { job, task, attempt, how: End::Lost } => {
-                info!(job, task, attempt, "proven lost");
-            }
             Event::Ended { job, task, attempt, how } => debug!(job, task, attempt, ?how, "ended"),
             Event::Preempted { by, victim: v } => {
-                info!(
+                debug!(
                     job = v.job,
                     task = v.task,
                     attempt = v.attempt,
@@ -465,13 +460,36 @@
                 info!(job = e.job, task = e.task, machine = &*e.machine, reason = e.reason, "evicted");
             }
             Event::Drained { job, task, machine } => {
-                info!(job, task, machine = &**machine, "stopped: its machine is about to be taken away");
+                debug!(job, task, machine = &**machine, "stopped: its machine is about to be taken away");
             }
             Event::Escalated { job } => debug!(job, "too big for its part; the leader places it"),
         }
     }
 }
 
+/// Tells what a round has done: each event for those who debug, and what often
+/// comes by the hundred as one line with its number and a few names.
+fn tell<'a>(events: impl Iterator<Item = &'a Event>) {
+    let (mut lost, mut preempted, mut drained) = (Vec::new(), Vec::new(), Vec::new());
+    for e in events {
+        e.tell();
+        match e {
+            Event::Ended { job, task, how: End::Lost, .. } => lost.push(format!("{job}/{task}")),
+            Event::Preempted { by, victim: v } => preempted.push(format!("{}/{} by {by}", v.job, v.task)),
+            Event::Drained { job, task, .. } => drained.push(format!("{job}/{task}")),
+            _ => {}
+        }
+    }
+    let told = [
+        (lost, "proven lost"),
+        (preempted, "preempted"),
+        (drained, "stopped: their machines are about to be taken away"),
+    ];
+    for (tasks, what) in told.into_iter().filter(|(t, _)| !t.is_empty()) {
+        info!(count = tasks.len(), tasks = crate::load::few(&tasks), "{what}");
+    }
+}
+
 /// Sends commands to a worker and takes in the report that answers them.
 fn send(node: &Node, machine: Name, addr: String, commands: Commands) {
     let token = commands.token;
--- a/crates/daemon/src/fleet_duty.rs
+++ b/crates/daemon/src/fleet_duty.rs
@@ -184,12 +184,6 @@
     info!(waiting = waiting.join("; "), machines = kinds.join("; "), "cluster");
 }
 
-/// A few names, as hundreds at a time make no readable line.
-fn few(machines: &[&Name]) -> String {
-    let some: Vec<&str> = machines.iter().take(5).map(|m| &***m).collect();
-    some.join(" ") + if machines.len() > some.len() { " …" } else { "" }
-}
-
 fn names(machines: &[Name]) -> Vec<String> {
     machines.iter().map(|m| m.to_string()).collect()
 }
--- a/crates/daemon/src/fleet_duty/rentals.rs
+++ b/crates/daemon/src/fleet_duty/rentals.rs
@@ -14,7 +14,8 @@
 use tracing::{debug, info};
 use wire::{Condition, JobKind, JobSpec, MachineStatus, MachineType, RentRequest};
 
-use super::{Fleet, few, names, names_left, spare_spec, write};
+use super::{Fleet, names, names_left, spare_spec, write};
+use crate::load::few;
 use crate::node::{Core, Node, wall_ms};
 
 /// Most kinds of machines asked for between two looks at what is wanted.
--- a/crates/daemon/src/fleet_duty/returns.rs
+++ b/crates/daemon/src/fleet_duty/returns.rs
@@ -14,7 +14,8 @@
 use tracing::{debug, info, warn};
 use wire::{Condition, JobKind, JobSpec, MachineStatus};
 
-use super::{Fleet, Silent, few, names, names_left, spare_spec, write};
+use super::{Fleet, Silent, names, names_left, spare_spec, write};
+use crate::load::few;
 use crate::node::{Core, Node, wall_ms};
 
 /// Of one kind, only so many idle machines are kept for as long as their boot
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -14,7 +14,7 @@
 use wire::{Condition, JobSpec, JobState, JobStatus, Redirect, Report, ReportAnswer};
 
 use crate::gossip;
-use crate::load::{Counts, Purpose};
+use crate::load::{Counts, Purpose, few};
 use crate::node::{Core, Node, View, wall_ms};
 use crate::placer;
 use crate::worker::{Worker, first_token};
@@ -425,8 +425,10 @@
     match node.state.txn(conditions, puts).await {
         Ok(Outcome::Committed { revision }) => {
             let mut core = node.core();
+            let names: Vec<&Name> = list.iter().map(|(id, _)| id).collect();
+            info!(count = names.len(), machines = few(&names), "machines are up");
             for (id, record) in list {
-                info!(
+                debug!(
                     machine = &*id,
                     zone = &*record.zone,
                     kind = &*record.machine_type,
--- a/crates/daemon/src/load.rs
+++ b/crates/daemon/src/load.rs
@@ -59,6 +59,12 @@
     }
 }
 
+/// A few names, as hundreds at a time make no readable line.
+pub fn few<T: AsRef<str>>(names: &[T]) -> String {
+    let some: Vec<&str> = names.iter().take(5).map(AsRef::as_ref).collect();
+    some.join(" ") + if names.len() > some.len() { " …" } else { "" }
+}
+
 const EVERY: Duration = Duration::from_secs(10);
 
 pub async fn tell(node: Node) {
