A controller's word of its machines goes with its ownership

One that is cut off from its workers calls them silent; when the map changes, that passed for the word of their next owner until it spoke, and live machines could have been released. Nor is room rented for all the replicas of an owner that is itself cut off, most likely.

--- a/crates/daemon/src/fleet_duty/rentals.rs
+++ b/crates/daemon/src/fleet_duty/rentals.rs
@@ -92,10 +92,21 @@
             Some(w) => w.silent_for(now) > limit,
             None => core.rows.get(id).is_some_and(|r| Duration::from_millis(r.silent_ms) > limit),
         };
+        // An owner that hears hardly any of its machines is itself cut off.
+        let mut by_owner: HashMap<u64, (usize, usize)> = HashMap::new();
+        for id in core.world.machines.keys() {
+            let Some(owner) = core.world.owner_of(id) else { continue };
+            let count = by_owner.entry(owner.incarnation).or_default();
+            *count = (count.0 + 1, count.1 + usize::from(quiet(id)));
+        }
+        let cut_off = |id: &Name| {
+            let owner = core.world.owner_of(id).map(|o| o.incarnation);
+            owner.and_then(|o| by_owner.get(&o)).is_some_and(|(all, mute)| mute * 8 > all * 7)
+        };
         core.world
             .on_machine
             .keys()
-            .filter(|id| core.world.machines.contains_key(*id) && quiet(id))
+            .filter(|id| core.world.machines.contains_key(*id) && quiet(id) && !cut_off(id))
             .cloned()
             .collect()
     }
--- a/crates/daemon/src/fleet_duty/returns.rs
+++ b/crates/daemon/src/fleet_duty/returns.rs
@@ -29,6 +29,7 @@
 /// And of those that are left, only this part at a time: where there is no room for
 /// them, hardly more than that are down before their leases end.
 const PACE_PART: usize = 8;
+
 /// Whether an empty machine could hold a task of the job.
 fn fits_machine(spec: &JobSpec, m: &MachineRecord, core: &Core) -> bool {
     placement::allowed(spec, &m.machine_type, &m.zone, m.spot)
--- a/crates/daemon/src/gossip.rs
+++ b/crates/daemon/src/gossip.rs
@@ -178,4 +178,39 @@
         assert_eq!(hear(8, 1, 50), 50, "a new process counts anew");
         assert_eq!(hear(7, 9, 60_000), 50, "its predecessor is gone");
     }
+
+    /// A controller that is cut off from its workers says that they are silent, and
+    /// leaves the map: its word is not that of their next owner.
+    #[test]
+    fn what_was_said_of_a_machine_goes_with_its_owner() {
+        let node = crate::scale::node(40, 2);
+        let mut core = node.core();
+        let theirs: Vec<_> = core.world.machines.keys().cloned().collect();
+        let other = |core: &Core, id: &str| core.world.owner_of(id).is_some_and(|o| o.name == "n-1");
+        for id in &theirs {
+            if other(&core, id) {
+                let row = MachineRow {
+                    id: id.to_string(),
+                    usable: false,
+                    silent_ms: 60_000,
+                    met: true,
+                    free_cpus: 0.0,
+                    free_gpus: 0.0,
+                    free_memory_gb: 0.0,
+                    sick: false,
+                    notice: false,
+                };
+                core.rows.insert(id.clone(), row);
+            }
+        }
+        let said = core.rows.len();
+        assert!(said > 0);
+        let before = core.row_owners();
+        core.forget_rows(&before);
+        assert_eq!(core.rows.len(), said, "nothing has changed");
+        let map = sched::records::MapRecord { epoch: 8, live: vec![node.me.clone()] };
+        core.world.apply(Change::Map(Some(map)), 1 << 40);
+        core.forget_rows(&before);
+        assert!(core.rows.is_empty());
+    }
 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -346,6 +346,19 @@
         peers > 0 && self.peers.values().filter(out).count() == peers
     }
 
+    /// The owner of each machine that a peer has spoken of.
+    pub fn row_owners(&self) -> HashMap<Name, u64> {
+        let owner = |id: &Name| self.world.owner_of(id).map(|o| (id.clone(), o.incarnation));
+        self.rows.keys().filter_map(owner).collect()
+    }
+
+    /// Forgets what was said of machines that have another owner now: the word of
+    /// one that was cut off must not pass for that of the next.
+    pub fn forget_rows(&mut self, before: &HashMap<Name, u64>) {
+        let Self { rows, world, .. } = self;
+        rows.retain(|id, _| world.owner_of(id).map(|o| o.incarnation).as_ref() == before.get(id));
+    }
+
     /// Whether this process stood still until just now: what it knows of others'
     /// silence is then its own.
     pub fn stood_still(&self, now: Instant) -> bool {
--- a/crates/daemon/src/state_duty.rs
+++ b/crates/daemon/src/state_duty.rs
@@ -99,6 +99,8 @@
         return;
     }
     let map_before = core.map().map(|m| m.epoch);
+    let new_map = changes.events.iter().any(|e| e.put.as_deref() == Some(key::MAP));
+    let owners_before = if new_map { core.row_owners() } else { Default::default() };
     for e in changes.events {
         let (k, value) = match (e.put, e.delete) {
             (Some(k), _) => (k, e.value),
@@ -118,6 +120,7 @@
     }
     core.world.revision = changes.revision;
     if core.map().map(|m| m.epoch) != map_before {
+        core.forget_rows(&owners_before);
         let (epoch, live) = core.map().map_or((0, 0), |m| (m.epoch, m.live.len()));
         info!(epoch, live, entitled = core.in_map(&node.me), "new map");
     }
