--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -17,6 +17,7 @@
 use wire::{Command, Commands, Condition, Report};
 
 use crate::gossip;
+use crate::load::{Counts, Purpose};
 use crate::node::{Core, HandedProof, Node, wall_ms};
 use crate::placer;
 use crate::worker::{Key, Worker};
@@ -91,6 +92,8 @@
             decide(&node, &mut core, scan, ops, now, wall_ms())
         };
         let cost = now.elapsed();
+        Counts::add(&node.counts.rounds, 1);
+        Counts::add(&node.counts.round_us, cost.as_micros() as u64);
         let Some(mut round) = round else {
             sleep(GAP).await;
             continue;
@@ -296,25 +299,24 @@
 /// Ends assignments on machines without a record: a record goes only after the
 /// cloud has confirmed the release, and nothing is launched without one.
 fn drop_gone(node: &Node, core: &Core, round: &mut Round, now_ms: u64) {
-    for id in &core.world.open {
-        // The rest has its turn in the next rounds: what ends in this one can be
-        // placed in it, too.
-        if round.jobs.len() >= round.most_ended {
-            return;
-        }
-        let Some(job) = core.world.jobs.get(id) else { continue };
-        if core.world.placer_of(&job.value) != Some(&node.me.name) {
-            continue;
-        }
-        let gone = |a: &&Assignment| !core.world.machines.contains_key(&a.machine);
-        if !job.value.run.iter().any(|a| gone(&a)) {
-            continue;
-        }
-        let lost: Vec<(u32, u64)> = job.value.run.iter().filter(gone).map(|a| (a.task, a.attempt)).collect();
-        for (task, attempt) in lost {
+    for machine in &core.world.orphaned {
+        for (id, job, a) in core.world.assignments(machine) {
+            if core.world.placer_of(job) != Some(&node.me.name) {
+                continue;
+            }
+            // The rest has its turn in the next rounds: what ends in this one can
+            // be placed in it, too.
+            if round.jobs.len() >= round.most_ended && !round.jobs.contains_key(id) {
+                continue;
+            }
             if let Some(record) = edit(round, &core.world, id) {
-                record.end(task, attempt, End::Lost, now_ms, 0);
-                round.log.push(Event::Ended { job: id.clone(), task, attempt, how: End::Lost });
+                record.end(a.task, a.attempt, End::Lost, now_ms, 0);
+                round.log.push(Event::Ended {
+                    job: id.to_owned(),
+                    task: a.task,
+                    attempt: a.attempt,
+                    how: End::Lost,
+                });
             }
         }
     }
@@ -340,6 +342,7 @@
         let mut core = node.core();
         let assembled = assemble(&core.world, &round, node.settings.facts.state.txn_ops, node.value_bytes());
         core.writes.take(assembled.1.len() as f64, 0.0, Instant::now());
+        node.counts.spend(Purpose::Rounds, assembled.1.len());
         assembled
     };
     if puts.is_empty() {
@@ -347,9 +350,7 @@
     }
     match node.state.txn(conditions, puts).await {
         Ok(Outcome::Committed { revision }) => {
-            for e in round.log.iter().filter(|e| !left_out.contains(e.job())) {
-                e.tell();
-            }
+            tell(round.log.iter().filter(|e| !left_out.contains(e.job())));
             // The next round need not wait until the news of this one arrives.
             let mut core = node.core();
             for (id, record) in round.jobs {
@@ -362,6 +363,7 @@
             }
         }
         Ok(Outcome::Conflict { failed, revision }) => {
+            Counts::add(&node.counts.conflicts, 1);
             debug!(?failed, puts = round.puts(), "a round met newer records");
             round.release(node);
             node.reach(revision, Duration::from_secs(2)).await;
@@ -443,12 +445,9 @@
     fn tell(&self) {
         match self {
             Event::Placed { job, tasks, attempt } => debug!(job, tasks, attempt, "placed"),
-            Event::Ended { job, task, attempt, how: End::Lost } => {
-                info!(job, task, attempt, "proven lost");
-            }
             Event::Ended { job, task, attempt, how } => debug!(job, task, attempt, ?how, "ended"),
             Event::Preempted { by, victim: v } => {
-                info!(
+                debug!(
                     job = v.job,
                     task = v.task,
                     attempt = v.attempt,
@@ -461,13 +460,36 @@
                 info!(job = e.job, task = e.task, machine = &*e.machine, reason = e.reason, "evicted");
             }
             Event::Drained { job, task, machine } => {
-                info!(job, task, machine = &**machine, "stopped: its machine is about to be taken away");
+                debug!(job, task, machine = &**machine, "stopped: its machine is about to be taken away");
             }
             Event::Escalated { job } => debug!(job, "too big for its part; the leader places it"),
         }
     }
 }
 
+/// Tells what a round has done: each event for those who debug, and what often
+/// comes by the hundred as one line with its number and a few names.
+fn tell<'a>(events: impl Iterator<Item = &'a Event>) {
+    let (mut lost, mut preempted, mut drained) = (Vec::new(), Vec::new(), Vec::new());
+    for e in events {
+        e.tell();
+        match e {
+            Event::Ended { job, task, how: End::Lost, .. } => lost.push(format!("{job}/{task}")),
+            Event::Preempted { by, victim: v } => preempted.push(format!("{}/{} by {by}", v.job, v.task)),
+            Event::Drained { job, task, .. } => drained.push(format!("{job}/{task}")),
+            _ => {}
+        }
+    }
+    let told = [
+        (lost, "proven lost"),
+        (preempted, "preempted"),
+        (drained, "stopped: their machines are about to be taken away"),
+    ];
+    for (tasks, what) in told.into_iter().filter(|(t, _)| !t.is_empty()) {
+        info!(count = tasks.len(), tasks = crate::load::few(&tasks), "{what}");
+    }
+}
+
 /// Sends commands to a worker and takes in the report that answers them.
 fn send(node: &Node, machine: Name, addr: String, commands: Commands) {
     let token = commands.token;
@@ -478,7 +500,7 @@
         let body = wire::encode(&commands);
         let deadline = Duration::from_millis(2500);
         let answer =
-            node.http.request(&addr, "POST", "/commands", body, wire::BODY_LIMIT * 4, deadline).await;
+            node.workers_http.request(&addr, "POST", "/commands", body, wire::BODY_LIMIT * 4, deadline).await;
         let report = match answer {
             Ok(a) if a.status == 200 || a.status == 409 => wire::decode::<Report>(&a.body).ok(),
             Ok(a) => {
@@ -504,12 +526,21 @@
     });
 }
 
+/// Notices when the process has stood still.
+pub async fn pulse(node: Node) {
+    loop {
+        node.core().beat(Instant::now());
+        sleep(Duration::from_millis(250)).await;
+    }
+}
+
 /// Asks owned workers that have not been heard of for their status, so that a
 /// new owner need not wait for their reports.
 pub async fn prober(node: Node) {
+    let mut turn = 0;
     loop {
         sleep(Duration::from_millis(700)).await;
-        let quiet: Vec<(Name, String)> = {
+        let mut quiet: Vec<(Name, String)> = {
             let core = node.core();
             let now = Instant::now();
             let limit = node.report_every() * 3 / 2 + Duration::from_millis(500);
@@ -520,13 +551,21 @@
                 .map(|(id, w)| (id.clone(), w.addr.clone()))
                 .collect()
         };
-        for (machine, addr) in quiet.into_iter().take(16) {
+        // In turns: where hundreds are silent, those that are lost must not keep
+        // the others from being asked.
+        let few = (quiet.len() / 4).clamp(16, 64).min(quiet.len());
+        if !quiet.is_empty() {
+            let from = turn % quiet.len();
+            quiet.rotate_left(from);
+            turn = from + few;
+        }
+        for (machine, addr) in quiet.into_iter().take(few) {
             let node = node.clone();
             let tasks = node.tasks.clone();
             tasks.spawn(async move {
                 let deadline = Duration::from_millis(1200);
                 let answer = node
-                    .http
+                    .workers_http
                     .request(&addr, "GET", "/status", Vec::new(), wire::BODY_LIMIT * 4, deadline)
                     .await;
                 let Ok(answer) = answer else { return };
--- a/crates/daemon/src/fleet_duty.rs
+++ b/crates/daemon/src/fleet_duty.rs
@@ -1,21 +1,23 @@
 //! The leader's dealings with the cloud: renting, giving back, keeping the types.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
-use cloud::{CloudError, RELEASE_MAX, RENT_MAX};
-use sched::fleet::{Coming, Demand, Offer, plan};
-use sched::forecast::{self, GpuDemand};
-use sched::placement::{self, Board};
+use sched::fleet::Offer;
+use sched::forecast::GpuDemand;
+use sched::placement;
 use sched::records::*;
-use sched::world::Amount;
 use store::{Outcome, Put, key};
 use tokio::time::sleep;
 use tracing::{debug, info, warn};
-use wire::{Condition, JobKind, JobSpec, ListedMachine, MachineStatus, MachineType, RentRequest};
+use wire::{Condition, JobKind, JobSpec, ListedMachine};
 
+use crate::load::Purpose;
 use crate::node::{Core, Node, wall_ms};
 
+mod rentals;
+mod returns;
+
 #[derive(Default)]
 struct Fleet {
     /// Offers without capacity, until when, and the pause that follows.
@@ -33,23 +35,20 @@
     /// One job of each kind that waits for room and has its team's leave.
     waiting: Vec<JobSpec>,
     first_seen: HashMap<Name, Instant>,
+    /// Machines that are to be released for their silence.
+    silent: HashMap<Name, Silent>,
+}
+
+struct Silent {
+    /// When whatever is on the machine has surely lost its lease.
+    ends: Instant,
 }
 
 const TICK: Duration = Duration::from_millis(300);
-/// Most kinds of machines asked for between two looks at what is wanted.
-const RENT_AT_ONCE: usize = 6;
-/// Of one kind, only so many idle machines are kept for as long as their boot
-/// would cost.
-const IDLE_KEPT: u32 = 2;
-/// Most machines that are told gone before their records are deleted.
-const GONE_MOST: usize = 400;
 /// Between its steps the duty leaves this many times the time that one took.
 const LEAVE: u32 = 8;
 /// Room is kept ready for this long after the latest GPU job.
 const SPARE_FOR: Duration = Duration::from_secs(300);
-const BLOCK_FIRST: Duration = Duration::from_secs(20);
-const BLOCK_MOST: Duration = Duration::from_secs(60);
-
 pub async fn fleet(node: Node) {
     let mut fleet = Fleet::default();
     let mut cost = Duration::ZERO;
@@ -122,557 +121,6 @@
         }
     }
 
-    /// Which machines to give back, and why.
-    fn surplus(&mut self, node: &Node, core: &Core, now: Instant) -> Vec<(Name, &'static str)> {
-        let mut out = Vec::new();
-        let silent = node.silent_limit();
-        let mut silent_by_owner: HashMap<&str, (u32, u32)> = HashMap::new();
-        let mut rows = Vec::new();
-        let mut idle_of_kind: HashMap<Offer, u32> = HashMap::new();
-        for (id, m) in &core.world.machines {
-            let Some(owner) = core.world.owner_of(id) else { continue };
-            let (quiet, sick, notice) = if *owner == node.me {
-                match core.workers.get(id) {
-                    Some(w) => (w.silent_for(now), w.sick(), w.notice_until.is_some()),
-                    None => continue,
-                }
-            } else {
-                let view = core.peers.get(&owner.name);
-                match (core.rows.get(id), view) {
-                    (Some(r), Some(v)) if now.saturating_duration_since(v.at) < Duration::from_secs(4) => {
-                        (Duration::from_millis(r.silent_ms), r.sick, r.notice)
-                    }
-                    _ => continue,
-                }
-            };
-            let count = silent_by_owner.entry(&owner.name).or_default();
-            count.0 += 1;
-            count.1 += u32::from(quiet >= silent / 2);
-            rows.push((id, &m.value, owner.name.as_str(), quiet, sick, notice));
-        }
-        let idle: HashSet<&Name> =
-            core.world.machines.keys().filter(|id| !core.world.on_machine.contains_key(*id)).collect();
-        self.idle_since.retain(|id, _| idle.contains(id));
-        // Room for the services to come is not given back either.
-        let report = node.report_every();
-        let for_services: HashSet<Name> = match forecast::services(&core.world, wall_ms()) {
-            Some((spec, tasks)) => {
-                let board = Board::new(&core.world, |m| core.usable(m, &node.me, report, now));
-                placement::room_for(&core.world, &board, &spec, tasks, wall_ms()).into_iter().collect()
-            }
-            None => HashSet::new(),
-        };
-        // Room for the spare tasks, which giving a machine back must not touch.
-        let spare = spare_spec(node, core);
-        let spare_room =
-            |m: &MachineRecord, used: Amount| match (spare, core.world.types.get(&*m.machine_type)) {
-                (Some(spec), Some(t)) if placement::allowed(spec, &m.machine_type, &m.zone, m.spot) => {
-                    Amount::of_task(spec).times_in(Amount::of_type(t).plus(used, -1.0))
-                }
-                _ => 0,
-            };
-        let mut spare_left: u32 = core
-            .world
-            .machines
-            .iter()
-            .filter(|(_, m)| !m.value.release)
-            .map(|(id, m)| spare_room(&m.value, core.world.machine_use.get(id).copied().unwrap_or_default()))
-            .sum();
-        for (id, record, owner, quiet, sick, notice) in rows {
-            // An owner that hears nothing of most of its machines is itself cut
-            // off, most likely: its word takes longer to count.
-            let (all, mute) = silent_by_owner.get(owner).copied().unwrap_or_default();
-            let patience = if all >= 3 && mute * 2 > all { silent * 4 } else { silent };
-            let patience = if notice { patience / 2 } else { patience };
-            if record.release {
-                out.push((id.clone(), "marked"));
-            } else if quiet >= patience {
-                out.push((id.clone(), "silent"));
-            } else if sick {
-                out.push((id.clone(), "sick"));
-            } else if idle.contains(id)
-                && !for_services.contains(id)
-                && !self.waiting.iter().any(|s| fits_machine(s, record, core))
-            {
-                let since = *self.idle_since.entry(id.clone()).or_insert(now);
-                // Renting it again costs its boot time and the wait for it. Spot
-                // machines serve work that can wait.
-                let boot = core.world.types.get(&*record.machine_type).map_or(0.0, |t| t.boot_s);
-                let boot = if record.spot { 0.0 } else { boot };
-                // Many that are idle at a time are not all needed soon.
-                let kind = Offer {
-                    machine_type: record.machine_type.clone(),
-                    zone: record.zone.clone(),
-                    spot: record.spot,
-                };
-                let others = idle_of_kind.entry(kind).or_default();
-                *others += 1;
-                let boot = if *others > IDLE_KEPT { 0.0 } else { boot };
-                let keep = node.operators.idle.max(Duration::from_secs_f64(boot.clamp(0.0, 600.0)));
-                let room = spare_room(record, Amount::default());
-                let spared = room > 0 && spare_left < room + self.spare_tasks(node, now);
-                if now.saturating_duration_since(since) >= keep && !spared {
-                    spare_left -= room;
-                    out.push((id.clone(), "idle"));
-                }
-            }
-        }
-        // Failed by the list, or never come up.
-        let rented: HashSet<&Name> = core
-            .world
-            .fleet
-            .iter()
-            .flat_map(|f| f.value.rentals.iter())
-            .filter_map(|r| r.machines.as_ref())
-            .flatten()
-            .collect();
-        for (id, m) in &self.listed {
-            if self.released.contains_key(id) {
-                continue;
-            }
-            let boot = core.world.types.get(&m.machine_type).map_or(60.0, |t| t.boot_s);
-            let known = core.world.machines.contains_key(id);
-            let age = m.age_s + self.listed_at.map_or(0.0, |t| t.elapsed().as_secs_f64());
-            let seen = self.first_seen.get(id).map_or(0.0, |t| t.elapsed().as_secs_f64());
-            if m.status == MachineStatus::Failed {
-                out.push((id.clone(), "failed"));
-            } else if !known && !rented.contains(id) && age > boot * 4.0 + 30.0 && seen > 30.0 {
-                out.push((id.clone(), "never came up"));
-            }
-        }
-        out
-    }
-
-    async fn give_back(&mut self, node: &Node) {
-        let now = Instant::now();
-        // Released already, but the state service did not take it then.
-        let known = |id: &&Name| node.core().world.machines.contains_key(*id);
-        let left: Vec<Name> = self.released.keys().filter(known).cloned().collect();
-        if !left.is_empty() {
-            self.forget(node, left).await;
-        }
-        let list = {
-            let core = node.core();
-            self.surplus(node, &core, now)
-        };
-        // While changes are short, machines that cost nothing but money wait.
-        let mut list = list;
-        if node.core().writes.level(now) < 0.0 {
-            list.retain(|(_, why)| *why != "idle");
-        }
-        if list.is_empty() {
-            return;
-        }
-        // A mark first where placement might choose the machine meanwhile. On one
-        // that is silent or fails it places nothing, and when a whole zone falls
-        // silent hundreds of marks would take a minute.
-        let mut marks = Vec::new();
-        let mut ready = Vec::new();
-        let mut reasons: BTreeMap<&str, Vec<Name>> = BTreeMap::new();
-        {
-            let core = node.core();
-            for (id, why) in list {
-                match core.world.machines.get(&id) {
-                    Some(m) if why == "idle" && !m.value.release => marks.push((id, m.clone(), why)),
-                    _ if self.released.contains_key(&id) => {}
-                    _ => {
-                        reasons.entry(why).or_default().push(id.clone());
-                        ready.push(id);
-                    }
-                }
-            }
-        }
-        marks.truncate(node.settings.facts.state.txn_ops);
-        if !marks.is_empty() {
-            let conditions = marks
-                .iter()
-                .map(|(id, m, _)| Condition { key: key::machine(id), version: m.version })
-                .collect();
-            let puts = marks
-                .iter()
-                .map(|(id, m, _)| {
-                    Put::new(key::machine(id), &MachineRecord { release: true, ..m.value.clone() })
-                })
-                .collect();
-            if !write(node, conditions, puts).await {
-                return;
-            }
-            for (id, _, why) in marks {
-                info!(machine = &*id, reason = why, "giving the machine back");
-                // A task may have been placed just before the mark.
-                if !node.core().world.on_machine.contains_key(&id) {
-                    ready.push(id);
-                }
-            }
-        }
-        ready.truncate(RELEASE_MAX);
-        if ready.is_empty() {
-            return;
-        }
-        match node.cloud.release(names(&ready)).await {
-            Ok(()) => {
-                for (reason, machines) in reasons.into_iter().filter(|(r, _)| *r != "marked") {
-                    info!(?machines, reason, "giving the machines back");
-                }
-                info!(machines = ?ready, "released");
-                for id in &ready {
-                    self.released.insert(id.clone(), now);
-                    // There is capacity for one of its kind again.
-                    if let Some(m) = node.core().world.machines.get(id).map(|m| m.value.clone()) {
-                        let offer = Offer { machine_type: m.machine_type, zone: m.zone, spot: m.spot };
-                        self.blocked.remove(&offer);
-                    }
-                }
-                self.forget(node, ready).await;
-            }
-            Err(e) => {
-                warn!(error = %e, "a release was not confirmed");
-                sleep(Duration::from_millis(700)).await;
-            }
-        }
-    }
-
-    /// The release is confirmed: whatever was on the machines is gone.
-    async fn forget(&mut self, node: &Node, machines: Vec<Name>) {
-        let known: Vec<(Name, String)> = {
-            let core = node.core();
-            let record = |id: &Name| core.world.machines.get(id).map(|m| m.value.addr.clone());
-            machines.iter().filter_map(|id| Some((id.clone(), record(id)?))).take(GONE_MOST).collect()
-        };
-        if known.is_empty() {
-            return;
-        }
-        let add = |f: &mut FleetRecord| {
-            let gone = f.gone.get_or_insert_default();
-            gone.extend(known.iter().map(|(id, _)| id.clone()));
-            gone.sort_unstable();
-            gone.dedup();
-        };
-        if self.put_fleet(node, add).await {
-            for (_, addr) in &known {
-                node.http.forget(addr);
-            }
-        }
-    }
-
-    /// Deletes the records of machines that are gone, while nothing else needs
-    /// the changes.
-    async fn bury(&mut self, node: &Node) {
-        let ops = node.settings.facts.state.txn_ops;
-        let (dead, mut fleet, version) = {
-            let mut core = node.core();
-            let (level, rate) = (core.writes.level(Instant::now()), core.writes.per_second());
-            let Some(f) = &core.world.fleet else { return };
-            let full = f.value.gone.iter().flatten().count() > GONE_MOST / 2;
-            if core.world.gone.is_empty() || level < rate * 0.6 && !full {
-                return;
-            }
-            let dead: Vec<(Name, u64)> =
-                core.world.gone.iter().take(ops - 1).map(|(id, m)| (id.clone(), m.version)).collect();
-            (dead, f.value.clone(), f.version)
-        };
-        if let Some(gone) = &mut fleet.gone {
-            gone.retain(|id| !dead.iter().any(|(d, _)| d == id));
-        }
-        fleet.gone = fleet.gone.filter(|g| !g.is_empty());
-        let mut conditions = vec![Condition { key: key::FLEET.into(), version }];
-        conditions.extend(dead.iter().map(|(id, v)| Condition { key: key::machine(id), version: *v }));
-        let mut puts = vec![Put::new(key::FLEET.into(), &fleet)];
-        puts.extend(dead.iter().map(|(id, _)| Put::delete(key::machine(id))));
-        write(node, conditions, puts).await;
-    }
-
-    /// Drops rentals whose machines are all up, and gives up on those that are not.
-    async fn settle_rentals(&mut self, node: &Node) {
-        let now_ms = wall_ms();
-        let (fleet, version, late) = {
-            let core = node.core();
-            let Some(f) = &core.world.fleet else { return };
-            let mut late: Vec<Name> = Vec::new();
-            let mut rentals = Vec::new();
-            for r in &f.value.rentals {
-                let boot = core.world.types.get(&*r.machine_type).map_or(60.0, |t| t.boot_s);
-                let age = now_ms.saturating_sub(r.asked_ms) as f64 / 1000.0;
-                let mut r = r.clone();
-                if let Some(machines) = &mut r.machines {
-                    machines
-                        .retain(|m| !core.world.machines.contains_key(m) && !self.released.contains_key(m));
-                    if age > boot * 3.0 + 15.0 {
-                        late.append(machines);
-                    }
-                    if machines.is_empty() {
-                        continue;
-                    }
-                } else if age > 30.0 {
-                    // Never answered: whatever comes of it will report by itself.
-                    continue;
-                }
-                rentals.push(r);
-            }
-            if rentals == f.value.rentals && late.is_empty() {
-                return;
-            }
-            (FleetRecord { rentals, gone: f.value.gone.clone() }, f.version, late)
-        };
-        if !late.is_empty() {
-            if node.cloud.release(names(&late)).await.is_err() {
-                return;
-            }
-            info!(machines = ?late, "released: they never came up");
-            for id in &late {
-                self.released.insert(id.clone(), Instant::now());
-            }
-        }
-        let put = Put::new(key::FLEET.into(), &fleet);
-        write(node, vec![Condition { key: key::FLEET.into(), version }], vec![put]).await;
-    }
-
-    /// What is wanted beyond the room that is there or coming.
-    fn wanted(&mut self, node: &Node, core: &Core, now: Instant) -> Vec<Offer> {
-        let settled =
-            self.led_since.is_some_and(|t| now.saturating_duration_since(t) > Duration::from_secs(2));
-        if !settled || core.world.types.is_empty() || self.listed_at.is_none() {
-            return Vec::new();
-        }
-        let now_ms = wall_ms();
-        let mut demands = Vec::new();
-        let mut left: HashMap<&str, Amount> = HashMap::new();
-        for id in &core.world.open {
-            let Some(job) = core.world.jobs.get(id).map(|j| j.value.as_ref()) else { continue };
-            let Some(spec) = job.spec.as_deref() else { continue };
-            let waiting = placement::pending_count(job);
-            if waiting == 0 || job.errors >= 3 || now_ms.saturating_sub(job.submitted_ms) < 300 {
-                continue;
-            }
-            let Some(team) = node.team(&spec.team) else { continue };
-            let room = left.entry(&spec.team).or_insert_with(|| {
-                let used = core.world.team_use.get(&spec.team).copied().unwrap_or_default();
-                team.limit().plus(Amount { memory_gb: 0.0, ..used }, -1.0)
-            });
-            let size = Amount { memory_gb: 0.0, ..Amount::of_task(spec) };
-            let tasks = waiting.min(size.times_in(*room));
-            if tasks == 0 {
-                continue;
-            }
-            *room = room.plus(size, -f64::from(tasks));
-            let mut in_zone: HashMap<Name, u32> = HashMap::new();
-            for a in &job.run {
-                if let Some(m) = core.world.machines.get(&a.machine) {
-                    *in_zone.entry(m.value.zone.clone()).or_default() += 1;
-                }
-            }
-            demands.push((job, Demand { spec, tasks, in_zone, unsuited: unsuited(node, core, spec) }));
-        }
-        // What is to start within a time of its own comes before what is not.
-        let in_time = |j: &JobRecord| {
-            let starts = j.spec.as_ref().is_some_and(|s| node.settings.starts_in_time(&s.class));
-            (!starts, false, 0)
-        };
-        demands.sort_by(|a, b| placement::queue_order((a.0, in_time(a.0)), (b.0, in_time(b.0))));
-        self.waiting.clear();
-        for (_, d) in &demands {
-            let like = |s: &JobSpec| {
-                (s.kind, s.spot, &s.types, &s.zone) == (d.spec.kind, d.spec.spot, &d.spec.types, &d.spec.zone)
-                    && Amount::of_task(s) == Amount::of_task(d.spec)
-            };
-            if !self.waiting.iter().any(like) {
-                self.waiting.push(d.spec.clone());
-            }
-        }
-        let mut coming: Vec<Coming> = Vec::new();
-        let mut counted: BTreeSet<&Name> = BTreeSet::new();
-        let full = |t: &str| core.world.types.get(t).map(Amount::of_type).unwrap_or_default();
-        for r in core.world.fleet.iter().flat_map(|f| f.value.rentals.iter()) {
-            let n = match &r.machines {
-                Some(list) => {
-                    counted.extend(list);
-                    list.iter().filter(|m| !core.world.machines.contains_key(*m)).count()
-                }
-                None => r.count as usize,
-            };
-            for _ in 0..n {
-                coming.push(Coming {
-                    machine_type: r.machine_type.clone(),
-                    zone: r.zone.clone(),
-                    spot: r.spot,
-                    free: full(&r.machine_type),
-                    gpus: full(&r.machine_type).gpus,
-                    up: false,
-                });
-            }
-        }
-        for (id, m) in &self.listed {
-            let known = core.world.machines.contains_key(id)
-                || counted.contains(id)
-                || self.released.contains_key(id);
-            if !known && m.status != MachineStatus::Failed {
-                coming.push(Coming {
-                    machine_type: m.machine_type.as_str().into(),
-                    zone: m.zone.as_str().into(),
-                    spot: m.spot,
-                    free: full(&m.machine_type),
-                    gpus: full(&m.machine_type).gpus,
-                    up: false,
-                });
-            }
-        }
-        for (id, m) in &core.world.machines {
-            let report = node.report_every();
-            if m.value.release || !core.usable(id, &node.me, report, now) {
-                continue;
-            }
-            let used = core.world.machine_use.get(id).copied().unwrap_or_default();
-            coming.push(Coming {
-                machine_type: m.value.machine_type.clone(),
-                zone: m.value.zone.clone(),
-                spot: m.value.spot,
-                free: full(&m.value.machine_type).plus(used, -1.0),
-                gpus: full(&m.value.machine_type).gpus,
-                up: true,
-            });
-        }
-        let services = demands.partition_point(|(_, d)| d.spec.kind == JobKind::Service);
-        let mut demands: Vec<Demand> = demands.into_iter().map(|(_, d)| d).collect();
-        let expected = forecast::services(&core.world, now_ms);
-        if let Some((spec, tasks)) = &expected {
-            demands.insert(
-                services,
-                Demand { spec, tasks: *tasks, in_zone: HashMap::new(), unsuited: Vec::new() },
-            );
-        }
-        let spare = spare_spec(node, core).map(|s| JobSpec { one_zone: false, ..s.clone() });
-        if let Some(spec) = &spare {
-            demands.push(Demand {
-                spec,
-                tasks: self.spare_tasks(node, now),
-                in_zone: HashMap::new(),
-                unsuited: Vec::new(),
-            });
-        }
-        plan(
-            &demands,
-            &coming,
-            &core.world.types,
-            core.world.gpu_spec.as_deref(),
-            |o| self.blocked.get(o).is_some_and(|(t, _)| now < *t),
-            RENT_MAX as usize,
-        )
-    }
-
-    /// Room kept ready for so many GPU tasks.
-    fn spare_tasks(&self, node: &Node, now: Instant) -> u32 {
-        node.operators.spare_gpu_tasks.max(self.gpu_demand.growth(now))
-    }
-
-    async fn rent(&mut self, node: &Node) -> Duration {
-        let now = Instant::now();
-        let wanted = {
-            let core = node.core();
-            self.gpu_demand.note(&core.world, now);
-            self.wanted(node, &core, now)
-        };
-        let cost = now.elapsed();
-        let mut kinds: Vec<(Offer, u32)> = Vec::new();
-        for offer in wanted {
-            match kinds.iter_mut().find(|(o, _)| *o == offer) {
-                Some((_, n)) => *n = (*n + 1).min(RENT_MAX),
-                None => kinds.push((offer, 1)),
-            }
-        }
-        for (offer, count) in kinds.into_iter().take(RENT_AT_ONCE) {
-            let rentals = node.core().world.fleet.as_ref().map_or(0, |f| {
-                // A name takes a character or two beside those before it.
-                let names = |r: &Rental| r.machines.as_ref().map_or(r.count as usize, Vec::len) * 2;
-                let gone = f.value.gone.iter().flatten().count() * 2;
-                let rentals = f.value.rentals.iter().map(|r| r.request.len() + r.zone.len() + 90 + names(r));
-                rentals.sum::<usize>() + gone
-            });
-            if rentals as f64 > node.value_bytes() * 0.85 {
-                // The record of rentals is full until some of them are up.
-                break;
-            }
-            self.rent_kind(node, offer, count, now).await;
-        }
-        cost
-    }
-
-    async fn rent_kind(&mut self, node: &Node, offer: Offer, count: u32, now: Instant) {
-        self.requests += 1;
-        let request = format!("{}-{:x}-{}", node.me.name, node.me.incarnation, self.requests);
-        let rental = Rental {
-            request: request.clone(),
-            machine_type: offer.machine_type.clone(),
-            zone: offer.zone.clone(),
-            spot: offer.spot,
-            count,
-            asked_ms: wall_ms(),
-            machines: None,
-        };
-        // Recorded first: a successor knows what may still come.
-        if !self.put_rentals(node, |l| l.push(rental.clone())).await {
-            return;
-        }
-        let ask = RentRequest {
-            request: request.clone(),
-            machine_type: offer.machine_type.to_string(),
-            zone: offer.zone.to_string(),
-            spot: offer.spot,
-            count,
-        };
-        let mut answer = node.cloud.rent(&ask).await;
-        for _ in 0..2 {
-            if !matches!(answer, Err(CloudError::Net(_))) {
-                break;
-            }
-            // The same name again: it cannot rent twice.
-            sleep(Duration::from_millis(500)).await;
-            answer = node.cloud.rent(&ask).await;
-        }
-        match answer {
-            Ok(machines) => {
-                let machines: Vec<Name> = machines.iter().map(|m| m.as_str().into()).collect();
-                info!(
-                    request,
-                    kind = &*offer.machine_type,
-                    zone = &*offer.zone,
-                    spot = offer.spot,
-                    asked = count,
-                    ?machines,
-                    "rented"
-                );
-                if (machines.len() as u32) < count {
-                    self.block(offer, now);
-                } else {
-                    self.blocked.remove(&offer);
-                }
-                self.put_rentals(node, |l| {
-                    if let Some(r) = l.iter_mut().find(|r| r.request == request) {
-                        r.machines = Some(machines.clone());
-                    }
-                })
-                .await;
-            }
-            Err(e) => {
-                debug!(request, kind = &*offer.machine_type, zone = &*offer.zone, spot = offer.spot, error = %e, "not rented");
-                let sure = !matches!(e, CloudError::Net(_) | CloudError::Answer(_));
-                if matches!(e, CloudError::NoCapacity) {
-                    self.block(offer, now);
-                } else {
-                    sleep(Duration::from_secs(1)).await;
-                }
-                if sure {
-                    self.put_rentals(node, |l| l.retain(|r| r.request != request)).await;
-                }
-            }
-        }
-    }
-
-    /// No capacity: ask again later, and ever later.
-    fn block(&mut self, offer: Offer, now: Instant) {
-        let pause = self.blocked.get(&offer).map_or(BLOCK_FIRST, |(_, p)| (*p * 2).min(BLOCK_MOST));
-        self.blocked.insert(offer, (now + pause, pause));
-    }
-
     async fn put_rentals(&self, node: &Node, change: impl Fn(&mut Vec<Rental>)) -> bool {
         self.put_fleet(node, |f| change(&mut f.rentals)).await
     }
@@ -699,6 +147,17 @@
     }
 }
 
+/// Most characters that a machine's name takes in the fleet's record beside the
+/// one before it: names hold six digits mostly, five bits a character.
+const NAME_CHARS: usize = 4;
+/// How many names more the fleet's record surely holds. Without this bound it
+/// could be refused once hundreds of machines are rented and lost at a time, and
+/// nothing would be told gone any more.
+fn names_left(fleet: &FleetRecord, node: &Node) -> usize {
+    let written = Put::new(key::FLEET.into(), fleet).json_len();
+    ((node.value_bytes() * 0.95) as usize).saturating_sub(written) / NAME_CHARS
+}
+
 /// Says in the log what waits, by class, and how full the machines are, by kind.
 fn tell(core: &Core) {
     let mut waiting: BTreeMap<&str, (u32, u32, u32)> = BTreeMap::new();
@@ -725,26 +184,6 @@
     info!(waiting = waiting.join("; "), machines = kinds.join("; "), "cluster");
 }
 
-/// Machine types that fetch a gang's image too slowly, unless all do.
-fn unsuited(node: &Node, core: &Core, spec: &JobSpec) -> Vec<Name> {
-    let wait = node.settings.facts.workers.gang_wait_s;
-    let may = |t: &&MachineType| {
-        Amount::of_task(spec).fits(Amount::of_type(t))
-            && spec.types.as_ref().is_none_or(|l| l.contains(&t.name))
-    };
-    let (slow, quick): (Vec<_>, Vec<_>) =
-        core.world.types.values().filter(may).partition(|t| placement::too_slow(spec, t, wait));
-    if quick.is_empty() { Vec::new() } else { slow.iter().map(|t| t.name.as_str().into()).collect() }
-}
-
-/// Whether an empty machine could hold a task of the job.
-fn fits_machine(spec: &JobSpec, m: &MachineRecord, core: &Core) -> bool {
-    placement::allowed(spec, &m.machine_type, &m.zone, m.spot)
-        && core.world.types.get(&*m.machine_type).is_some_and(|t| {
-            Amount::of_task(spec).fits(Amount::of_type(t)) && (spec.gpus > 0.0 || t.gpus == 0.0)
-        })
-}
-
 fn names(machines: &[Name]) -> Vec<String> {
     machines.iter().map(|m| m.to_string()).collect()
 }
@@ -771,6 +210,7 @@
     // Machines take long to boot; a request for some does not wait behind rounds
     // that are in debt.
     node.core().writes.take(puts.len() as f64, 0.0, Instant::now());
+    node.counts.spend(Purpose::Fleet, puts.len());
     match node.state.txn(conditions, puts).await {
         Ok(Outcome::Committed { revision }) => node.reach(revision, Duration::from_secs(2)).await,
         Ok(Outcome::Conflict { revision, .. }) => {
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -5,8 +5,9 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use cloud::CloudClient;
-use net::Client;
+use net::{Client, Connections};
 use peer::{MachineRow, Summary};
+use sched::placement::Slot;
 use sched::records::{End, MachineRecord, MapRecord, Member, Name};
 use sched::world::{Team, World};
 use store::{Budget, StateClient};
@@ -15,11 +16,16 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::front;
+use crate::load::{Counts, Purpose};
 use crate::settings::{Operators, Settings};
 use crate::worker::{Key, Limits, Worker};
 
 /// How long a controller may be out of touch before it is no longer live.
 pub const MEMBER_TTL: Duration = Duration::from_secs(4);
+/// A gap of so long between two beats is a stand-still: more than the processor's
+/// share makes timers late, less than workers need to count as silent.
+pub const STOOD_STILL: Duration = Duration::from_secs(2);
 /// How old a peer's summary may be to say anything about its sender.
 const SUMMARY_FRESH: Duration = Duration::from_millis(2500);
 
@@ -33,7 +39,13 @@
     pub me: Member,
     pub state: StateClient,
     pub cloud: CloudClient,
+    /// To the state service, the cloud and the peers.
     pub http: Client,
+    /// To workers: however many they are, the others are always reached.
+    pub workers_http: Client,
+    pub front: Arc<Connections>,
+    pub internal: Arc<Connections>,
+    pub counts: Counts,
     core: Mutex<Core>,
     /// Something changed that a round of decisions should look at.
     pub kick: Notify,
@@ -76,6 +88,16 @@
     pub at: Instant,
 }
 
+/// The machines of each part, by their owner's incarnation, as new jobs are given
+/// to the parts by.
+pub struct View {
+    pub at: Instant,
+    pub epoch: u64,
+    pub parts: BTreeMap<u64, Vec<Slot>>,
+    /// CPUs of the jobs that each part was given since.
+    pub given: BTreeMap<u64, f64>,
+}
+
 pub struct Core {
     pub world: World,
     /// The records have been read at least once.
@@ -86,6 +108,8 @@
     pub rows: HashMap<Name, MachineRow>,
     /// When the last request was sent after which the mirror was known fresh.
     pub fresh_at: Option<Instant>,
+    /// When this process was last seen to run, by a duty that does nothing else.
+    pub beat: Instant,
     pub asked: u64,
     pub lease: Option<u64>,
     pub writes: Budget,
@@ -104,11 +128,13 @@
     pub shunned: HashMap<String, Instant>,
     /// Machines that reported and have no record yet.
     pub arrivals: HashMap<Name, MachineRecord>,
+    pub view: Option<View>,
 }
 
 impl Node {
     pub fn new(settings: Settings, operators: Operators, incarnation: u64) -> Self {
-        let http = Client::new();
+        let sockets = settings.sockets();
+        let http = Client::new(sockets.others);
         let now = Instant::now();
         let per_s = settings.facts.state.write_rps;
         let core = Core {
@@ -118,6 +144,7 @@
             peers: HashMap::new(),
             rows: HashMap::new(),
             fresh_at: None,
+            beat: now,
             asked: 0,
             lease: None,
             writes: Budget::new(per_s * 0.5, per_s * 0.5, now),
@@ -128,6 +155,7 @@
             handed: BTreeMap::new(),
             shunned: HashMap::new(),
             arrivals: HashMap::new(),
+            view: None,
         };
         Self(Arc::new(Inner {
             teams: settings.teams(),
@@ -135,6 +163,14 @@
             state: StateClient::new(http.clone(), settings.external.state.clone()),
             cloud: CloudClient::new(http.clone(), settings.external.cloud.clone()),
             http,
+            workers_http: Client::new(sockets.to_workers),
+            front: Arc::new(Connections::new(
+                sockets.front,
+                &[(front::SHARES[0], sockets.workers_kept), (front::SHARES[1], sockets.users_kept)],
+                front::share_of,
+            )),
+            counts: Counts::default(),
+            internal: Arc::new(Connections::new(sockets.peers, &[], |_| 0)),
             core: Mutex::new(core),
             kick: Notify::new(),
             gossip: Notify::new(),
@@ -204,6 +240,7 @@
     /// Counts a user's change. It waits for nothing: what the state service does
     /// not take is answered at once, and the rounds make up for the debt.
     pub fn write_for_user(&self) {
+        self.counts.spend(Purpose::Users, 1);
         self.core().writes.take(1.0, 0.0, Instant::now());
     }
 
@@ -309,6 +346,33 @@
         peers > 0 && self.peers.values().filter(out).count() == peers
     }
 
+    /// The owner of each machine that a peer has spoken of.
+    pub fn row_owners(&self) -> HashMap<Name, u64> {
+        let owner = |id: &Name| self.world.owner_of(id).map(|o| (id.clone(), o.incarnation));
+        self.rows.keys().filter_map(owner).collect()
+    }
+
+    /// Forgets what was said of machines that have another owner now: the word of
+    /// one that was cut off must not pass for that of the next.
+    pub fn forget_rows(&mut self, before: &HashMap<Name, u64>) {
+        let Self { rows, world, .. } = self;
+        rows.retain(|id, _| world.owner_of(id).map(|o| o.incarnation).as_ref() == before.get(id));
+    }
+
+    /// Whether this process stood still until just now: what it knows of others'
+    /// silence is then its own.
+    pub fn stood_still(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.beat) > STOOD_STILL
+    }
+
+    /// The process runs. If it stood still before, nobody is blamed for it.
+    pub fn beat(&mut self, now: Instant) {
+        if self.stood_still(now) {
+            self.workers.values_mut().for_each(|w| w.excuse(now));
+        }
+        self.beat = now;
+    }
+
     /// Whether some peer has the state service while this controller has not.
     pub fn alone_without_state(&self, now: Instant) -> bool {
         let silent =
@@ -346,7 +410,7 @@
     use sched::world::Change;
 
     fn summary(name: &str, epoch: u64, state_silent_ms: u64) -> Summary {
-        Summary { name: name.into(), incarnation: 9, epoch, state_silent_ms, machines: Vec::new() }
+        Summary { name: name.into(), incarnation: 9, count: 1, epoch, state_silent_ms, machines: Vec::new() }
     }
 
     /// A controller that has lost the state service and its peers, but not its
--- a/crates/daemon/src/state_duty.rs
+++ b/crates/daemon/src/state_duty.rs
@@ -10,6 +10,7 @@
 use tracing::{info, warn};
 use wire::{Changes, Condition};
 
+use crate::load::Purpose;
 use crate::node::{MEMBER_TTL, Node};
 
 const WATCH: Duration = Duration::from_secs(8);
@@ -98,6 +99,8 @@
         return;
     }
     let map_before = core.map().map(|m| m.epoch);
+    let new_map = changes.events.iter().any(|e| e.put.as_deref() == Some(key::MAP));
+    let owners_before = if new_map { core.row_owners() } else { Default::default() };
     for e in changes.events {
         let (k, value) = match (e.put, e.delete) {
             (Some(k), _) => (k, e.value),
@@ -117,6 +120,7 @@
     }
     core.world.revision = changes.revision;
     if core.map().map(|m| m.epoch) != map_before {
+        core.forget_rows(&owners_before);
         let (epoch, live) = core.map().map_or((0, 0), |m| (m.epoch, m.live.len()));
         info!(epoch, live, entitled = core.in_map(&node.me), "new map");
     }
@@ -283,6 +287,7 @@
     // Never behind other changes: the lease would run out meanwhile, and a
     // controller in debt would join again and again without ever being live.
     node.core().writes.take(1.0, 0.0, Instant::now());
+    node.counts.spend(Purpose::Members, 1);
     match node.state.txn(conditions, vec![put]).await? {
         Outcome::Committed { revision } => Ok(node.reach(revision, Duration::from_secs(2)).await),
         Outcome::Conflict { revision, .. } => {
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -11,6 +11,8 @@
     pub usable: bool,
     /// The owner has heard nothing of it for so long.
     pub silent_ms: u64,
+    /// The owner has heard of it since it owns it.
+    pub met: bool,
     pub free_cpus: f64,
     pub free_gpus: f64,
     pub free_memory_gb: f64,
@@ -25,6 +27,8 @@
 pub struct Summary {
     pub name: String,
     pub incarnation: u64,
+    /// Counts the sender's summaries: a late copy of an older one says nothing.
+    pub count: u64,
     /// Epoch of the newest map the sender knows.
     pub epoch: u64,
     /// The sender's last contact with the state service was so long ago.
