--- a/crates/daemon/src/worker.rs
+++ b/crates/daemon/src/worker.rs
@@ -42,7 +42,13 @@
     /// Last sign of life, and last report that was answered with 200.
     pub heard: Option<Instant>,
     pub renewed: Option<Instant>,
+    /// Until when silence is this controller's own fault, as it stood still.
+    excused: Option<Instant>,
     tasks: Vec<TaskReport>,
+    /// The list of tasks is from after this controller became the owner: it answers
+    /// a request of ours, or shows a token of ours. Any other report may be a late
+    /// copy from long before, and what ended then may have been started anew since.
+    trusted: bool,
     /// Assignments that have been seen on the worker.
     present: HashSet<Key>,
     stops: HashMap<Key, Instant>,
@@ -105,7 +111,9 @@
             owned_since: now,
             heard: None,
             renewed: None,
+            excused: None,
             tasks: Vec::new(),
+            trusted: false,
             present: HashSet::new(),
             stops: HashMap::new(),
             strays: HashMap::new(),
@@ -178,6 +186,7 @@
             // the last has been executed or dropped.
             self.offered = false;
         }
+        self.trusted |= !by_itself || report.token >= first_token(self.owned_epoch);
         self.heard = Some(now);
         self.session = report.session;
         self.seq = report.seq;
@@ -263,6 +272,7 @@
                 continue;
             }
             match report {
+                Some(t) if t.state == TaskState::Exited && !self.trusted => plan.poke = true,
                 Some(t) if t.state == TaskState::Exited => {
                     plan.ends.push((key.clone(), end_of(t.cause)));
                 }
@@ -284,7 +294,9 @@
                     }
                 }
                 Some(_) => {}
-                None if run && !self.present.contains(&key) => {
+                // An end that was proven once may be written at any moment: what it
+                // is the end of must never start after all.
+                None if run && !self.present.contains(&key) && !self.ended.contains_key(&key) => {
                     launches.push(Command::Start { task: name, attempt: a.attempt });
                 }
                 // Seen before and gone now: a new session.
@@ -392,7 +404,7 @@
                 self.errors += 1;
                 self.error_jobs.insert(job.to_owned());
             }
-            End::Stopped | End::Refused | End::Lost => {}
+            End::Stopped | End::Refused | End::Lost | End::Alone => {}
         }
     }
 
@@ -402,10 +414,20 @@
         self.errors >= 2 && self.error_jobs.len() >= 2
     }
 
+    /// This controller stood still until now: what it did not hear meanwhile says
+    /// nothing of the worker.
+    pub fn excuse(&mut self, now: Instant) {
+        self.excused = Some(now);
+    }
+
     /// How long nothing has been heard, or nothing could be said.
     pub fn silent_for(&self, now: Instant) -> Duration {
-        let silent = now.saturating_duration_since(self.heard.unwrap_or(self.owned_since));
-        let deaf = self.deaf_since.map_or(Duration::ZERO, |t| now.saturating_duration_since(t));
+        let for_long = |since: Instant| {
+            let since = self.excused.map_or(since, |e| e.max(since));
+            now.saturating_duration_since(since)
+        };
+        let silent = for_long(self.heard.unwrap_or(self.owned_since));
+        let deaf = self.deaf_since.map_or(Duration::ZERO, for_long);
         silent.max(deaf)
     }
 
@@ -428,6 +450,7 @@
     match cause {
         Some(Cause::Done) => End::Done,
         Some(Cause::Error) => End::Error,
+        Some(Cause::Alone) => End::Alone,
         _ if refused(cause) => End::Refused,
         _ => End::Stopped,
     }
@@ -534,6 +557,48 @@
         assert_eq!(ends(&worker.reconcile("host-1", &w, &limits(now), now)), [End::Lost]);
     }
 
+    /// A task ended, its machine lost the lease before that was recorded, and the
+    /// next owner started it there once more. A copy of the report from before, which
+    /// comes to yet another owner as the first it hears, ends nothing.
+    #[test]
+    fn a_late_copy_of_an_end_is_no_proof_to_a_new_owner() {
+        let now = Instant::now();
+        let w = world(assigned(Want::Run), Phase::Active);
+        let mut worker = Worker::new("a".into(), 9, now);
+        let old = report(316, first_token(7) + 3, &[(1, TaskState::Exited, Some(Cause::Done))]);
+        worker.ingest(old, true, now);
+        let plan = worker.reconcile("host-1", &w, &limits(now), now);
+        assert!(plan.ends.is_empty() && plan.poke, "the worker is asked");
+        let running = [(1, TaskState::Running, None)];
+        worker.ingest(Report { session: 2, ..report(317, first_token(8) + 1, &running) }, false, now);
+        let plan = worker.reconcile("host-1", &w, &limits(now), now);
+        assert!(plan.ends.is_empty() && !plan.poke);
+        let ended = [(1, TaskState::Exited, Some(Cause::Done))];
+        worker.ingest(Report { session: 2, ..report(318, first_token(9), &ended) }, true, now);
+        assert_eq!(ends(&worker.reconcile("host-1", &w, &limits(now), now)), [End::Done]);
+    }
+
+    /// A controller stands still for longer than the lease. On waking it proves that
+    /// whatever was on a machine is over, an assignment too that it has not launched
+    /// yet. Then the worker reports; the proof is on its way to the record.
+    #[test]
+    fn what_was_proven_over_is_not_launched_after_all() {
+        let now = Instant::now();
+        let w = world(assigned(Want::Run), Phase::Active);
+        let mut worker = Worker::new("a".into(), 5, now);
+        worker.ingest(report(1, first_token(5), &[]), true, now);
+        worker.renew(now);
+        let woken = now + Duration::from_secs(30);
+        let plan = worker.reconcile("host-1", &w, &limits(woken), woken);
+        assert_eq!(ends(&plan), [End::Lost]);
+        worker.ended_since(&plan.ends[0].0, woken);
+        worker.ingest(Report { session: 2, ..report(2, first_token(5), &[]) }, true, woken);
+        worker.renew(woken);
+        assert_eq!(worker.answer("host-1", &w, &limits(woken), woken), []);
+        let plan = worker.reconcile("host-1", &w, &limits(woken), woken);
+        assert!(plan.commands.is_empty() && ends(&plan) == [End::Lost], "it is still over");
+    }
+
     #[test]
     fn an_unanswered_launch_is_ruled_out_only_by_a_later_token() {
         let now = Instant::now();
