--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -139,6 +139,10 @@
     // Ends leave some of the round for what starts: where much ends all the time,
     // nothing would ever take its place.
     let mut round = Round { most_ended: (ops * 2 / 3).max(1), ..Round::default() };
+    // First what was on machines that are gone: it is bounded, and its jobs can go on
+    // nowhere else meanwhile. Behind the ends of arrays, which come without end on a
+    // busy site, it waited for minutes.
+    drop_gone(node, core, &mut round, now_ms);
     own_machines(node, core, &mut round, now, now_ms);
     if ops == 0 {
         round.jobs.clear();
@@ -146,7 +150,6 @@
         return Some(round);
     }
     handed(node, core, &mut round, now, now_ms);
-    drop_gone(node, core, &mut round, now_ms);
     placer::place(node, core, &mut round, ops, now, now_ms);
     if scan && core.leads(&node.me) {
         reschedule(node, core, &mut round, ops, now, now_ms);
--- a/crates/daemon/src/scale.rs
+++ b/crates/daemon/src/scale.rs
@@ -194,3 +194,43 @@
     assert!(hit.len() > 100, "{}", hit.len());
     assert!(changes <= hit.len() * 3 / 2, "{changes} changes for {} jobs", hit.len());
 }
+
+/// Arrays end all the time on a busy site. That does not keep the jobs waiting that
+/// had something on machines that are gone.
+#[test]
+fn what_was_on_lost_machines_ends_before_what_ends_all_the_time() {
+    let node = node(2000, 1);
+    let now = Instant::now();
+    fill(&node, now);
+    let mut core = node.core();
+    let kind = |core: &Core, id: &str| core.world.jobs[id].value.spec.as_ref().map(|s| s.kind);
+    let service = core.world.open.iter().find(|id| kind(&core, id) == Some(JobKind::Service)).cloned();
+    let service = service.expect("some");
+    let lost = core.world.jobs[&service].value.run[0].machine.clone();
+    let arrays: Vec<String> =
+        core.world.open.iter().filter(|id| kind(&core, id) == Some(JobKind::Array)).cloned().collect();
+    let proofs = arrays.iter().filter_map(|id| {
+        let a = core.world.jobs[id].value.run.first()?;
+        let machine = a.machine.to_string();
+        Some(peer::Proof {
+            job: id.clone(),
+            task: a.task,
+            attempt: a.attempt,
+            machine,
+            end: End::Done.code(),
+        })
+    });
+    let proofs: Vec<peer::Proof> = proofs.collect();
+    assert!(proofs.len() > 16, "more than a round holds");
+    drop(core);
+    engine::take_proofs(&node, EPOCH, proofs, now);
+    core = node.core();
+    apply(
+        &mut core.world,
+        Change::Fleet(Some(FleetRecord { rentals: Vec::new(), gone: Some(vec![lost.clone()]) })),
+    );
+    let round = engine::decide(&node, &mut core, false, 16, now, NOW_MS).expect("entitled");
+    let record = round.jobs.get(&service).expect("its task is over");
+    assert!(record.run.iter().all(|a| a.machine != lost));
+    assert!(round.jobs.len() > 4, "the arrays have the rest");
+}
