--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -11,15 +11,17 @@
 use sched::records::*;
 use sched::rescheduler;
 use sched::world::{Change, World};
-use store::{Outcome, Put, key};
+use store::{Outcome, Put, StoreError, key};
 use tokio::time::{sleep, timeout};
 use tracing::{debug, info, warn};
 use wire::{Command, Commands, Condition, Report};
 
 use crate::gossip;
+use crate::limits::Plan;
 use crate::load::{Counts, Purpose};
 use crate::node::{Core, HandedProof, Node, wall_ms};
 use crate::placer;
+use crate::wide::TXN_BYTES;
 use crate::worker::{Key, Worker};
 
 /// What one round wants to have done.
@@ -34,6 +36,8 @@
     pub(crate) searches: u32,
     /// Most jobs to change for the ends of their tasks.
     most_ended: usize,
+    /// Jobs that have to wait for a later round.
+    pub(crate) held: BTreeSet<String>,
     pub(crate) sends: Vec<(Name, String, Commands)>,
     /// Ends for other controllers to write, by their names.
     pub(crate) proofs: HashMap<String, Vec<Proof>>,
@@ -65,6 +69,7 @@
     Evicted(rescheduler::Eviction),
     Drained { job: String, task: u32, machine: Name },
     Escalated { job: String },
+    Orphaned { job: String },
 }
 
 const GAP: Duration = Duration::from_millis(40);
@@ -72,6 +77,12 @@
 const LEAVE: u32 = 4;
 /// How long another controller has to write an end that was handed to it.
 const HANDED_FOR: Duration = Duration::from_millis(2500);
+/// How often a record in parts is written at the most.
+const WIDE_EVERY: Duration = Duration::from_millis(1200);
+/// How long a record that is refused is left alone.
+const REFUSED_FOR: Duration = Duration::from_secs(20);
+/// How long rounds hold one job each after a refusal.
+const CAUTIOUS_FOR: Duration = Duration::from_secs(4);
 /// How long a controller that could not be reached is left alone.
 const SHUN: Duration = Duration::from_secs(3);
 
@@ -88,7 +99,7 @@
             let mut core = node.core();
             // Without changes to spend, a round only sees to the workers. What
             // waits meanwhile goes into a larger round later.
-            let ops = core.writes.allowance(now).min(node.settings.facts.state.txn_ops);
+            let ops = core.writes.allowance(now).min(node.plan().txn_ops);
             decide(&node, &mut core, scan, ops, now, wall_ms())
         };
         let cost = now.elapsed();
@@ -113,6 +124,9 @@
 
 /// The record as this round has it so far.
 pub(crate) fn edit<'a>(round: &'a mut Round, world: &World, id: &str) -> Option<&'a mut Box<JobRecord>> {
+    if round.held.contains(id) {
+        return None;
+    }
     if !round.jobs.contains_key(id) {
         let record = world.jobs.get(id)?.value.clone();
         round.jobs.insert(id.to_owned(), record);
@@ -139,6 +153,10 @@
     // Ends leave some of the round for what starts: where much ends all the time,
     // nothing would ever take its place.
     let mut round = Round { most_ended: (ops * 2 / 3).max(1), ..Round::default() };
+    core.widened.retain(|_, t| now.saturating_duration_since(*t) < WIDE_EVERY);
+    core.refused.retain(|_, until| now < *until);
+    round.held = core.widened.keys().chain(core.refused.keys()).cloned().collect();
+    cascade(node, core, &mut round, ops);
     // First what was on machines that are gone: it is bounded, and its jobs can go on
     // nowhere else meanwhile. Behind the ends of arrays, which come without end on a
     // busy site, it waited for minutes.
@@ -157,6 +175,26 @@
     Some(round)
 }
 
+/// Writes down that jobs are cancelled with one before them. Users are told so from
+/// the records as they are; this lets go of what is kept of them, a few at a time, and
+/// whoever places such a job goes on with it whenever it gets to it.
+fn cascade(node: &Node, core: &Core, round: &mut Round, ops: usize) {
+    for id in core.world.pipelines.doomed() {
+        if round.jobs.len() >= (ops / 2).max(1) {
+            break;
+        }
+        let mine = |j: &JobRecord| core.world.placer_of(j) == Some(&node.me.name);
+        if !core.world.jobs.get(&**id).is_some_and(|j| mine(&j.value)) {
+            continue;
+        }
+        if let Some(record) = edit(round, &core.world, id) {
+            record.phase = Phase::Cancelled;
+            record.shrink();
+            round.log.push(Event::Orphaned { job: id.to_string() });
+        }
+    }
+}
+
 /// Reconciles the owned workers with the records, as far as either has changed.
 fn own_machines(node: &Node, core: &mut Core, round: &mut Round, now: Instant, now_ms: u64) {
     let Core { world, workers, peers, shunned, fresh_at, .. } = core;
@@ -341,17 +379,25 @@
 
 /// Commits a round in one transaction, as far as the limits of one go.
 async fn commit(node: &Node, round: Round) {
-    let (conditions, puts, left_out, teams) = {
+    let Assembled { conditions, puts, left_out, teams, wide } = {
         let mut core = node.core();
-        let assembled = assemble(&core.world, &round, node.settings.facts.state.txn_ops, node.value_bytes());
-        core.writes.take(assembled.1.len() as f64, 0.0, Instant::now());
-        node.counts.spend(Purpose::Rounds, assembled.1.len());
+        let cautious = core.cautious.is_some_and(|until| Instant::now() < until);
+        let most_jobs = if cautious { 1 } else { usize::MAX };
+        let assembled = assemble(&core.world, &round, &node.plan(), most_jobs);
+        core.writes.take(assembled.puts.len() as f64, 0.0, Instant::now());
+        node.counts.spend(Purpose::Rounds, assembled.puts.len());
         assembled
     };
     if puts.is_empty() {
         return;
     }
-    match node.state.txn(conditions, puts).await {
+    let limits = node.seen.get();
+    let sent: Vec<String> = round.jobs.keys().filter(|id| !left_out.contains(*id)).cloned().collect();
+    let result = node.commit(conditions, puts).await;
+    if let Some(id) = wide {
+        node.core().widened.insert(id, Instant::now());
+    }
+    match result {
         Ok(Outcome::Committed { revision }) => {
             tell(round.log.iter().filter(|e| !left_out.contains(e.job())));
             // The next round need not wait until the news of this one arrives.
@@ -374,8 +420,9 @@
         Err(e) => {
             debug!(error = %e, "a round was not committed, as far as is known");
             round.release(node);
-            if matches!(e, store::StoreError::Rate) {
-                node.core().writes.drained(Instant::now());
+            node.note_refusal(&e);
+            if matches!(e, StoreError::Refused(400) | StoreError::Large(_)) && node.seen.get() == limits {
+                set_apart(node, sent);
             }
             sleep(Duration::from_millis(200)).await;
         }
@@ -383,37 +430,62 @@
     node.kick.notify_one();
 }
 
-/// A round's conditions and changes, the jobs that it has no room for, and the
-/// teams' records.
-pub(crate) type Assembled = (Vec<Condition>, Vec<Put>, BTreeSet<String>, Vec<(String, TeamRecord)>);
+/// The state service refuses a round for what it is, though it keeps the limits that
+/// are known: its jobs have rounds of their own for a while, and the one that is
+/// refused alone waits. None of the others is to wait with it.
+fn set_apart(node: &Node, jobs: Vec<String>) {
+    let mut core = node.core();
+    let now = Instant::now();
+    match <[String; 1]>::try_from(jobs) {
+        Ok([job]) => {
+            warn!(job, "its record is refused; it is left alone for a while");
+            core.refused.insert(job, now + REFUSED_FOR);
+        }
+        Err(_) => core.cautious = Some(now + CAUTIOUS_FOR),
+    }
+}
 
-/// Most bytes of a transaction, which may have 64 KiB, that records take.
-const TXN_BYTES: usize = 52 * 1024;
+/// A round as a transaction.
+pub(crate) struct Assembled {
+    pub(crate) conditions: Vec<Condition>,
+    pub(crate) puts: Vec<Put>,
+    /// The jobs that it has no room for.
+    pub(crate) left_out: BTreeSet<String>,
+    pub(crate) teams: Vec<(String, TeamRecord)>,
+    /// The job whose record is larger than a value, one at most.
+    pub(crate) wide: Option<String>,
+}
 
-pub(crate) fn assemble(world: &World, round: &Round, ops: usize, value_bytes: f64) -> Assembled {
+pub(crate) fn assemble(world: &World, round: &Round, plan: &Plan, most_jobs: usize) -> Assembled {
+    let mut wide = None;
     let mut puts = Vec::new();
     let mut teams: BTreeMap<&String, TeamRecord> = BTreeMap::new();
     let mut conditions = Vec::new();
     let mut left_out = BTreeSet::new();
-    let mut bytes = 0;
+    let (mut bytes, mut jobs) = (0, 0);
     let mut order: Vec<(&String, &Box<JobRecord>)> = round.jobs.iter().collect();
     // What is placed comes before what only ends, for jobs as urgent.
-    order.sort_by_key(|(id, j)| {
-        std::cmp::Reverse((j.spec.as_ref().map(|s| s.priority), round.placing.contains(*id)))
-    });
+    order.sort_by_key(|(id, j)| std::cmp::Reverse((j.priority(), round.placing.contains(*id))));
     for (id, record) in order {
         let team = record.spec.as_ref().map(|s| &s.team).filter(|_| round.placing.contains(id));
         let new_team = team.filter(|t| !teams.contains_key(*t));
         let Some(old) = world.jobs.get(id) else { continue };
         let put = Put::new(key::job(id), record);
-        let size = put.json_len();
-        if puts.len() + 1 + usize::from(new_team.is_some()) > ops
+        let large = put.value_len() as f64 > plan.value_bytes;
+        // Of a large one the transaction itself only has the head.
+        let size = if large { 100 } else { put.json_len() };
+        if puts.len() + 1 + usize::from(new_team.is_some()) > plan.txn_ops
+            || jobs >= most_jobs
             || (bytes + size > TXN_BYTES && bytes > 0)
-            || size as f64 > value_bytes
+            || (large && (!plan.wide || wide.is_some()))
         {
             left_out.insert(id.clone());
             continue;
         }
+        if large {
+            wide = Some(id.clone());
+        }
+        jobs += 1;
         bytes += size + 200;
         conditions.push(Condition { key: key::job(id), version: old.version });
         puts.push(put);
@@ -430,7 +502,7 @@
         conditions.push(Condition { key: key::MAP.into(), version });
     }
     let teams = teams.into_iter().map(|(t, r)| (t.clone(), r)).collect();
-    (conditions, puts, left_out, teams)
+    Assembled { conditions, puts, left_out, teams, wide }
 }
 
 impl Event {
@@ -439,7 +511,8 @@
             Event::Placed { job, .. }
             | Event::Ended { job, .. }
             | Event::Drained { job, .. }
-            | Event::Escalated { job } => job,
+            | Event::Escalated { job }
+            | Event::Orphaned { job } => job,
             Event::Preempted { victim, .. } => &victim.job,
             Event::Evicted(e) => &e.job,
         }
@@ -465,6 +538,7 @@
             Event::Drained { job, task, machine } => {
                 debug!(job, task, machine = &**machine, "stopped: its machine is about to be taken away");
             }
+            Event::Orphaned { job } => debug!(job, "cancelled with a job that it needs"),
             Event::Escalated { job } => debug!(job, "too big for its part; the leader places it"),
         }
     }
@@ -626,19 +700,24 @@
             let id = format!("j-{n:06}");
             let job = Box::new(largest(&node, &id));
             let json = serde_json::to_string(&*job).expect("encodes").len() as f64;
-            assert!(json < node.value_bytes(), "{json}");
+            assert!(json < node.plan().value_bytes, "{json}");
             let put = Put::new(key::job(&id), &job);
             assert!(put.json_len() as f64 >= json, "the estimate is no less than what it is");
             world.apply(Change::Job(id.clone(), Some(job.clone())), 3);
             round.jobs.insert(id, job);
         }
-        let (conditions, puts, left_out, _) = assemble(&world, &round, 16, node.value_bytes());
+        let plan = node.plan();
+        let Assembled { conditions, puts, left_out, .. } = assemble(&world, &round, &plan, usize::MAX);
         let bytes: usize = puts.iter().map(Put::json_len).sum();
         assert!(puts.len() >= 4 && bytes + conditions.len() * 60 < 64 * 1024, "{bytes}");
         assert_eq!(left_out.len(), 30 - puts.len(), "the rest has its turn later");
-        let (_, small, ..) = assemble(&world, &round, 3, node.value_bytes());
-        assert_eq!(small.len(), 3);
-        let (_, none, ..) = assemble(&world, &round, 16, 1000.0);
-        assert!(none.is_empty(), "what a value cannot hold is not sent");
+        let small = assemble(&world, &round, &Plan { txn_ops: 3, ..plan }, usize::MAX);
+        assert_eq!(small.puts.len(), 3);
+        let small = Plan { value_bytes: 1000.0, ..plan };
+        let none = assemble(&world, &round, &small, usize::MAX);
+        assert!(none.puts.is_empty(), "what a value cannot hold is not sent");
+        let one = assemble(&world, &round, &Plan { wide: true, ..small }, usize::MAX);
+        assert!(one.puts.len() == 1 && one.wide.is_some(), "but in parts, one at a time");
+        assert_eq!(assemble(&world, &round, &plan, 1).puts.len(), 1);
     }
 }
--- a/crates/daemon/src/fleet_duty.rs
+++ b/crates/daemon/src/fleet_duty.rs
@@ -14,6 +14,7 @@
 
 use crate::load::Purpose;
 use crate::node::{Core, Node, wall_ms};
+use crate::wide::Sweeper;
 
 mod rentals;
 mod returns;
@@ -37,6 +38,7 @@
     first_seen: HashMap<Name, Instant>,
     /// Machines that are to be released for their silence.
     silent: HashMap<Name, Silent>,
+    sweeper: Sweeper,
 }
 
 struct Silent {
@@ -79,6 +81,9 @@
             self.told_at = Some(Instant::now());
             tell(&node.core());
         }
+        if let Some((conditions, puts)) = self.sweeper.next(node, Instant::now()) {
+            write(node, conditions, puts).await;
+        }
         self.give_back(node).await;
         self.bury(node).await;
         self.settle_rentals(node).await;
@@ -150,12 +155,18 @@
 /// Most characters that a machine's name takes in the fleet's record beside the
 /// one before it: names hold six digits mostly, five bits a character.
 const NAME_CHARS: usize = 4;
+/// How many values the fleet's record may take where one is small: each change of it
+/// then costs one more for each of them.
+const FLEET_VALUES: f64 = 3.0;
 /// How many names more the fleet's record surely holds. Without this bound it
 /// could be refused once hundreds of machines are rented and lost at a time, and
 /// nothing would be told gone any more.
 fn names_left(fleet: &FleetRecord, node: &Node) -> usize {
+    let plan = node.plan();
+    let now = node.settings.facts.state.value_kb * 1024.0;
+    let bytes = if plan.wide { now.min(plan.value_bytes * FLEET_VALUES) } else { plan.value_bytes };
     let written = Put::new(key::FLEET.into(), fleet).json_len();
-    ((node.value_bytes() * 0.95) as usize).saturating_sub(written) / NAME_CHARS
+    ((bytes * 0.95) as usize).saturating_sub(written) / NAME_CHARS
 }
 
 /// Says in the log what waits, by class, and how full the machines are, by kind.
@@ -211,7 +222,7 @@
     // that are in debt.
     node.core().writes.take(puts.len() as f64, 0.0, Instant::now());
     node.counts.spend(Purpose::Fleet, puts.len());
-    match node.state.txn(conditions, puts).await {
+    match node.commit(conditions, puts).await {
         Ok(Outcome::Committed { revision }) => node.reach(revision, Duration::from_secs(2)).await,
         Ok(Outcome::Conflict { revision, .. }) => {
             node.reach(revision, Duration::from_secs(2)).await;
@@ -219,9 +230,7 @@
         }
         Err(e) => {
             debug!(error = %e, "not written");
-            if matches!(e, store::StoreError::Rate) {
-                node.core().writes.drained(Instant::now());
-            }
+            node.note_refusal(&e);
             sleep(Duration::from_millis(200)).await;
             false
         }
--- a/crates/daemon/src/fleet_duty/returns.rs
+++ b/crates/daemon/src/fleet_duty/returns.rs
@@ -215,7 +215,7 @@
             }
         }
         self.pace(node, &node.core(), &mut ready, now);
-        marks.truncate(node.settings.facts.state.txn_ops);
+        marks.truncate(node.plan().txn_ops);
         if !marks.is_empty() {
             let conditions = marks
                 .iter()
@@ -287,7 +287,7 @@
         *ready = free;
         let (with, without): (Vec<Name>, Vec<Name>) = held.into_iter().partition(|id| replicas(id) > 0);
         let all = with.len();
-        let most = (node.settings.facts.state.write_rps * PACE_S) as usize;
+        let most = (node.plan().write_rps * PACE_S) as usize;
         let at_once = (with.iter().map(replicas).sum::<usize>() / PACE_PART).clamp(1, most.max(1));
         let mut left = at_once.saturating_sub(down);
         let released = with.into_iter().take_while(|id| {
@@ -331,7 +331,7 @@
     /// Deletes the records of machines that are gone, while nothing else needs
     /// the changes.
     pub(super) async fn bury(&mut self, node: &Node) {
-        let ops = node.settings.facts.state.txn_ops;
+        let ops = node.plan().txn_ops;
         let (dead, mut fleet, version) = {
             let mut core = node.core();
             let (level, rate) = (core.writes.level(Instant::now()), core.writes.per_second());
@@ -486,7 +486,7 @@
             let gone = fleet.gone.get_or_insert_default();
             gone.extend((0..room).map(|n| Name::from(format!("host-{:06}", n * 104_729 % 1_000_000))));
             let json = serde_json::to_string(&fleet).expect("encodes").len() as f64;
-            assert!(json < node.value_bytes(), "{json}");
+            assert!(json < node.plan().value_bytes, "{json}");
         }
     }
 }
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -11,7 +11,7 @@
 use store::{Outcome, Put, StoreError, key};
 use tokio::time::sleep;
 use tracing::{debug, info};
-use wire::{Condition, JobSpec, JobState, JobStatus, Redirect, Report, ReportAnswer};
+use wire::{Condition, JobKind, JobSpec, JobState, JobStatus, Redirect, Report, ReportAnswer};
 
 use crate::gossip;
 use crate::load::{Counts, Purpose, few};
@@ -58,15 +58,20 @@
     }
 }
 
-fn show(id: &str, job: &JobRecord) -> JobStatus {
-    let running = if job.phase == Phase::Active { job.run.len() as u32 } else { 0 };
-    JobStatus { id: id.to_owned(), state: job.state(), done: job.done.len(), running }
-}
+/// Most jobs named that a waiting one still needs.
+const NEEDS_SHOWN: usize = 20;
 
 /// What the mirror knows of a job.
 fn look(node: &Node, id: &str) -> Option<JobStatus> {
     let core = node.core();
-    core.world.jobs.get(id).map(|j| show(id, &j.value))
+    let job = core.world.jobs.get(id).map(|j| &j.value)?;
+    let state = core.world.state_of(id)?;
+    let running = if job.phase == Phase::Active { job.run.len() as u32 } else { 0 };
+    let is_done = |n: &Name| core.world.jobs.get(&**n).is_some_and(|j| j.value.phase == Phase::Done);
+    let waits_for = if state.is_final() { &[][..] } else { &job.needs };
+    let waits_for =
+        waits_for.iter().filter(|n| !is_done(n)).take(NEEDS_SHOWN).map(|n| n.to_string()).collect();
+    Some(JobStatus { id: id.to_owned(), state, done: job.done.len(), running, waits_for })
 }
 
 /// The job's state as an answer must have it: a final state as soon as it is
@@ -139,15 +144,78 @@
     chosen.map(|c| c.1)
 }
 
+/// Why a job can never run; Err if that cannot be told now.
+fn refusal(node: &Node, spec: &JobSpec, needs: &[Name]) -> Result<Option<&'static str>, Reply> {
+    let core = node.core();
+    let Some(team) = node.team(&spec.team) else { return Ok(Some("unknown team")) };
+    if core.world.types.is_empty() {
+        return Err(Reply::busy("the machine types are not known yet", 1));
+    }
+    if !fleet::possible(spec, &core.world.types) {
+        return Ok(Some("no allowed machine type can hold a task"));
+    }
+    if !fleet::within_limit(spec, team) {
+        return Ok(Some("beyond the team's limit"));
+    }
+    for need in needs {
+        if **need == *spec.id {
+            return Ok(Some("awaits: the job itself"));
+        }
+        if core.world.unreadable.contains(&**need) {
+            return Err(Reply::busy("the record of a job that it awaits cannot be read", 5));
+        }
+        let Some(job) = core.world.jobs.get(&**need) else {
+            return Ok(Some("awaits: a job that was never accepted"));
+        };
+        if job.value.spec.as_ref().is_some_and(|s| s.kind == JobKind::Service) {
+            return Ok(Some("awaits: a service is never done"));
+        }
+    }
+    // Only asked once all controllers have this version. An old one cannot read the
+    // record of a job that waits, and would have no answer for its user.
+    if !needs.is_empty() && core.old_is_live() {
+        return Err(Reply::busy("a controller of an older version is live", 5));
+    }
+    Ok(None)
+}
+
+/// The record of a new job, by what has become of those that it needs.
+fn new_record(node: &Node, spec: JobSpec, part: Option<String>, needs: Vec<Name>) -> JobRecord {
+    let core = node.core();
+    let now_ms = wall_ms();
+    let phase = |n: &Name| core.world.jobs.get(&**n).map(|j| j.value.phase);
+    let cancelled = |n: &Name| phase(n) == Some(Phase::Cancelled) || core.world.pipelines.is_doomed(n);
+    if needs.iter().any(cancelled) {
+        let mut record = JobRecord::new(spec, None, now_ms);
+        record.phase = Phase::Cancelled;
+        record.shrink();
+        return record;
+    }
+    // What is done is final, and was done before.
+    let unmet: Vec<Name> = needs.into_iter().filter(|n| phase(n) != Some(Phase::Done)).collect();
+    match unmet.is_empty() {
+        true => JobRecord::new(spec, part, now_ms),
+        false => JobRecord::waiting(spec, part, now_ms, unmet),
+    }
+}
+
+/// How old the view may be by which it is told what became of a job's needs.
+const NEEDS_FRESH: Duration = Duration::from_millis(1500);
+
 async fn submit(node: &Node, body: &[u8]) -> Reply {
-    let spec: JobSpec = match wire::decode(body) {
+    let mut spec: JobSpec = match wire::decode(body) {
         Ok(spec) => spec,
         Err(e) => return Reply::error(400, &e.to_string()),
     };
     if let Some(field) = spec.invalid_field() {
         return Reply::error(400, &format!("invalid field: {field}"));
     }
-    if body.len() as f64 > node.value_bytes() * 0.3 {
+    let mut needs: Vec<Name> =
+        spec.needs.take().unwrap_or_default().iter().map(|n| n.as_str().into()).collect();
+    needs.sort_unstable();
+    needs.dedup();
+    let described = if needs.is_empty() { body.len() } else { wire::encode(&spec).len() };
+    if described > node.describe_bytes() {
         return Reply::error(400, "the description is too long to be kept");
     }
     let id = spec.id.clone();
@@ -161,38 +229,48 @@
     if !node.core().ready {
         return Reply::busy("not ready", 1);
     }
-    let refusal = {
-        let core = node.core();
-        match node.team(&spec.team) {
-            None => Some("unknown team"),
-            Some(_) if core.world.types.is_empty() => {
-                return Reply::busy("the machine types are not known yet", 1);
+    // What became of its needs must not be told by an old view: a job whose user was
+    // told long ago that one before it is cancelled would be called queued.
+    let fresh = |node: &Node| node.core().fresh_at.is_some_and(|f| f.elapsed() < NEEDS_FRESH);
+    if !needs.is_empty() && !fresh(node) && !node.fresh().await {
+        return Reply::busy("the state service cannot be asked", 1);
+    }
+    match refusal(node, &spec, &needs) {
+        Ok(None) => {}
+        Err(reply) => return reply,
+        Ok(Some(_)) => {
+            // A job that was accepted must never be refused, nor for the sake of one that
+            // was: look again, freshly.
+            match known(node, &id).await {
+                Ok(Some(s)) => return Reply::new(200, &s),
+                Ok(None) => {}
+                Err(reply) => return reply,
             }
-            Some(_) if !fleet::possible(&spec, &core.world.types) => {
-                Some("no allowed machine type can hold a task")
+            match refusal(node, &spec, &needs) {
+                Ok(None) => {}
+                Ok(Some(why)) => return Reply::error(422, why),
+                Err(reply) => return reply,
             }
-            Some(team) if !fleet::within_limit(&spec, team) => Some("beyond the team's limit"),
-            Some(_) => None,
         }
-    };
-    if let Some(why) = refusal {
-        // A job that was accepted must never be refused: look again, freshly.
-        return match known(node, &id).await {
-            Ok(Some(s)) => Reply::new(200, &s),
-            Ok(None) => Reply::error(422, why),
-            Err(reply) => reply,
-        };
     }
     let part = choose_part(node, &spec);
     let (class, tasks) = (spec.class.clone(), spec.tasks);
-    let record = JobRecord::new(spec, part, wall_ms());
-    let put = Put::new(key::job(&id), &record);
+    let record = new_record(node, spec, part, needs);
     node.write_for_user();
     let conditions = vec![Condition { key: key::job(&id), version: 0 }];
-    match node.state.txn(conditions, vec![put]).await {
-        Ok(Outcome::Committed { .. }) => {
-            debug!(job = id, part = record.part, class, tasks, "accepted");
-            Reply::new(201, &JobStatus { id, state: JobState::Queued, done: 0, running: 0 })
+    match node.commit(conditions, vec![Put::new(key::job(&id), &record)]).await {
+        Ok(Outcome::Committed { revision }) => {
+            debug!(job = id, part = record.part, class, tasks, needs = record.needs.len(), "accepted");
+            node.core().world.apply(Change::Job(id.clone(), Some(Box::new(record))), revision);
+            node.kick.notify_one();
+            let queued = JobStatus {
+                id: id.clone(),
+                state: JobState::Queued,
+                done: 0,
+                running: 0,
+                waits_for: Vec::new(),
+            };
+            Reply::new(201, &look(node, &id).filter(|s| s.state.is_final()).unwrap_or(queued))
         }
         Ok(Outcome::Conflict { revision, .. }) => {
             node.reach(revision, Duration::from_secs(1)).await;
@@ -207,9 +285,7 @@
 }
 
 fn not_written(node: &Node, e: &StoreError) -> Reply {
-    if matches!(e, StoreError::Rate) {
-        node.core().writes.drained(Instant::now());
-    }
+    node.note_refusal(e);
     debug!(error = %e, "not written");
     Reply::busy("the state service did not take it", 1)
 }
@@ -234,19 +310,28 @@
         else {
             continue;
         };
-        if record.phase != Phase::Active {
+        if !matches!(record.phase, Phase::Active | Phase::Waiting) {
             continue;
         }
         record.phase = Phase::Cancelled;
         record.shrink();
         let conditions = vec![Condition { key: key::job(id), version }];
-        match node.state.txn(conditions, vec![Put::new(key::job(id), &record)]).await {
-            Ok(Outcome::Committed { .. }) => {
+        match node.commit(conditions, vec![Put::new(key::job(id), &record)]).await {
+            Ok(Outcome::Committed { revision }) => {
                 debug!(job = id, "cancelled");
                 let done = record.done.len();
+                // All that need it are cancelled with it from now on.
+                node.core().world.apply(Change::Job(id.to_owned(), Some(record)), revision);
+                node.kick.notify_one();
                 return Reply::new(
                     200,
-                    &JobStatus { id: id.to_owned(), state: JobState::Cancelled, done, running: 0 },
+                    &JobStatus {
+                        id: id.to_owned(),
+                        state: JobState::Cancelled,
+                        done,
+                        running: 0,
+                        waits_for: Vec::new(),
+                    },
                 );
             }
             Ok(Outcome::Conflict { revision, .. }) => {
@@ -381,7 +466,7 @@
                 let mut core = node.core();
                 let Core { arrivals, world, .. } = &mut *core;
                 arrivals.retain(|id, _| !world.machines.contains_key(id));
-                let ops = node.settings.facts.state.txn_ops;
+                let ops = node.plan().txn_ops;
                 let some: Vec<Name> = arrivals.keys().take(ops).cloned().collect();
                 some.into_iter().filter_map(|id| arrivals.remove_entry(&id)).collect()
             };
@@ -422,7 +507,7 @@
     node.counts.spend(Purpose::Machines, list.len());
     let conditions = list.iter().map(|(id, _)| Condition { key: key::machine(id), version: 0 }).collect();
     let puts = list.iter().map(|(id, r)| Put::new(key::machine(id), r)).collect();
-    match node.state.txn(conditions, puts).await {
+    match node.commit(conditions, puts).await {
         Ok(Outcome::Committed { revision }) => {
             let mut core = node.core();
             let names: Vec<&Name> = list.iter().map(|(id, _)| id).collect();
@@ -445,11 +530,10 @@
         }
         Err(e) => {
             debug!(error = %e, "machines were not recorded");
+            node.note_refusal(&e);
             if matches!(e, StoreError::Rate) {
                 // Not waited for until they report again.
-                let mut core = node.core();
-                core.writes.drained(Instant::now());
-                core.arrivals.extend(list);
+                node.core().arrivals.extend(list);
             }
         }
     }
@@ -467,7 +551,7 @@
     use tokio::net::TcpListener;
     use tokio_util::sync::CancellationToken;
     use tokio_util::task::TaskTracker;
-    use wire::{Item, Items, JobKind};
+    use wire::{Item, Items};
 
     /// A stand-in for the state service with one job waiting, one done and one
     /// record that nobody can read. It refuses while `out`.
--- a/crates/daemon/src/load.rs
+++ b/crates/daemon/src/load.rs
@@ -16,14 +16,17 @@
     Members,
     Machines,
     Fleet,
+    /// Parts of records that are larger than a value.
+    Parts,
 }
 
-const PURPOSES: [(Purpose, &str); 5] = [
+const PURPOSES: [(Purpose, &str); 6] = [
     (Purpose::Rounds, "rounds"),
     (Purpose::Users, "users"),
     (Purpose::Members, "members"),
     (Purpose::Machines, "machines"),
     (Purpose::Fleet, "fleet"),
+    (Purpose::Parts, "parts"),
 ];
 
 /// Counted since the last line.
@@ -105,7 +108,7 @@
         counts.spend(Purpose::Rounds, 3);
         counts.spend(Purpose::Fleet, 1);
         counts.spend(Purpose::Rounds, 2);
-        assert_eq!(counts.take_changes(), "rounds 5, users 0, members 0, machines 0, fleet 1");
-        assert_eq!(counts.take_changes(), "rounds 0, users 0, members 0, machines 0, fleet 0");
+        assert_eq!(counts.take_changes(), "rounds 5, users 0, members 0, machines 0, fleet 1, parts 0");
+        assert_eq!(counts.take_changes(), "rounds 0, users 0, members 0, machines 0, fleet 0, parts 0");
     }
 }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -5,6 +5,7 @@
 mod fleet_duty;
 mod front;
 mod gossip;
+mod limits;
 mod load;
 mod node;
 mod placer;
@@ -14,6 +15,7 @@
 #[cfg(test)]
 mod sim;
 mod state_duty;
+mod wide;
 mod worker;
 
 use std::path::PathBuf;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -1,6 +1,7 @@
 //! What the duties of one controller share.
 
 use std::collections::{BTreeMap, HashMap};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -10,13 +11,14 @@
 use sched::placement::Slot;
 use sched::records::{End, MachineRecord, MapRecord, Member, Name};
 use sched::world::{Team, World};
-use store::{Budget, StateClient};
+use store::{Budget, Reader, StateClient};
 use tokio::sync::{Notify, watch};
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::front;
+use crate::limits::{self, Plan, Seen};
 use crate::load::{Counts, Purpose};
 use crate::settings::{Operators, Settings};
 use crate::worker::{Key, Limits, Worker};
@@ -58,6 +60,7 @@
     pub verify: Notify,
     /// The newest freshness requests that were granted and that were refused.
     pub verified: watch::Sender<Verdict>,
+    pub seen: SeenFlags,
     pub stop: CancellationToken,
     pub tasks: TaskTracker,
 }
@@ -69,6 +72,28 @@
     }
 }
 
+/// What is known of the change of limits, for whoever plans with it.
+#[derive(Debug, Default)]
+pub struct SeenFlags {
+    pub all_new: AtomicBool,
+    pub fallen: AtomicBool,
+    pub slow: AtomicBool,
+    /// How many controllers the new form waits for, as last told.
+    missing: AtomicUsize,
+}
+
+impl SeenFlags {
+    /// Whether there is something new to tell of whom the new form waits for.
+    pub fn waits_for(&self, missing: &[&String]) -> bool {
+        self.missing.swap(missing.len(), Ordering::Relaxed) != missing.len()
+    }
+
+    pub fn get(&self) -> Seen {
+        let of = |flag: &AtomicBool| flag.load(Ordering::Relaxed);
+        Seen { all_new: of(&self.all_new), fallen: of(&self.fallen), slow: of(&self.slow) }
+    }
+}
+
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Verdict {
     pub granted: u64,
@@ -100,6 +125,8 @@
 
 pub struct Core {
     pub world: World,
+    /// Records that lie in parts.
+    pub reader: Reader,
     /// The records have been read at least once.
     pub ready: bool,
     pub workers: BTreeMap<Name, Worker>,
@@ -113,8 +140,8 @@
     pub asked: u64,
     pub lease: Option<u64>,
     pub writes: Budget,
-    /// How many controllers the budget is shared by, as last reckoned.
-    live: usize,
+    /// How many controllers the budget is shared by, and at which rate, as last reckoned.
+    live: (usize, u64),
     /// Reports that came to this controller for other owners' machines.
     pub misdirected: HashMap<String, Instant>,
     /// Room that is being made for a job: the machines, and until when. Without
@@ -129,6 +156,14 @@
     /// Machines that reported and have no record yet.
     pub arrivals: HashMap<Name, MachineRecord>,
     pub view: Option<View>,
+    /// Jobs whose records lie in parts, and when they were last written: each time costs
+    /// a change for every part.
+    pub widened: HashMap<String, Instant>,
+    /// Jobs whose records the state service refused for another reason than the limits
+    /// that are known, until when they are left alone.
+    pub refused: HashMap<String, Instant>,
+    /// Until when rounds hold one job each, to find the one that is refused.
+    pub cautious: Option<Instant>,
 }
 
 impl Node {
@@ -139,6 +174,7 @@
         let per_s = settings.facts.state.write_rps;
         let core = Core {
             world: World::default(),
+            reader: Reader::default(),
             ready: false,
             workers: BTreeMap::new(),
             peers: HashMap::new(),
@@ -148,7 +184,7 @@
             asked: 0,
             lease: None,
             writes: Budget::new(per_s * 0.5, per_s * 0.5, now),
-            live: 0,
+            live: (0, 0),
             misdirected: HashMap::new(),
             reserved: HashMap::new(),
             searched: HashMap::new(),
@@ -156,6 +192,9 @@
             shunned: HashMap::new(),
             arrivals: HashMap::new(),
             view: None,
+            widened: HashMap::new(),
+            refused: HashMap::new(),
+            cautious: None,
         };
         Self(Arc::new(Inner {
             teams: settings.teams(),
@@ -178,6 +217,7 @@
             revision: watch::Sender::new(0),
             verify: Notify::new(),
             verified: watch::Sender::new(Verdict::default()),
+            seen: SeenFlags::default(),
             stop: CancellationToken::new(),
             tasks: TaskTracker::new(),
             settings,
@@ -249,7 +289,7 @@
     /// rest is for transactions.
     pub fn watch_pause(&self) -> Duration {
         let size = self.settings.peers.len() + 1;
-        Duration::from_secs_f64((size as f64 * 3.0 / self.settings.facts.state.rps).clamp(0.02, 0.5))
+        Duration::from_secs_f64((size as f64 * 3.0 / self.plan().rps).clamp(0.02, 0.5))
     }
 
     /// Shares the changes that the state service takes among the controllers
@@ -258,10 +298,10 @@
     pub fn share_writes(&self, core: &mut Core, now: Instant) {
         let live = core.map().map_or(1, |m| m.live.len()).max(1);
         let leads = core.leads(&self.me);
-        let state = live * 2 + usize::from(leads);
+        let per_s = self.plan().write_rps;
+        let state = (live * 2 + usize::from(leads), per_s.to_bits());
         if core.live != state {
             core.live = state;
-            let per_s = self.settings.facts.state.write_rps;
             let others = live as f64 - 1.0;
             let mine = if leads { 0.65 } else { 0.45 / others.max(1.0) };
             core.writes.set_rate(per_s * mine, now);
@@ -282,17 +322,22 @@
         Duration::from_secs_f64(self.settings.facts.workers.report_s)
     }
 
+    /// What a job's record has for its assignments and for what is done.
+    fn list_bytes(&self) -> f64 {
+        (self.plan().place_bytes - RECORD_REST).max(512.0)
+    }
+
     /// Most assignments that one job's record holds within a value's size: each
     /// takes at most three characters for its task, and its machine up to six,
     /// which others share.
     pub fn run_max(&self) -> usize {
-        (self.value_bytes() * 0.5 / 3.0).max(4.0) as usize
+        (self.list_bytes() * 0.55 / 3.0) as usize
     }
 
     /// How far beyond the first unfinished task an array's others may start. The
     /// bitmap of what is done takes a sixth of a character each.
     pub fn window(&self) -> u32 {
-        (self.value_bytes() * 0.2 * 6.0) as u32
+        (self.list_bytes() * 0.22 * 6.0) as u32
     }
 
     pub fn worker_limits(&self, fresh_at: Option<Instant>) -> Limits {
@@ -306,11 +351,23 @@
         }
     }
 
-    pub fn value_bytes(&self) -> f64 {
-        self.settings.facts.state.value_kb * 1024.0
+    /// The limits of the state service to plan with.
+    pub fn plan(&self) -> Plan {
+        limits::plan(&self.settings.facts.state, self.seen.get())
+    }
+
+    /// Most bytes of a job's description: what the present limits take, also after they
+    /// have become smaller.
+    pub fn describe_bytes(&self) -> usize {
+        (self.settings.facts.state.value_kb * 1024.0 * 0.3).max(DESCRIBED) as usize
     }
 }
 
+/// What a job's record takes beside its lists: the description and its fields.
+const RECORD_REST: f64 = 750.0;
+/// A description of this length is taken whatever the limits are.
+const DESCRIBED: f64 = 2048.0;
+
 impl Core {
     pub fn map(&self) -> Option<&MapRecord> {
         self.world.map_record()
@@ -321,6 +378,12 @@
         self.ready && self.map().is_some_and(|m| m.holds(&me.name, me.incarnation))
     }
 
+    /// Whether a controller is live that has not said that it has this version.
+    pub fn old_is_live(&self) -> bool {
+        let live = self.map().into_iter().flat_map(|m| m.live.iter().map(|m| &m.name));
+        self.world.members.keys().chain(live).any(|name| !self.world.upgraded.contains(name))
+    }
+
     pub fn leads(&self, me: &Member) -> bool {
         self.in_map(me) && self.world.leader.as_ref().is_some_and(|l| l.value == *me)
     }
--- a/crates/daemon/src/placer.rs
+++ b/crates/daemon/src/placer.rs
@@ -53,6 +53,9 @@
     let me = &node.me;
     let report = node.report_every();
     let waits = |id: &String| {
+        if round.held.contains(id) {
+            return false;
+        }
         let job = round.jobs.get(id).or_else(|| core.world.jobs.get(id).map(|j| &j.value));
         job.is_some_and(|j| placement::pending_count(j) > 0 && core.world.placer_of(j) == Some(&me.name))
     };
@@ -124,6 +127,7 @@
         };
         let mut job = old.clone();
         let Some(spec) = job.spec.clone() else { continue };
+        let priority = job.priority().unwrap_or(spec.priority);
         let Some(team) = node.team(&spec.team) else { continue };
         // A job that has a change in this round anyway costs no further one.
         let cost =
@@ -177,7 +181,7 @@
             } else if round.searches >= SEARCHES || {
                 round.searches += 1;
                 let running = running.get_or_insert_with(|| preempt::Running::new(world, &board));
-                preempt::victims(running, &board, &spec, &within, &[], true, whole).is_none()
+                preempt::victims(running, &board, (&spec, priority), &within, &[], true, whole).is_none()
             } {
                 placed = placement::place(world, &mut board, &mut job, team, reach, limits);
                 last_resort = placed.is_empty();
@@ -243,6 +247,7 @@
     let world = search.world;
     let Some(spec) = job.spec.as_deref() else { return };
     let Some(team) = node.team(&spec.team) else { return };
+    let priority = job.priority().unwrap_or(spec.priority);
     let size = Amount::of_task(spec);
     let gang = spec.kind == JobKind::Gang;
     let quiet = placement::retry_at_ms(job) <= now_ms && (!gang || job.run.is_empty());
@@ -265,7 +270,7 @@
     let quota = team.limit().plus(Amount { memory_gb: 0.0, ..in_use }, -1.0);
     let whole = |s: &placement::Slot| placement::gpu_loss(world, spec, s) == 0;
     let (machines, victims, save) = if size.times_in(quota) < tasks {
-        let Some(victims) = preempt::within_team(world, board, spec, tasks, team) else { return };
+        let Some(victims) = preempt::within_team(world, board, (spec, priority), tasks, team) else { return };
         (Vec::new(), victims, 0.0)
     } else {
         let mut machines = Vec::new();
@@ -273,7 +278,7 @@
         for _ in 0..tasks {
             round.searches += 1;
             let running = search.running.get_or_insert_with(|| preempt::Running::new(world, board));
-            let found = preempt::victims(running, board, spec, within, &all, !last_resort, |s| {
+            let found = preempt::victims(running, board, (spec, priority), within, &all, !last_resort, |s| {
                 last_resort || whole(s)
             });
             let Some((machine, victims)) = found else { break };
@@ -308,9 +313,11 @@
 /// Whether room that the job could take is collected for a gang that has waited
 /// longer. Only the leader, who collects it, then places such jobs.
 pub(crate) fn collected_for(world: &World, spec: &JobSpec, now_ms: u64) -> bool {
+    let priority = world.jobs.get(&spec.id).map_or(Some(spec.priority), |j| j.value.priority());
     placement::longest_waiting(world, now_ms).into_iter().filter(|id| *id != spec.id).any(|id| {
-        let gang = world.jobs.get(id).and_then(|j| j.value.spec.as_deref());
-        gang.is_some_and(|g| g.priority >= spec.priority && placement::competes(spec, g))
+        let Some(gang) = world.jobs.get(id).map(|j| &j.value) else { return false };
+        let competes = gang.spec.as_deref().is_some_and(|g| placement::competes(spec, g));
+        competes && gang.priority() >= priority
     })
 }
 
--- a/crates/daemon/src/scale.rs
+++ b/crates/daemon/src/scale.rs
@@ -180,7 +180,8 @@
         assert!(rounds < 200, "{} left", core.world.orphaned.len());
         let at = now + Duration::from_millis(100 * rounds);
         let mut round = engine::decide(&node, &mut core, false, 16, at, NOW_MS).expect("entitled");
-        let (_, puts, left_out, teams) = engine::assemble(&core.world, &round, 16, 8192.0);
+        let engine::Assembled { puts, left_out, teams, .. } =
+            engine::assemble(&core.world, &round, &node.plan(), usize::MAX);
         changes += puts.len();
         for (id, record) in std::mem::take(&mut round.jobs) {
             if !left_out.contains(&id) {
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -93,6 +93,21 @@
     pub write_rps: f64,
     pub value_kb: f64,
     pub txn_ops: usize,
+    /// The limits that it will have from some moment on.
+    #[serde(default)]
+    pub next: Option<NextState>,
+}
+
+#[derive(Debug, Clone, Default, Deserialize)]
+pub struct NextState {
+    #[serde(default)]
+    pub rps: Option<f64>,
+    #[serde(default)]
+    pub write_rps: Option<f64>,
+    #[serde(default)]
+    pub value_kb: Option<f64>,
+    #[serde(default)]
+    pub txn_ops: Option<usize>,
 }
 
 #[derive(Debug, Clone, Deserialize)]
@@ -108,6 +123,9 @@
     pub max_connections: usize,
 }
 
+/// A job's description has to fit beside a few assignments.
+const VALUE_KB_LEAST: f64 = 2.0;
+
 fn read(path: &Path) -> Result<(String, String), SettingsError> {
     let file = path.display().to_string();
     let text = std::fs::read_to_string(path).map_err(|e| SettingsError::Read(file.clone(), e))?;
@@ -173,7 +191,14 @@
             ("facts.limits.cores", f.limits.cores),
             ("facts.limits.memory_mb", f.limits.memory_mb),
         ];
-        for (field, value) in positive {
+        let next = f.state.next.clone().unwrap_or_default();
+        let to_come = [
+            ("facts.state.next.rps", next.rps),
+            ("facts.state.next.write_rps", next.write_rps),
+            ("facts.state.next.value_kb", next.value_kb),
+        ];
+        let to_come = to_come.into_iter().filter_map(|(field, v)| Some((field, v?)));
+        for (field, value) in positive.into_iter().chain(to_come) {
             if !value.is_finite() || value <= 0.0 || value > 1e9 {
                 return bad(field, "must be a number above 0");
             }
@@ -193,8 +218,14 @@
         if f.state.txn_ops < 2 {
             return bad("facts.state.txn_ops", "must be at least 2");
         }
-        if f.state.value_kb < 4.0 {
-            return bad("facts.state.value_kb", "must be at least 4");
+        if f.state.value_kb < VALUE_KB_LEAST {
+            return bad("facts.state.value_kb", "must be at least 2");
+        }
+        if next.txn_ops.is_some_and(|n| n < 2) {
+            return bad("facts.state.next.txn_ops", "must be at least 2");
+        }
+        if next.value_kb.is_some_and(|kb| kb < VALUE_KB_LEAST) {
+            return bad("facts.state.next.value_kb", "must be at least 2");
         }
         if f.limits.max_connections < 64 {
             return bad("facts.limits.max_connections", "must be at least 64");
@@ -426,6 +457,12 @@
             ("lease_s = 24.0", "", "lease_s"),
             ("127.0.0.1:8080", "nowhere", "front"),
             ("cpus = 4.0", "cpus = -4.0", "facts.teams"),
+            ("value_kb = 8.0", "value_kb = 1.0", "facts.state.value_kb"),
+            ("txn_ops = 16", "txn_ops = 16\nnext = { write_rps = 0.0 }", "facts.state.next.write_rps"),
+            ("txn_ops = 16", "txn_ops = 16\nnext = { rps = -1 }", "facts.state.next.rps"),
+            ("txn_ops = 16", "txn_ops = 16\nnext = { value_kb = 0 }", "facts.state.next.value_kb"),
+            ("txn_ops = 16", "txn_ops = 16\nnext = { txn_ops = 0 }", "facts.state.next.txn_ops"),
+            ("txn_ops = 16", "txn_ops = 16\nnext = { txn_ops = \"many\" }", "txn_ops"),
         ] {
             let message = Settings::parse("s.toml", &EXAMPLE.replacen(from, to, 1))
                 .map(|_| ())
@@ -434,6 +471,10 @@
             assert!(message.starts_with("s.toml: ") && message.contains(field), "{message}");
             assert!(!message.contains('\n'), "{message}");
         }
+        let next = "txn_ops = 16\nnext = { value_kb = 2, txn_ops = 4, later = 1 }";
+        let some = Settings::parse("s.toml", &EXAMPLE.replacen("txn_ops = 16", next, 1)).expect("valid");
+        let next = some.facts.state.next.expect("given");
+        assert_eq!((next.value_kb, next.txn_ops, next.write_rps), (Some(2.0), Some(4), None));
     }
 
     #[test]
--- a/crates/daemon/src/sim.rs
+++ b/crates/daemon/src/sim.rs
@@ -326,7 +326,8 @@
             let mut core = node.core();
             let scan = self.step.is_multiple_of(50);
             engine::decide(node, &mut core, scan, 16, now, self.step * 100).map(|r| {
-                let (conditions, puts, ..) = engine::assemble(&core.world, &r, 16, 8192.0);
+                let engine::Assembled { conditions, puts, .. } =
+                    engine::assemble(&core.world, &r, &node.plan(), usize::MAX);
                 let epoch = core.map().map_or(0, |m| m.epoch);
                 (r.sends, conditions, puts, r.proofs, epoch)
             })
--- a/crates/daemon/src/state_duty.rs
+++ b/crates/daemon/src/state_duty.rs
@@ -1,17 +1,18 @@
 //! Dealings with the state service: mirror, freshness, membership, leadership.
 
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use rmpv::Value;
-use sched::records::{MapRecord, Member};
+use sched::records::{FORM, MapRecord, Member, Upgraded};
 use sched::world::World;
-use store::{Outcome, Put, StoreError, decode_change, key};
+use store::{Outcome, Put, Reader, StoreError, key};
 use tokio::time::{sleep, timeout};
-use tracing::{info, warn};
+use tracing::{debug, info, warn};
 use wire::{Changes, Condition};
 
 use crate::load::Purpose;
-use crate::node::{MEMBER_TTL, Node};
+use crate::node::{Core, MEMBER_TTL, Node};
 
 const WATCH: Duration = Duration::from_secs(8);
 const RETRY: Duration = Duration::from_millis(250);
@@ -40,7 +41,7 @@
 }
 
 async fn read_all(node: &Node) -> Result<(), StoreError> {
-    let mut world = World::default();
+    let (mut world, mut reader) = (World::default(), Reader::default());
     let mut after: Option<String> = None;
     loop {
         let page = node.state.list(after.as_deref()).await?;
@@ -52,11 +53,12 @@
         after = page.items.last().map(|i| i.key.clone());
         // Machines and types come before jobs need them.
         let mut decoded: Vec<_> =
-            page.items.into_iter().map(|i| (decode_change(&i.key, Some(i.value)), i.version)).collect();
-        decoded.sort_by_key(|((c, _), _)| matches!(c, sched::world::Change::Job(..)));
-        for ((change, bad), version) in decoded {
+            page.items.into_iter().map(|i| reader.take(&i.key, Some(i.value), i.version)).collect();
+        decoded.sort_by_key(|(c, ..)| matches!(c, sched::world::Change::Job(..)));
+        for (change, bad, version) in decoded {
             if bad {
-                warn!("a record could not be read");
+                // One in parts is read once they are, too.
+                debug!(?change, "a record cannot be read yet");
                 world.unread(change);
             } else {
                 world.apply(change, version);
@@ -71,7 +73,9 @@
     {
         let mut core = node.core();
         core.world = world;
+        core.reader = reader;
         core.ready = true;
+        tell_form(node, &core);
     }
     info!(revision, jobs, machines, "records read");
     node.revision.send_replace(revision);
@@ -110,14 +114,16 @@
         if e.version <= known {
             continue;
         }
-        let (change, bad) = decode_change(&k, value);
+        let core = &mut *core;
+        let (change, bad, version) = core.reader.take(&k, value, e.version);
         if bad {
             warn!(key = k, "a record could not be read");
             core.world.unread(change);
         } else {
-            core.world.apply(change, e.version);
+            core.world.apply(change, version);
         }
     }
+    tell_form(node, &core);
     core.world.revision = changes.revision;
     if core.map().map(|m| m.epoch) != map_before {
         core.forget_rows(&owners_before);
@@ -130,6 +136,23 @@
     node.kick.notify_one();
 }
 
+/// Opens the new form once every controller that there is has said that it will not
+/// come back old; one that is dead or cut off still may, until it has.
+fn tell_form(node: &Node, core: &Core) {
+    if node.seen.all_new.load(Ordering::Relaxed) {
+        return;
+    }
+    let names = node.settings.peers.iter().map(|p| &p.node_name).chain([&node.settings.node_name]);
+    let missing: Vec<&String> = names.filter(|n| !core.world.upgraded.contains(*n)).collect();
+    if missing.is_empty() {
+        node.seen.all_new.store(true, Ordering::Relaxed);
+        let plan = node.plan();
+        info!(value_bytes = plan.value_bytes, txn_ops = plan.txn_ops, "the new form is open");
+    } else if node.seen.waits_for(&missing) {
+        info!(controllers = crate::load::few(&missing), "the new form waits for");
+    }
+}
+
 /// Answers freshness requests, all that wait with one check, and makes one a
 /// second by itself. The check asks for all changes up to now, so that it also
 /// brings the mirror up to date.
@@ -223,8 +246,9 @@
 }
 
 enum Claim {
-    /// The version of this controller's entry.
-    Member(u64),
+    /// The version of this controller's entry, and whether it has to leave its lasting
+    /// word that it will not come back old.
+    Member(u64, bool),
     /// The versions of the leader's entry and of this controller's.
     Leader(u64, u64),
     Map(MapRecord, u64, u64),
@@ -234,7 +258,10 @@
 fn next_claim(world: &World, me: &Member) -> Option<Claim> {
     let member = match world.members.get(&me.name) {
         Some(m) if m.value == *me => m.version,
-        other => return Some(Claim::Member(other.map_or(0, |m| m.version))),
+        other => {
+            let first = !world.upgraded.contains(&me.name);
+            return Some(Claim::Member(other.map_or(0, |m| m.version), first));
+        }
     };
     let leader = match &world.leader {
         None => return Some(Claim::Leader(0, member)),
@@ -260,20 +287,25 @@
         }
         next_claim(&core.world, &node.me)
     };
-    let (conditions, put) = match claim {
+    let (conditions, puts) = match claim {
         None => return Ok(false),
-        Some(Claim::Member(version)) => {
+        Some(Claim::Member(version, first)) => {
             info!(incarnation = node.me.incarnation, "joining the members");
             // A late copy of a predecessor's request must not push this one out.
             let me = key::member(&node.me.name);
-            (vec![Condition { key: me.clone(), version }], Put::leased(me, &node.me, lease))
+            let mut puts = vec![Put::leased(me.clone(), &node.me, lease)];
+            if first {
+                // With the entry, so that no live controller passes for an old one.
+                puts.push(Put::new(key::upgraded(&node.me.name), &Upgraded { form: FORM }));
+            }
+            (vec![Condition { key: me, version }], puts)
         }
         Some(Claim::Leader(version, member)) => {
             let conditions = vec![
                 Condition { key: key::LEADER.into(), version },
                 Condition { key: key::member(&node.me.name), version: member },
             ];
-            (conditions, Put::leased(key::LEADER.into(), &node.me, lease))
+            (conditions, vec![Put::leased(key::LEADER.into(), &node.me, lease)])
         }
         Some(Claim::Map(map, version, leader)) => {
             info!(epoch = map.epoch, live = map.live.len(), "writing a new map");
@@ -281,14 +313,14 @@
                 Condition { key: key::MAP.into(), version },
                 Condition { key: key::LEADER.into(), version: leader },
             ];
-            (conditions, Put::new(key::MAP.into(), &map))
+            (conditions, vec![Put::new(key::MAP.into(), &map)])
         }
     };
     // Never behind other changes: the lease would run out meanwhile, and a
     // controller in debt would join again and again without ever being live.
-    node.core().writes.take(1.0, 0.0, Instant::now());
-    node.counts.spend(Purpose::Members, 1);
-    match node.state.txn(conditions, vec![put]).await? {
+    node.core().writes.take(puts.len() as f64, 0.0, Instant::now());
+    node.counts.spend(Purpose::Members, puts.len());
+    match node.state.txn(conditions, puts).await? {
         Outcome::Committed { revision } => Ok(node.reach(revision, Duration::from_secs(2)).await),
         Outcome::Conflict { revision, .. } => {
             node.reach(revision, Duration::from_secs(2)).await;
@@ -313,7 +345,7 @@
         world.apply(Change::Member("a".into(), Some(old.clone())), 1);
         world.apply(Change::Leader(Some(old.clone())), 2);
         world.apply(Change::Map(Some(MapRecord { epoch: 7, live: vec![old] })), 3);
-        assert!(matches!(next_claim(&world, &new), Some(Claim::Member(1))));
+        assert!(matches!(next_claim(&world, &new), Some(Claim::Member(1, true))));
         world.apply(Change::Member("a".into(), Some(new.clone())), 4);
         assert!(matches!(next_claim(&world, &new), Some(Claim::Leader(2, 4))));
         world.apply(Change::Leader(Some(new.clone())), 5);
@@ -336,7 +368,7 @@
         // The predecessor joined at 5 and was about to lead.
         world.apply(Change::Member("a".into(), Some(old.clone())), 5);
         let Some(Claim::Leader(0, 5)) = next_claim(&world, &old) else { unreachable!("leads") };
-        let Some(Claim::Member(5)) = next_claim(&world, &new) else { unreachable!("joins") };
+        let Some(Claim::Member(5, true)) = next_claim(&world, &new) else { unreachable!("joins") };
         world.apply(Change::Member("a".into(), Some(new.clone())), 6);
         // Its claims were conditional on versions 0 and 5 of the entry.
         assert_eq!(world.members["a"].version, 6);
--- a/crates/daemon/src/worker.rs
+++ b/crates/daemon/src/worker.rs
@@ -490,6 +490,7 @@
             checkpoint_s: 0.0,
             save_s: 2.0,
             deadline_s: None,
+            needs: None,
         }
     }
 
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod fleet;
 pub mod forecast;
 mod packed;
+pub mod pipeline;
 pub mod placement;
 pub mod preempt;
 pub mod records;
--- a/crates/sched/src/packed.rs
+++ b/crates/sched/src/packed.rs
@@ -77,7 +77,11 @@
 
 /// A name's last digits as a number, and how many they are.
 fn split(name: &str) -> (&str, usize, u64) {
-    let digits = name.bytes().rev().take_while(u8::is_ascii_digit).take(15).count();
+    split_most(name, 15)
+}
+
+fn split_most(name: &str, most: usize) -> (&str, usize, u64) {
+    let digits = name.bytes().rev().take_while(u8::is_ascii_digit).take(most).count();
     let (stem, number) = name.split_at(name.len() - digits);
     (stem, digits, number.parse().unwrap_or(0))
 }
@@ -92,7 +96,10 @@
 
     pub fn serialize<S: Serializer>(names: &Option<Vec<Name>>, serializer: S) -> Result<S::Ok, S::Error> {
         let Some(names) = names else { return serializer.serialize_none() };
-        let mut sorted: Vec<_> = names.iter().map(|n| split(n)).collect();
+        serializer.serialize_some(&groups(names.iter().map(|n| split(n)).collect()))
+    }
+
+    pub(super) fn groups(mut sorted: Vec<(&str, usize, u64)>) -> Vec<(String, usize, String)> {
         sorted.sort_unstable();
         let mut out: Vec<(String, usize, String)> = Vec::new();
         for group in sorted.chunk_by(|a, b| (a.0, a.1) == (b.0, b.1)) {
@@ -104,7 +111,7 @@
             }
             out.push((group[0].0.to_owned(), group[0].1, text));
         }
-        serializer.serialize_some(&out)
+        out
     }
 
     pub fn deserialize<'de, D: Deserializer<'de>>(d: D) -> Result<Option<Vec<Name>>, D::Error> {
@@ -124,6 +131,19 @@
     }
 }
 
+/// Ids of jobs, which have up to 18 digits.
+pub mod ids {
+    use super::*;
+
+    pub fn serialize<S: Serializer>(ids: &[Name], serializer: S) -> Result<S::Ok, S::Error> {
+        names::groups(ids.iter().map(|n| split_most(n, 18)).collect()).serialize(serializer)
+    }
+
+    pub fn deserialize<'de, D: Deserializer<'de>>(d: D) -> Result<Vec<Name>, D::Error> {
+        Ok(names::deserialize(d)?.unwrap_or_default())
+    }
+}
+
 fn name(stem: &str, digits: usize, number: u64) -> Name {
     if digits == 0 { stem.into() } else { format!("{stem}{number:0digits$}").into() }
 }
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -456,7 +456,8 @@
 /// not step back for others any more.
 pub fn pressed(job: &JobRecord, now_ms: u64) -> bool {
     let due = job.spec.as_ref().and_then(|s| s.deadline_s);
-    due.is_some_and(|due| now_ms.saturating_sub(job.submitted_ms) as f64 / 1000.0 > due * PRESSED)
+    let accepted = if job.accepted_ms > 0 { job.accepted_ms } else { job.submitted_ms };
+    due.is_some_and(|due| now_ms.saturating_sub(accepted) as f64 / 1000.0 > due * PRESSED)
 }
 
 const PRESSED: f64 = 0.35;
@@ -518,10 +519,14 @@
     (!longest, !guaranteed, missed)
 }
 
-/// The order in which jobs are served: priority, then their turn, then age.
+/// The order in which jobs are served: priority, then their turn, then steps of
+/// pipelines by the time that is left to them, then age.
 pub fn queue_order(a: (&JobRecord, Turn), b: (&JobRecord, Turn)) -> std::cmp::Ordering {
-    let priority = |j: &JobRecord| j.spec.as_ref().map(|s| s.priority);
-    priority(b.0).cmp(&priority(a.0)).then(a.1.cmp(&b.1)).then(a.0.submitted_ms.cmp(&b.0.submitted_ms))
+    let slack = |j: &JobRecord| if j.in_pipeline() { j.start_by_ms() } else { None }.unwrap_or(u64::MAX);
+    (b.0.priority().cmp(&a.0.priority()))
+        .then(a.1.cmp(&b.1))
+        .then_with(|| slack(a.0).cmp(&slack(b.0)))
+        .then(a.0.submitted_ms.cmp(&b.0.submitted_ms))
 }
 
 /// Whether every one of the job's tasks fits into the room that is free.
@@ -569,6 +574,7 @@
             checkpoint_s: 0.0,
             save_s: 0.0,
             deadline_s: None,
+            needs: None,
         }
     }
 
--- a/crates/sched/src/preempt.rs
+++ b/crates/sched/src/preempt.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use wire::{JobKind, JobSpec};
+use wire::{JobKind, JobSpec, Priority};
 
 use crate::placement::{Board, Slot, allowed};
 use crate::records::{Assignment, JobRecord, Name, Want};
@@ -41,10 +41,11 @@
 /// priority: what runs above everything is not stopped for a guarantee. `guaranteed` names the
 /// jobs that are within their teams' guarantees. A whole team being beyond does
 /// not do: its oldest jobs are still within, and would be stopped in turns.
+/// `priority` is the job's own or what it inherits; so it is for those that run.
 pub fn victims(
     running: &Running,
     board: &Board,
-    spec: &JobSpec,
+    (spec, priority): (&JobSpec, Priority),
     guaranteed: &BTreeSet<String>,
     chosen_before: &[Victim],
     spare_gpu_jobs: bool,
@@ -69,11 +70,12 @@
                 free = free.plus(Amount::of_task(other), 1.0);
                 continue;
             }
-            let lower = other.priority < spec.priority;
+            let rank = job.priority().unwrap_or(other.priority);
+            let lower = rank < priority;
             let beyond = guaranteed.contains(&spec.id)
                 && !guaranteed.contains(id)
                 && other.team != spec.team
-                && other.priority <= spec.priority;
+                && rank <= priority;
             if (lower || beyond) && !(spare_gpu_jobs && other.gpus > 0.0) {
                 // Arrays lose least, services most; save what can be saved.
                 let cost = match other.kind {
@@ -83,7 +85,7 @@
                     JobKind::Gang => 1 + other.tasks + 3 * job.attempt.clamp(1, 50) as u32,
                     JobKind::Service => 1000,
                 };
-                list.push((cost, other.priority, id, a, Amount::of_task(other)));
+                list.push((cost, rank, id, a, Amount::of_task(other)));
             }
         }
         list.sort_by_key(|x| (x.1, x.0, x.3.task));
@@ -115,7 +117,7 @@
 pub fn within_team(
     world: &World,
     board: &Board,
-    spec: &JobSpec,
+    (spec, priority): (&JobSpec, Priority),
     tasks: u32,
     team: &Team,
 ) -> Option<Vec<Victim>> {
@@ -128,14 +130,13 @@
     for id in &world.open {
         let Some(job) = world.jobs.get(id).map(|j| j.value.as_ref()) else { continue };
         let Some(other) = job.spec.as_deref().filter(|o| o.team == spec.team) else { continue };
+        let rank = job.priority().unwrap_or(other.priority);
         for a in &job.run {
             if !job.wants(a) {
                 free = free.plus(flat(Amount::of_task(other)), 1.0);
-            } else if other.priority < spec.priority
-                && other.kind == JobKind::Array
-                && board.index.contains_key(&a.machine)
+            } else if rank < priority && other.kind == JobKind::Array && board.index.contains_key(&a.machine)
             {
-                list.push((other.priority, id, a, flat(Amount::of_task(other))));
+                list.push((rank, id, a, flat(Amount::of_task(other))));
             }
         }
     }
@@ -180,7 +181,9 @@
         let s = spec("j-2", JobKind::Array, 1);
         let find = |within: &[&str]| {
             let within = within.iter().map(|s| (*s).to_owned()).collect();
-            victims(&Running::new(&w, &board(&w)), &board(&w), &s, &within, &[], false, |_| true)
+            victims(&Running::new(&w, &board(&w)), &board(&w), (&s, s.priority), &within, &[], false, |_| {
+                true
+            })
         };
         assert!(find(&[]).is_none(), "same priority, no guarantee");
         assert!(find(&["j-1", "j-2"]).is_none(), "both within their guarantees");
@@ -198,14 +201,30 @@
         let mut s = spec("j-3", JobKind::Service, 2);
         s.priority = Priority::High;
         let found = |chosen: &[Victim]| {
-            victims(&Running::new(&w, &board(&w)), &board(&w), &s, &BTreeSet::new(), chosen, false, |_| true)
+            victims(
+                &Running::new(&w, &board(&w)),
+                &board(&w),
+                (&s, s.priority),
+                &BTreeSet::new(),
+                chosen,
+                false,
+                |_| true,
+            )
         };
         let (_, first) = found(&[]).expect("the array's task");
         assert_eq!(first[0].job, "j-2");
         s.cpus = 4.0;
         assert!(
-            victims(&Running::new(&w, &board(&w)), &board(&w), &s, &BTreeSet::new(), &first, false, |_| true)
-                .is_none()
+            victims(
+                &Running::new(&w, &board(&w)),
+                &board(&w),
+                (&s, s.priority),
+                &BTreeSet::new(),
+                &first,
+                false,
+                |_| true
+            )
+            .is_none()
         );
     }
 
@@ -219,8 +238,15 @@
         add(&mut w, spec("j-2", JobKind::Gang, 2), &[(0, "a2"), (1, "a2")]);
         let mut s = spec("j-3", JobKind::Service, 1);
         (s.priority, s.cpus) = (Priority::Production, 7.0);
-        let found =
-            victims(&Running::new(&w, &board(&w)), &board(&w), &s, &BTreeSet::new(), &[], false, |_| true);
+        let found = victims(
+            &Running::new(&w, &board(&w)),
+            &board(&w),
+            (&s, s.priority),
+            &BTreeSet::new(),
+            &[],
+            false,
+            |_| true,
+        );
         assert_eq!(found.map(|f| f.0.to_string()), Some("a2".to_owned()));
     }
 
@@ -231,7 +257,10 @@
         let mut s = spec("j-2", JobKind::Service, 1);
         s.priority = Priority::Production;
         let limited = Team { cpus_max: 7.0, ..team() };
-        assert_eq!(within_team(&w, &board(&w), &s, 1, &limited).map(|v| v.len()), Some(1));
-        assert!(within_team(&w, &board(&w), &s, 1, &team()).is_none(), "there is room in the limit");
+        assert_eq!(within_team(&w, &board(&w), (&s, s.priority), 1, &limited).map(|v| v.len()), Some(1));
+        assert!(
+            within_team(&w, &board(&w), (&s, s.priority), 1, &team()).is_none(),
+            "there is room in the limit"
+        );
     }
 }
--- a/crates/sched/src/records.rs
+++ b/crates/sched/src/records.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
-use wire::{JobKind, JobSpec, JobState, MachineType};
+use wire::{JobKind, JobSpec, JobState, MachineType, Priority};
 
 use crate::packed;
 
@@ -19,6 +19,27 @@
     Done,
     #[serde(rename = "c")]
     Cancelled,
+    /// Waits for other jobs. The version before pipelines cannot read it, and so
+    /// answers 503 and starts nothing of it.
+    #[serde(rename = "w")]
+    Waiting,
+}
+
+/// What a job inherits from those that need it. Derived from the records by each
+/// controller, and never written.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Urgency {
+    pub priority: Option<Priority>,
+    /// When it should be done at the latest, so that those after it are in time.
+    pub done_by_ms: Option<u64>,
+}
+
+impl Urgency {
+    /// The more urgent of both in each respect.
+    pub fn and(self, other: Self) -> Self {
+        let earlier = self.done_by_ms.into_iter().chain(other.done_by_ms).min();
+        Self { priority: self.priority.max(other.priority), done_by_ms: earlier }
+    }
 }
 
 /// Whether an assignment is to go on.
@@ -147,8 +168,27 @@
     pub errors: u32,
     #[serde(default)]
     pub error_ms: u64,
+    /// The jobs that a waiting one needs, but for those that were done before.
+    #[serde(default, skip_serializing_if = "Vec::is_empty", with = "packed::ids")]
+    pub needs: Vec<Name>,
+    /// When a job that had to wait was accepted: its deadline counts from then, all
+    /// else from `submitted_ms`, which is when the last job that it needed was done.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub accepted_ms: u64,
+    /// When the last task was done.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub ended_ms: u64,
+    #[serde(skip)]
+    pub urgency: Urgency,
+}
+
+fn is_zero(n: &u64) -> bool {
+    *n == 0
 }
 
+/// About how long an image takes and a start and an end take to be told.
+const STEP_OVERHEAD_S: f64 = 5.0;
+
 impl JobRecord {
     pub fn new(spec: JobSpec, part: Option<String>, submitted_ms: u64) -> Self {
         Self {
@@ -165,13 +205,63 @@
             evicted_ms: submitted_ms,
             errors: 0,
             error_ms: 0,
+            needs: Vec::new(),
+            accepted_ms: 0,
+            ended_ms: 0,
+            urgency: Urgency::default(),
         }
     }
 
+    /// A job that waits for others.
+    pub fn waiting(spec: JobSpec, part: Option<String>, submitted_ms: u64, needs: Vec<Name>) -> Self {
+        Self { phase: Phase::Waiting, needs, ..Self::new(spec, part, submitted_ms) }
+    }
+
+    /// All that the job needs is done, the last of it at this time. Ageing, turns,
+    /// guarantees and the disruption budget count from now on.
+    pub fn begin(&mut self, ready_ms: u64) {
+        self.phase = Phase::Active;
+        self.needs = Vec::new();
+        self.accepted_ms = self.submitted_ms;
+        self.submitted_ms = self.submitted_ms.max(ready_ms);
+        self.evicted_ms = self.submitted_ms;
+    }
+
+    /// The job's priority, or that of a job that needs it if that is higher.
+    pub fn priority(&self) -> Option<Priority> {
+        self.spec.as_ref().map(|s| s.priority).max(self.urgency.priority)
+    }
+
+    /// When the job should be done: by its own deadline and by those of the jobs
+    /// that need it.
+    pub fn due_ms(&self) -> Option<u64> {
+        let accepted = if self.accepted_ms > 0 { self.accepted_ms } else { self.submitted_ms };
+        let own = self.spec.as_ref().and_then(|s| s.deadline_s);
+        let own = own.map(|due| accepted.saturating_add((due.clamp(0.0, 1e9) * 1000.0) as u64));
+        own.into_iter().chain(self.urgency.done_by_ms).min()
+    }
+
+    /// When the job should start at the latest.
+    pub fn start_by_ms(&self) -> Option<u64> {
+        let takes = self.spec.as_ref().map_or(0.0, |s| s.estimate_s.clamp(0.0, 1e9)) + STEP_OVERHEAD_S;
+        self.due_ms().map(|due| due.saturating_sub((takes * 1000.0) as u64))
+    }
+
+    /// What those inherit that this one needs.
+    pub fn gives(&self) -> Urgency {
+        Urgency { priority: self.priority(), done_by_ms: self.start_by_ms() }
+    }
+
+    /// Whether the job is a step of a pipeline with a deadline.
+    pub fn in_pipeline(&self) -> bool {
+        (self.accepted_ms > 0 || self.urgency != Urgency::default()) && self.due_ms().is_some()
+    }
+
     pub fn state(&self) -> JobState {
         match self.phase {
             Phase::Done => JobState::Done,
             Phase::Cancelled => JobState::Cancelled,
+            Phase::Waiting => JobState::Queued,
             Phase::Active if self.run.is_empty() => JobState::Queued,
             Phase::Active => JobState::Running,
         }
@@ -204,6 +294,7 @@
             self.errors = 0;
             if self.phase == Phase::Active && self.done.len() == spec.tasks {
                 self.phase = Phase::Done;
+                self.ended_ms = now_ms;
             }
         } else if gang {
             // If a task is only lost, or gave up waiting for others that still fetch
@@ -233,7 +324,7 @@
 
     /// Drops everything but the final state, once nothing else is needed.
     pub fn shrink(&mut self) {
-        if self.phase != Phase::Active && self.run.is_empty() {
+        if matches!(self.phase, Phase::Done | Phase::Cancelled) && self.run.is_empty() {
             let done = std::mem::take(&mut self.done);
             *self = Self {
                 phase: self.phase,
@@ -249,6 +340,11 @@
                 evicted_ms: 0,
                 errors: 0,
                 error_ms: 0,
+                needs: Vec::new(),
+                accepted_ms: 0,
+                // Those that need it count from then.
+                ended_ms: self.ended_ms,
+                urgency: Urgency::default(),
             };
         }
     }
@@ -316,6 +412,16 @@
     pub incarnation: u64,
 }
 
+/// What a controller leaves under its name for good: which form of the records it
+/// knows. The version before did not leave any.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Upgraded {
+    pub form: u32,
+}
+
+/// The form with pipelines and records of several values.
+pub const FORM: u32 = 2;
+
 /// Who is entitled to act. Every token given out carries the epoch.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MapRecord {
--- a/crates/sched/src/world.rs
+++ b/crates/sched/src/world.rs
@@ -2,8 +2,9 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 
-use wire::{JobSpec, MachineType};
+use wire::{JobSpec, JobState, MachineType};
 
+use crate::pipeline::Pipelines;
 use crate::records::*;
 
 /// What tasks take and machines have.
@@ -93,6 +94,9 @@
     Map(Option<MapRecord>),
     Types(Option<TypesRecord>),
     Fleet(Option<FleetRecord>),
+    /// The controller of this name has the version that knows pipelines. Its record
+    /// lasts, whoever lives.
+    Upgraded(String, bool),
     Other,
 }
 
@@ -132,6 +136,9 @@
     pub gpu_spec: Option<Box<JobSpec>>,
     /// When it was submitted, by the time of day.
     pub gpu_spec_ms: u64,
+    pub pipelines: Pipelines,
+    /// Controllers that will not come back old.
+    pub upgraded: BTreeSet<String>,
 }
 
 impl World {
@@ -264,8 +271,15 @@
                 }
                 self.unreadable.remove(&id);
                 let old = self.jobs.remove(&id);
+                let before = old.as_ref().map(|o| o.value.phase);
+                let left = self.pipelines.leave(&id);
+                let record = record.map(|r| self.enter_pipelines(&id, r, old.as_ref().map(|o| &*o.value)));
                 self.account(&id, old.as_ref().map(|o| o.value.as_ref()), record.as_deref());
                 self.open.remove(&id);
+                let (phase, needs) = match &record {
+                    Some(r) => (Some(r.phase), r.needs.clone()),
+                    None => (None, Vec::new()),
+                };
                 if let Some(value) = record {
                     if let Some(spec) = value.spec.as_ref().filter(|s| s.gpus > 0.0)
                         && value.submitted_ms >= self.gpu_spec_ms
@@ -276,7 +290,19 @@
                     if value.phase == Phase::Active || !value.run.is_empty() {
                         self.open.insert(id.clone());
                     }
-                    self.jobs.insert(id, Versioned { value, version });
+                    self.jobs.insert(id.clone(), Versioned { value, version });
+                }
+                if phase == Some(Phase::Waiting) {
+                    self.pass_on(&id);
+                } else {
+                    left.iter().filter(|n| !needs.contains(n)).for_each(|n| self.reckon(n));
+                }
+                if phase != before {
+                    match phase {
+                        Some(Phase::Done) => self.let_begin(&id),
+                        Some(Phase::Cancelled) => self.pipelines.cancelled(&id),
+                        _ => {}
+                    }
                 }
             }
             Change::Machine(id, Some(value)) => {
@@ -338,8 +364,99 @@
                 }
                 self.fleet = f.map(|value| Versioned { value, version });
             }
-            Change::Other => {}
+            Change::Upgraded(name, true) => {
+                self.upgraded.insert(name);
+            }
+            Change::Upgraded(..) | Change::Other => {}
+        }
+    }
+
+    /// A job's record as it counts now: one that waits and all of whose needs are
+    /// done has begun, though its record does not say so before it is next written.
+    fn enter_pipelines(
+        &mut self,
+        id: &str,
+        mut record: Box<JobRecord>,
+        old: Option<&JobRecord>,
+    ) -> Box<JobRecord> {
+        record.urgency = old.map_or_else(|| self.inherited(id), |o| o.urgency);
+        if record.phase != Phase::Waiting {
+            return record;
         }
+        let jobs = &self.jobs;
+        let phase = |n: &Name| jobs.get(&**n).map(|j| j.value.phase);
+        if self.pipelines.enter(&id.into(), &record.needs, |n| phase(n) == Some(Phase::Done)) {
+            let ended = record.needs.iter().filter_map(|n| jobs.get(&**n)).map(|j| j.value.ended_ms).max();
+            record.begin(ended.unwrap_or(0));
+        } else if let Some(n) = record
+            .needs
+            .iter()
+            .find(|n| phase(n) == Some(Phase::Cancelled) || self.pipelines.is_doomed(n))
+            .cloned()
+        {
+            self.pipelines.cancelled(&n);
+        }
+        record
+    }
+
+    /// The last job that some waited for is done.
+    fn let_begin(&mut self, id: &str) {
+        for ready in self.pipelines.done(id) {
+            let Some(mut job) = self.jobs.remove(&*ready) else { continue };
+            let ended = job.value.needs.iter().filter_map(|n| self.jobs.get(&**n)).map(|j| j.value.ended_ms);
+            job.value.begin(ended.max().unwrap_or(0));
+            self.jobs.insert(ready.to_string(), job);
+            self.open.insert(ready.to_string());
+        }
+    }
+
+    /// What a job inherits from those that wait for it.
+    fn inherited(&self, id: &str) -> Urgency {
+        let of = |d: &Name| match self.jobs.get(&**d) {
+            Some(job) if !self.pipelines.is_doomed(d) => job.value.gives(),
+            _ => Urgency::default(),
+        };
+        self.pipelines.dependents(id).map(of).fold(Urgency::default(), Urgency::and)
+    }
+
+    /// A job waits, and makes those before it as urgent as it is.
+    fn pass_on(&mut self, id: &str) {
+        let mut next: Vec<Name> = vec![id.into()];
+        while let Some(id) = next.pop() {
+            let Some(job) = self.jobs.get(&*id) else { continue };
+            if self.pipelines.is_doomed(&id) {
+                continue;
+            }
+            let gives = job.value.gives();
+            for need in self.pipelines.needs(&id).to_vec() {
+                let Some(job) = self.jobs.get_mut(&*need) else { continue };
+                let sum = job.value.urgency.and(gives);
+                if job.value.spec.is_some() && sum != job.value.urgency {
+                    job.value.urgency = sum;
+                    next.push(need);
+                }
+            }
+        }
+    }
+
+    /// A job that needed this one is no more: what it inherits is reckoned anew, and
+    /// so for all before it.
+    fn reckon(&mut self, id: &Name) {
+        let mut next: Vec<Name> = vec![id.clone()];
+        while let Some(id) = next.pop() {
+            let now = self.inherited(&id);
+            let Some(job) = self.jobs.get_mut(&*id) else { continue };
+            if job.value.spec.is_some() && now != job.value.urgency {
+                job.value.urgency = now;
+                next.extend(self.pipelines.needs(&id).iter().cloned());
+            }
+        }
+    }
+
+    /// The job's state as its user is told: a job is cancelled with any before it.
+    pub fn state_of(&self, id: &str) -> Option<JobState> {
+        let job = self.jobs.get(id)?;
+        Some(if self.pipelines.is_doomed(id) { JobState::Cancelled } else { job.value.state() })
     }
 
     fn is_gone(&self, id: &str) -> bool {
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -15,6 +15,9 @@
     Refused(u16),
     #[error("above the rate limit")]
     Rate,
+    /// It was not sent: the state service could not take it.
+    #[error("larger than a value may be: {0}")]
+    Large(String),
     /// The request may have been carried out, or may be later.
     #[error(transparent)]
     Net(#[from] NetError),
--- a/crates/store/src/codec.rs
+++ b/crates/store/src/codec.rs
@@ -8,6 +8,7 @@
 /// Names of keys. Everything lies under one prefix, so one watch sees it all.
 pub mod key {
     pub const PREFIX: &str = "sageloom/";
+    pub const PARTS: &str = "sageloom/parts/";
     pub const LEADER: &str = "sageloom/leader";
     pub const MAP: &str = "sageloom/map";
     pub const TYPES: &str = "sageloom/types";
@@ -23,6 +24,11 @@
         // Team names are free text; a key has no spaces.
         format!("sageloom/teams/{}", name.replace(char::is_whitespace, "_"))
     }
+    /// Left by a controller of the version that knows pipelines, without a lease: it
+    /// does not come back old.
+    pub fn upgraded(name: &str) -> String {
+        format!("sageloom/upgraded/{name}")
+    }
     pub fn member(name: &str) -> String {
         format!("sageloom/members/{name}")
     }
@@ -54,7 +60,12 @@
     /// About how much the change takes of a transaction, in the form that limits
     /// are measured in.
     pub fn json_len(&self) -> usize {
-        self.key.len() + 20 + self.value.as_ref().map_or(0, json_len)
+        self.key.len() + 20 + self.value_len()
+    }
+
+    /// The length of its value.
+    pub fn value_len(&self) -> usize {
+        self.value.as_ref().map_or(0, json_len)
     }
 
     pub fn delete(key: String) -> Self {
@@ -99,6 +110,7 @@
         Some(("machines", id)) => Change::Machine(id.to_owned(), read(value, &mut bad)),
         Some(("teams", id)) => Change::Team(id.to_owned(), read(value, &mut bad)),
         Some(("members", id)) => Change::Member(id.to_owned(), read(value, &mut bad)),
+        Some(("upgraded", id)) => Change::Upgraded(id.to_owned(), value.is_some()),
         None if rest == "leader" => Change::Leader(read(value, &mut bad)),
         None if rest == "map" => Change::Map(read(value, &mut bad)),
         None if rest == "types" => Change::Types(read(value, &mut bad)),
@@ -129,6 +141,10 @@
                 evicted_ms: 0,
                 errors: 1,
                 error_ms: 9,
+                needs: vec!["j-000000000000000001".into(), "j-7".into()],
+                accepted_ms: 4,
+                ended_ms: 0,
+                urgency: Urgency::default(),
             })
             .unwrap_or_default(),
         )
--- a/crates/wire/src/jobs.rs
+++ b/crates/wire/src/jobs.rs
@@ -62,6 +62,9 @@
     pub save_s: f64,
     #[serde(rename = "due_s", default, skip_serializing_if = "Option::is_none")]
     pub deadline_s: Option<f64>,
+    /// Jobs that have to be done before any task of this one starts.
+    #[serde(rename = "awaits", default, skip_serializing_if = "Option::is_none")]
+    pub needs: Option<Vec<String>>,
 }
 
 pub const MAX_TASKS: u32 = 100_000;
@@ -93,6 +96,7 @@
             ("knot_s", amount(self.checkpoint_s)),
             ("tie_s", amount(self.save_s)),
             ("due_s", self.deadline_s.is_none_or(amount)),
+            ("awaits", self.needs.as_ref().is_none_or(|n| n.iter().all(|id| is_job_id(id)))),
         ];
         checks.iter().find(|(_, ok)| !ok).map(|(name, _)| *name)
     }
@@ -125,6 +129,9 @@
     pub done: u32,
     #[serde(default)]
     pub running: u32,
+    /// Some of the jobs that it still waits for.
+    #[serde(rename = "awaits", default, skip_serializing_if = "Vec::is_empty")]
+    pub waits_for: Vec<String>,
 }
 
 /// The body of an answer that is not a success.
