--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -10,6 +10,8 @@
 mod node;
 mod placer;
 #[cfg(test)]
+mod production;
+#[cfg(test)]
 mod scale;
 mod settings;
 #[cfg(test)]
