--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -180,7 +180,7 @@
 }
 
 /// The record of a new job, by what has become of those that it needs.
-fn new_record(node: &Node, spec: JobSpec, part: Option<String>, needs: Vec<Name>) -> JobRecord {
+pub(crate) fn new_record(node: &Node, spec: JobSpec, part: Option<String>, needs: Vec<Name>) -> JobRecord {
     let core = node.core();
     let now_ms = wall_ms();
     let phase = |n: &Name| core.world.jobs.get(&**n).map(|j| j.value.phase);
--- a/crates/daemon/src/sim.rs
+++ b/crates/daemon/src/sim.rs
@@ -5,21 +5,29 @@
 //! on with what they knew; requests that were carried out are repeated; workers lose
 //! their lease, are heard but do not hear, or fail every task; machines are released,
 //! several at a time; jobs are cancelled.
+//!
+//! It begins with the version in production: controllers read and write what that
+//! does, and are upgraded one by one while all this goes on; one that ends before its
+//! turn comes back old. Then come pipelines, and at a random moment smaller limits, by
+//! which nearly every job's record lies in parts.
 
 use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use sched::records::*;
 use sched::world::{Change, World};
-use store::{Put, decode_change, key};
+use store::{Put, Reader, decode_change, key, split};
 use wire::{Cause, Command, Commands, Condition, JobKind, MachineType, Report, TaskReport, TaskState};
 
 use crate::engine;
+use crate::front;
 use crate::node::Node;
+use crate::production;
 use crate::settings::tests::EXAMPLE;
-use crate::settings::{Operators, Settings};
+use crate::settings::{NextState, Operators, Settings};
 use crate::worker::tests::spec;
 
 const STEP: Duration = Duration::from_millis(100);
@@ -47,20 +55,46 @@
     Stops,
     /// The records call the spot machine an ordinary one.
     Kind,
+    /// Records do not tell which jobs a job needs.
+    Needs,
+    /// Nobody knows of the smaller limits before they are there.
+    Sizes,
 }
 
+/// The limits to come.
+const NEXT_KB: f64 = 0.45;
+const NEXT_OPS: usize = 4;
+/// The first jobs; those after them need others.
+const FIRST: usize = 9;
+/// Tasks of every job but the large one.
+const TASKS: u32 = 3;
+
 /// The state service: conditional transactions and an ordered log of changes.
 #[derive(Default)]
 struct State {
     keys: HashMap<String, u64>,
     log: Vec<(u64, Put)>,
     revision: u64,
+    /// The smaller limits are there.
+    small: bool,
+}
+
+#[derive(PartialEq)]
+enum Outcome {
+    Committed,
+    Conflict,
+    /// Larger than the limits.
+    Refused,
 }
 
 impl State {
-    fn txn(&mut self, conditions: &[Condition], puts: Vec<Put>) -> bool {
+    fn txn(&mut self, conditions: &[Condition], puts: Vec<Put>) -> Outcome {
+        let large = |p: &Put| p.value_len() as f64 > NEXT_KB * 1024.0;
+        if self.small && (puts.len() > NEXT_OPS || puts.iter().any(large)) {
+            return Outcome::Refused;
+        }
         if conditions.iter().any(|c| self.keys.get(&c.key).copied().unwrap_or(0) != c.version) {
-            return false;
+            return Outcome::Conflict;
         }
         self.revision += 1;
         for put in puts {
@@ -70,19 +104,39 @@
             };
             self.log.push((self.revision, put));
         }
-        true
+        Outcome::Committed
     }
 
     fn world(&self) -> World {
-        let mut world = World::default();
+        let (mut world, mut reader) = (World::default(), Reader::default());
         for (revision, put) in &self.log {
-            world.apply(Self::change_of(put), *revision);
+            let (change, bad, version) = reader.take(&put.key, put.value.clone(), *revision);
+            if bad { world.unread(change) } else { world.apply(change, version) }
         }
         world
     }
 
-    fn change_of(put: &Put) -> Change {
-        decode_change(&put.key, put.value.clone()).0
+    /// Writes what is larger than a value in parts, as the service does.
+    fn widen(&mut self, conditions: &mut Vec<Condition>, puts: &mut [Put], nonce: u64, bytes: f64) {
+        for put in puts.iter_mut().filter(|p| p.value_len() as f64 > bytes) {
+            let wide = split(put, nonce, bytes as usize).expect("a value");
+            let first = wide.parts.last().expect("parts").key.clone();
+            for part in wide.parts {
+                assert!(self.txn(&[], vec![part]) == Outcome::Committed);
+            }
+            conditions.push(Condition { key: first, version: self.revision });
+            *put = wide.head;
+        }
+    }
+}
+
+/// A change as production sees it.
+fn by_production(put: &Put) -> (Change, bool) {
+    let Some(value) = &put.value else { return decode_change(&put.key, None) };
+    match production::read(&put.key, value) {
+        production::Read::Ignored => (Change::Other, false),
+        production::Read::Unreadable => (decode_change(&put.key, Some(rmpv::Value::Nil)).0, true),
+        production::Read::Record(value) => decode_change(&put.key, Some(value)),
     }
 }
 
@@ -148,8 +202,11 @@
         report: Report,
     },
     Txn {
+        from: usize,
         conditions: Vec<Condition>,
         puts: Vec<Put>,
+        /// Its sender knew of the smaller limits.
+        sized: bool,
     },
     Proofs {
         to: usize,
@@ -164,6 +221,14 @@
     step: u64,
     state: State,
     nodes: Vec<Node>,
+    /// Controllers that have the version in production.
+    old: Vec<bool>,
+    /// When the smaller limits come.
+    small_at: Option<u64>,
+    /// What users have named for each job.
+    needs: HashMap<String, Vec<String>>,
+    submitted: HashMap<String, u64>,
+    next: usize,
     /// How much of the log each controller has seen.
     seen: Vec<usize>,
     /// Until when each controller stands still.
@@ -199,16 +264,21 @@
 }
 
 impl Sim {
-    fn node(n: usize, incarnation: u64, sabotage: Sabotage) -> Node {
+    fn node(n: usize, incarnation: u64, sabotage: Sabotage, old: bool) -> Node {
         let mut settings = Settings::parse("example", EXAMPLE).expect("the example is valid");
         settings.node_name = format!("n-{n}");
         settings.zone = if n.is_multiple_of(2) { "z" } else { "y" }.into();
+        if !old && sabotage != Sabotage::Sizes {
+            let (value_kb, txn_ops) = (Some(NEXT_KB), Some(NEXT_OPS));
+            settings.facts.state.next = Some(NextState { value_kb, txn_ops, ..NextState::default() });
+        }
         settings.facts.teams[0].cpus_max = if sabotage == Sabotage::Limit { LIMIT + 4.0 } else { LIMIT };
         Node::new(settings, Operators::default(), incarnation)
     }
 
     fn new(seed: u64, sabotage: Sabotage) -> Self {
-        let nodes: Vec<Node> = (0..CONTROLLERS).map(|n| Self::node(n, n as u64 + 1, sabotage)).collect();
+        let nodes: Vec<Node> =
+            (0..CONTROLLERS).map(|n| Self::node(n, n as u64 + 1, sabotage, true)).collect();
         let machine = || Machine {
             up: true,
             session: 1,
@@ -227,6 +297,11 @@
             seen: vec![0; nodes.len()],
             frozen: vec![0; nodes.len()],
             nodes,
+            old: vec![true; CONTROLLERS],
+            small_at: None,
+            needs: HashMap::new(),
+            submitted: HashMap::new(),
+            next: FIRST,
             machines: (0..MACHINES).map(|_| machine()).collect(),
             mail: Vec::new(),
             waiting: BTreeMap::new(),
@@ -262,19 +337,103 @@
             };
             puts.push(Put::new(key::machine(&id(m)), &record));
         }
-        for n in 0..9 {
-            let kind = [JobKind::Array, JobKind::Service, JobKind::Gang][n % 3];
-            let mut s = spec(&format!("j-{n}"), kind);
-            s.tasks = if n == 0 { LARGE } else { 3 };
-            s.spot = kind == JobKind::Array;
-            s.one_zone = kind == JobKind::Gang;
+        for n in 0..FIRST {
+            let s = Self::job(n);
             puts.push(Put::new(key::job(&s.id), &JobRecord::new(s.clone(), None, 0)));
         }
-        sim.state.txn(&[], puts);
+        assert!(sim.state.txn(&[], puts) == Outcome::Committed);
         sim.new_map();
         sim
     }
 
+    fn job(n: usize) -> wire::JobSpec {
+        let kind = [JobKind::Array, JobKind::Service, JobKind::Gang][n % 3];
+        let mut s = spec(&format!("j-{n}"), kind);
+        s.tasks = if n == 0 { LARGE } else { TASKS };
+        s.spot = kind == JobKind::Array;
+        s.one_zone = kind == JobKind::Gang;
+        if n >= FIRST {
+            s.priority = wire::Priority::High;
+        }
+        s
+    }
+
+    /// The next controller gets the new version, and leaves its lasting word.
+    fn upgrade(&mut self) {
+        let Some(n) = self.old.iter().position(|old| *old) else { return };
+        self.old[n] = false;
+        self.back(n);
+        let put = Put::new(key::upgraded(&self.nodes[n].me.name), &Upgraded { form: FORM });
+        assert!(self.state.txn(&[], vec![put]) == Outcome::Committed);
+        if !self.old.contains(&true) {
+            self.small_at = Some(self.step + self.rng.random_range(0..200));
+        }
+    }
+
+    /// A user submits a job that needs some of those before it, to any controller,
+    /// which may know little of them yet.
+    fn submit(&mut self) {
+        let n = self.next;
+        let s = Self::job(n);
+        let before: Vec<usize> = (2..n)
+            .filter(|k| k % 3 != 1 && (*k < FIRST || self.submitted.contains_key(&format!("j-{k}"))))
+            .collect();
+        let mut needs: Vec<String> = Vec::new();
+        for _ in 0..self.rng.random_range(1..4) {
+            let late = before.len() - self.rng.random_range(1..=before.len().min(8));
+            needs.push(format!("j-{}", before[late]));
+        }
+        let via = self.rng.random_range(0..CONTROLLERS);
+        let known: Vec<Name> = match self.sabotage {
+            Sabotage::Needs => Vec::new(),
+            _ => needs.iter().map(|n| n.as_str().into()).collect(),
+        };
+        // What it knows of them is not old.
+        if !known.iter().all(|n| self.nodes[via].core().world.jobs.contains_key(&**n)) {
+            return;
+        }
+        let mut record = front::new_record(&self.nodes[via], s.clone(), None, known);
+        record.submitted_ms = self.step * 100;
+        let mut puts = [Put::new(key::job(&s.id), &record)];
+        let mut conditions = vec![Condition { key: key::job(&s.id), version: 0 }];
+        let nonce = self.rng.random();
+        self.state.widen(&mut conditions, &mut puts, nonce, NEXT_KB * 1024.0);
+        if self.state.txn(&conditions, puts.to_vec()) == Outcome::Committed {
+            self.needs.insert(s.id.clone(), needs);
+            self.submitted.insert(s.id, self.step);
+            self.next += if n % 3 == 0 { 2 } else { 1 };
+        }
+    }
+
+    fn is_done(&self, job: &str) -> bool {
+        let number: usize = job.trim_start_matches("j-").parse().expect("a number");
+        let tasks = if number == 0 { LARGE } else { TASKS };
+        let done = (0..tasks).filter(|t| self.done.contains(&format!("{job}/{t}"))).count() as u32;
+        done >= if number % 3 == 2 { 1 } else { tasks }
+    }
+
+    /// Jobs that need a cancelled one are called cancelled, whoever is asked.
+    fn check_orphaned(&mut self) {
+        let world = self.state.world();
+        let mut after: HashMap<&str, u64> =
+            self.cancelled.iter().map(|(id, at)| (id.as_str(), *at)).collect();
+        let mut numbers: Vec<usize> =
+            self.needs.keys().filter_map(|id| id.trim_start_matches("j-").parse().ok()).collect();
+        numbers.sort_unstable();
+        for n in numbers {
+            let Some((id, needs)) = self.needs.get_key_value(&format!("j-{n}")) else { continue };
+            let Some(at) = needs.iter().filter_map(|n| after.get(n.as_str())).min().copied() else {
+                continue;
+            };
+            after.insert(id, at);
+            let told = at.max(self.submitted[id]);
+            let called = world.state_of(id);
+            if self.step > told + CANCEL_STEPS && called != Some(wire::JobState::Cancelled) {
+                self.broken.insert("orphaned");
+            }
+        }
+    }
+
     fn now(&self) -> Instant {
         self.start + STEP * self.step as u32
     }
@@ -293,7 +452,7 @@
             Put::new(key::MAP.into(), &MapRecord { epoch, live }),
             Put::new(key::LEADER.into(), &leader),
         ];
-        self.state.txn(&[], puts);
+        assert!(self.state.txn(&[], puts) == Outcome::Committed);
     }
 
     fn post(&mut self, message: Message) {
@@ -313,19 +472,34 @@
         // The mirror lags by whole revisions.
         if self.rng.random_range(0..4) > 0 {
             let mut core = self.nodes[n].core();
+            let core = &mut *core;
             while let Some((revision, put)) = self.state.log.get(self.seen[n]) {
-                core.world.apply(State::change_of(put), *revision);
+                let (change, bad, version) = if self.old[n] {
+                    let (change, bad) = by_production(put);
+                    (change, bad, *revision)
+                } else {
+                    core.reader.take(&put.key, put.value.clone(), *revision)
+                };
+                if bad {
+                    core.world.unread(change)
+                } else {
+                    core.world.apply(change, version)
+                }
                 core.world.revision = *revision;
                 self.seen[n] += 1;
             }
             core.ready = true;
             core.fresh_at = Some(now);
+            if core.world.upgraded.len() == CONTROLLERS {
+                self.nodes[n].seen.all_new.store(true, Ordering::Relaxed);
+            }
         }
+        let plan = self.nodes[n].plan();
         let decided = {
             let node = &self.nodes[n];
             let mut core = node.core();
             let scan = self.step.is_multiple_of(50);
-            engine::decide(node, &mut core, scan, 16, now, self.step * 100).map(|r| {
+            engine::decide(node, &mut core, scan, plan.txn_ops, now, self.step * 100).map(|r| {
                 let engine::Assembled { conditions, puts, .. } =
                     engine::assemble(&core.world, &r, &node.plan(), usize::MAX);
                 let epoch = core.map().map_or(0, |m| m.epoch);
@@ -343,7 +517,21 @@
             self.post(Message::Commands { to, from: n, commands });
         }
         if !puts.is_empty() {
-            self.post(Message::Txn { conditions, puts });
+            let (mut conditions, mut puts) = (conditions, puts);
+            if self.old[n] {
+                // It writes what it knows, and drops the rest.
+                for put in &mut puts {
+                    if let (change, false) = by_production(put)
+                        && let Change::Job(_, Some(job)) = change
+                    {
+                        *put = Put::new(put.key.clone(), &job);
+                    }
+                }
+            } else if plan.wide {
+                let nonce = self.rng.random();
+                self.state.widen(&mut conditions, &mut puts, nonce, plan.value_bytes);
+            }
+            self.post(Message::Txn { from: n, conditions, puts, sized: plan.wide });
         }
     }
 
@@ -448,6 +636,10 @@
                     self.started += u64::from(!busy);
                     if !busy {
                         self.check_place(m, task);
+                        let job = task.split('/').next().unwrap_or_default();
+                        if self.needs.get(job).is_some_and(|needs| needs.iter().any(|n| !self.is_done(n))) {
+                            self.broken.insert("too_early");
+                        }
                     }
                     self.machines[m].tasks.insert((task.clone(), *attempt), state);
                 }
@@ -501,14 +693,26 @@
 
     /// A user cancels a job: a transaction on the newest record.
     fn cancel(&mut self) {
-        let job = format!("j-{}", self.rng.random_range(3..9));
+        let last = if self.rng.random_bool(0.5) { FIRST } else { self.next };
+        let job = format!("j-{}", self.rng.random_range(3..last));
         let world = self.state.world();
-        let Some(found) = world.jobs.get(&job).filter(|j| j.value.phase == Phase::Active) else { return };
+        let open = |j: &&sched::world::Versioned<Box<JobRecord>>| {
+            matches!(j.value.phase, Phase::Active | Phase::Waiting)
+        };
+        let Some(found) = world.jobs.get(&job).filter(open) else { return };
+        if world.pipelines.is_doomed(&job) {
+            return;
+        }
         let mut record = found.value.clone();
         record.phase = Phase::Cancelled;
         record.shrink();
-        let conditions = vec![Condition { key: key::job(&job), version: found.version }];
-        if self.state.txn(&conditions, vec![Put::new(key::job(&job), &record)]) {
+        let mut conditions = vec![Condition { key: key::job(&job), version: found.version }];
+        let mut puts = [Put::new(key::job(&job), &record)];
+        if self.state.small {
+            let nonce = self.rng.random();
+            self.state.widen(&mut conditions, &mut puts, nonce, NEXT_KB * 1024.0);
+        }
+        if self.state.txn(&conditions, puts.to_vec()) == Outcome::Committed {
             self.cancelled.insert(job, self.step);
         }
     }
@@ -529,7 +733,11 @@
     /// A controller ends and is back at once, knowing nothing.
     fn restart(&mut self) {
         let n = self.rng.random_range(0..CONTROLLERS);
-        self.nodes[n] = Self::node(n, 1000 + self.step, self.sabotage);
+        self.back(n);
+    }
+
+    fn back(&mut self, n: usize) {
+        self.nodes[n] = Self::node(n, 1000 + self.step, self.sabotage, self.old[n]);
         self.seen[n] = 0;
         self.frozen[n] = 0;
         self.waiting.retain(|(of, _), _| *of != n);
@@ -563,8 +771,13 @@
                     }
                     engine::take_proofs(&self.nodes[to], epoch, list, self.now());
                 }
-                Message::Txn { conditions, puts } => {
-                    self.state.txn(&conditions, puts);
+                Message::Txn { from, conditions, puts, sized } => {
+                    if self.state.txn(&conditions, puts) == Outcome::Refused {
+                        self.nodes[from].seen.fallen.store(!self.old[from], Ordering::Relaxed);
+                        if sized {
+                            self.broken.insert("refused");
+                        }
+                    }
                 }
                 Message::Commands { to, from, commands } => {
                     if self.rng.random_bool(0.05) {
@@ -613,16 +826,18 @@
     fn check_records(&mut self) {
         let world = self.state.world();
         for (id, job) in &world.jobs {
-            let tasks = if id == "j-0" { LARGE } else { 3 };
-            let done = (0..tasks).filter(|t| self.done.contains(&format!("{id}/{t}"))).count() as u32;
-            let gang = ["j-2", "j-5", "j-8"].contains(&id.as_str());
-            if job.value.phase == Phase::Done && done < if gang { 1 } else { tasks } {
+            if job.value.phase == Phase::Done && !self.is_done(id) {
                 self.broken.insert("not_done");
             }
         }
+        // Every job that was accepted is known, and none is that was not.
+        let all = (0..FIRST).map(|n| format!("j-{n}")).chain(self.submitted.keys().cloned());
+        if all.collect::<HashSet<String>>() != world.jobs.keys().cloned().collect::<HashSet<String>>() {
+            self.broken.insert("forgotten");
+        }
     }
 
-    fn run(mut self, steps: u64) -> (HashSet<&'static str>, u64) {
+    fn run(mut self, steps: u64) -> (HashSet<&'static str>, u64, u64) {
         for _ in 0..steps {
             self.step += 1;
             self.deliver();
@@ -647,6 +862,18 @@
                 self.frozen[n] = self.step + self.rng.random_range(10..400);
             }
             self.check_cancelled();
+            if self.step > 150 && self.rng.random_bool(0.02) {
+                self.upgrade();
+            }
+            if self.small_at.is_some_and(|at| self.step >= at) {
+                self.state.small = true;
+            }
+            if self.small_at.is_some() && self.submitted.len() < 60 && self.rng.random_bool(0.06) {
+                self.submit();
+            }
+            if self.step.is_multiple_of(100) {
+                self.check_orphaned();
+            }
             if self.step.is_multiple_of(400) {
                 // The leader gives machines back: gone first, then their records,
                 // which several at a time have in one change.
@@ -659,21 +886,29 @@
                     }
                 }
                 let fleet = FleetRecord { rentals: Vec::new(), gone: Some(gone) };
-                self.state.txn(&[], vec![Put::new(key::FLEET.into(), &fleet)]);
+                let put = Put::new(key::FLEET.into(), &fleet);
+                assert!(self.state.txn(&[], vec![put]) == Outcome::Committed);
             }
         }
         self.check_records();
-        (self.broken, self.started)
+        let begun = self.needs.keys().filter(|id| self.done.iter().any(|t| t.starts_with(&format!("{id}/"))));
+        let begun = begun.count() as u64;
+        (self.broken, self.started, begun)
     }
 }
 
+const STEPS: u64 = 1800;
+
 #[test]
 fn no_rule_breaks_under_random_faults() {
+    let mut steps = 0;
     for seed in 0..30 {
-        let (broken, started) = Sim::new(seed, Sabotage::None).run(1200);
+        let (broken, started, begun) = Sim::new(seed, Sabotage::None).run(STEPS);
         assert!(broken.is_empty(), "seed {seed}: {broken:?}");
         assert!(started > 60, "seed {seed}: only {started} starts");
+        steps += begun;
     }
+    assert!(steps > 60, "only {steps} steps of pipelines got anything done");
 }
 
 /// For each rule that it guards, the checker finds what is broken on purpose.
@@ -685,9 +920,12 @@
         (Sabotage::Done, "not_done"),
         (Sabotage::Stops, "ran_cancelled"),
         (Sabotage::Kind, "wrong_place"),
+        (Sabotage::Needs, "too_early"),
+        (Sabotage::Needs, "orphaned"),
+        (Sabotage::Sizes, "refused"),
     ];
     for (sabotage, rule) in cases {
-        let found = (0..30).any(|seed| Sim::new(seed, sabotage).run(1200).0.contains(rule));
+        let found = (0..30).any(|seed| Sim::new(seed, sabotage).run(STEPS).0.contains(rule));
         assert!(found, "{rule}");
     }
 }
