--- a/crates/daemon/src/sim.rs
+++ b/crates/daemon/src/sim.rs
@@ -401,7 +401,7 @@
         if self.state.txn(&conditions, puts.to_vec()) == Outcome::Committed {
             self.needs.insert(s.id.clone(), needs);
             self.submitted.insert(s.id, self.step);
-            self.next += if n % 3 == 0 { 2 } else { 1 };
+            self.next += if n.is_multiple_of(3) { 2 } else { 1 };
         }
     }
 
