--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -14,7 +14,7 @@
 use store::{Outcome, Put, StoreError, key};
 use tokio::time::{sleep, timeout};
 use tracing::{debug, info, warn};
-use wire::{Command, Commands, Condition, Report};
+use wire::{Command, Commands, Condition, JobKind, Priority, Report};
 
 use crate::gossip;
 use crate::limits::Plan;
@@ -76,7 +76,7 @@
 /// A round leaves this many times its own processor time to everything else.
 const LEAVE: u32 = 4;
 /// How long another controller has to write an end that was handed to it.
-const HANDED_FOR: Duration = Duration::from_millis(2500);
+const HANDED_FOR: Duration = Duration::from_millis(5000);
 /// How often a record in parts is written at the most.
 const WIDE_EVERY: Duration = Duration::from_millis(1200);
 /// How long a record that is refused is left alone.
@@ -197,7 +197,7 @@
 
 /// Reconciles the owned workers with the records, as far as either has changed.
 fn own_machines(node: &Node, core: &mut Core, round: &mut Round, now: Instant, now_ms: u64) {
-    let Core { world, workers, peers, shunned, fresh_at, .. } = core;
+    let Core { world, workers, peers, shunned, fresh_at, handed, .. } = core;
     let Some(epoch) = world.map_record().map(|m| m.epoch) else { return };
     let changed: Vec<Name> = match world.take_touched() {
         Some(touched) => touched.into_iter().collect(),
@@ -230,8 +230,13 @@
             let since = worker.ended_since(&key, now);
             // One writer for each job: two owners that write the same record at
             // the same time only make each other's transactions fail.
-            let by_itself = placer == node.me.name
-                || now.saturating_duration_since(since) > HANDED_FOR
+            if placer == node.me.name {
+                // Written with all that is known to have ended of its job.
+                let machine = id.to_string();
+                handed.insert(key, HandedProof { machine, how, epoch, at: now, since });
+                continue;
+            }
+            let by_itself = now.saturating_duration_since(since) > HANDED_FOR
                 || shunned.get(placer).is_some_and(|t| now < *t)
                 || !peers.contains_key(placer);
             if by_itself {
@@ -306,11 +311,43 @@
         });
         stands && proof.epoch == epoch && now.saturating_duration_since(proof.at) < HANDED_FOR * 4
     });
+    let mut jobs: BTreeMap<&str, Vec<(&Key, &HandedProof)>> = BTreeMap::new();
     for (key, proof) in handed.iter() {
+        jobs.entry(&key.0).or_default().push((key, proof));
+    }
+    // A change tells of all that has ended of a job. Where changes are short, those
+    // come first that complete a job, tell of much, or have waited long: by names
+    // alone, some would wait while others are written for every single task.
+    let mut order: Vec<(f64, Vec<(&Key, &HandedProof)>)> = jobs
+        .into_iter()
+        .filter_map(|(id, ends)| {
+            let job = &world.jobs.get(id)?.value;
+            let news = if round.jobs.contains_key(id) { f64::INFINITY } else { worth(job, &ends, now) };
+            Some((news, ends))
+        })
+        .collect();
+    order.sort_by(|a, b| b.0.total_cmp(&a.0));
+    for (key, proof) in order.into_iter().flat_map(|(_, ends)| ends) {
         end(round, world, key, &proof.machine, proof.how, now_ms);
     }
 }
 
+/// How much a change is worth that tells of these ends of a job.
+fn worth(job: &JobRecord, ends: &[(&Key, &HandedProof)], now: Instant) -> f64 {
+    let done = ends.iter().filter(|(_, p)| p.how == End::Done).count() as u32;
+    let tasks = job.spec.as_ref().map_or(0, |s| s.tasks);
+    let gang = job.spec.as_ref().is_some_and(|s| s.kind == JobKind::Gang);
+    let completes = done > 0 && (gang || job.done.len() + done >= tasks);
+    let oldest = ends.iter().map(|(_, p)| now.saturating_duration_since(p.since)).max().unwrap_or_default();
+    let urgent = match job.priority() {
+        Some(Priority::Production) => 6.0,
+        Some(Priority::High) => 4.0,
+        Some(Priority::Normal) => 1.0,
+        Some(Priority::Low) | None => 0.0,
+    };
+    f64::from(u8::from(completes)) * 20.0 + ends.len() as f64 + oldest.as_secs_f64() * 2.0 + urgent
+}
+
 /// Hands ends over to the controller that places the jobs.
 fn hand_over(node: &Node, to: String, proofs: Vec<Proof>) {
     let Some(epoch) = node.core().map().map(|m| m.epoch) else { return };
@@ -330,7 +367,7 @@
     let mut core = node.core();
     for p in proofs {
         let Some(how) = End::from_code(p.end) else { continue };
-        let proof = HandedProof { machine: p.machine, how, epoch, at };
+        let proof = HandedProof { machine: p.machine, how, epoch, at, since: at };
         core.handed.insert((p.job, p.task, p.attempt), proof);
     }
     drop(core);
@@ -665,7 +702,6 @@
     use crate::settings::tests::EXAMPLE;
     use crate::settings::{Operators, Settings};
     use crate::worker::tests::spec;
-    use wire::JobKind;
 
     /// As large as placement makes an array's record: as many tasks as it admits,
     /// scattered over many machines and over the whole window.
--- a/crates/daemon/src/fleet_duty/rentals.rs
+++ b/crates/daemon/src/fleet_duty/rentals.rs
@@ -38,6 +38,32 @@
     if quick.is_empty() { Vec::new() } else { slow.iter().map(|t| t.name.as_str().into()).collect() }
 }
 
+/// Machines of one kind that were asked for within this time count as one rental: once
+/// it is answered, its name is of no more use.
+const TOGETHER_MS: u64 = 10_000;
+
+/// Writes down what became of requests, in as few words as possible.
+fn settle(list: &mut Vec<Rental>, answers: &[(String, Option<Vec<Name>>)]) {
+    for (request, answer) in answers {
+        let Some(i) = list.iter().position(|r| r.request == *request) else { continue };
+        let mut rental = list.remove(i);
+        let Some(machines) = answer.as_ref().filter(|m| !m.is_empty()) else { continue };
+        let like = list.iter_mut().find(|r| {
+            r.machines.is_some()
+                && (&r.machine_type, &r.zone, r.spot) == (&rental.machine_type, &rental.zone, rental.spot)
+                && rental.asked_ms.saturating_sub(r.asked_ms) < TOGETHER_MS
+        });
+        match like.and_then(|r| r.machines.as_mut()) {
+            Some(before) => before.extend(machines.iter().cloned()),
+            None => {
+                rental.request.clear();
+                rental.machines = Some(machines.clone());
+                list.push(rental);
+            }
+        }
+    }
+}
+
 impl Fleet {
     /// Drops rentals whose machines are all up, and gives up on those that are not.
     pub(super) async fn settle_rentals(&mut self, node: &Node) {
@@ -272,38 +298,66 @@
                 None => kinds.push((offer, 1)),
             }
         }
-        for (offer, count) in kinds.into_iter().take(RENT_AT_ONCE) {
-            let room = node.core().world.fleet.as_ref().map_or(usize::MAX, |f| names_left(&f.value, node));
-            if room < RENT_ROOM + RENT_MAX as usize {
-                // The record of rentals is full until some of them are up.
-                break;
-            }
-            self.rent_kind(node, offer, count, now).await;
+        kinds.truncate(RENT_AT_ONCE);
+        // The record of rentals may be full until some of them are up.
+        let room = node.core().world.fleet.as_ref().map_or(usize::MAX, |f| names_left(&f.value, node));
+        kinds.truncate(room / (RENT_ROOM + RENT_MAX as usize));
+        if !kinds.is_empty() {
+            self.rent_kinds(node, kinds, now).await;
         }
         cost
     }
 
-    pub(super) async fn rent_kind(&mut self, node: &Node, offer: Offer, count: u32, now: Instant) {
-        self.requests += 1;
-        let request = format!("{}-{:x}-{}", node.me.name, node.me.incarnation, self.requests);
-        let rental = Rental {
-            request: request.clone(),
-            machine_type: offer.machine_type.clone(),
-            zone: offer.zone.clone(),
-            spot: offer.spot,
-            count,
-            asked_ms: wall_ms(),
-            machines: None,
-        };
+    /// Rents machines of some kinds: two changes of the record for all of them, as each
+    /// costs more where the record is larger than a value.
+    async fn rent_kinds(&mut self, node: &Node, kinds: Vec<(Offer, u32)>, now: Instant) {
+        let rentals: Vec<Rental> = kinds
+            .into_iter()
+            .map(|(offer, count)| {
+                self.requests += 1;
+                Rental {
+                    request: format!("{:x}-{:x}", node.me.incarnation, self.requests),
+                    machine_type: offer.machine_type,
+                    zone: offer.zone,
+                    spot: offer.spot,
+                    count,
+                    asked_ms: wall_ms(),
+                    machines: None,
+                }
+            })
+            .collect();
         // Recorded first: a successor knows what may still come.
-        if !self.put_rentals(node, |l| l.push(rental.clone())).await {
+        if !self.put_rentals(node, |l| l.extend(rentals.iter().cloned())).await {
             return;
         }
+        // What became of each; it stays unanswered if that is not known.
+        let mut answers: Vec<(String, Option<Vec<Name>>)> = Vec::new();
+        for rental in &rentals {
+            match self.rent_kind(node, rental, now).await {
+                Ok(machines) => answers.push((rental.request.clone(), Some(machines))),
+                Err(e) => {
+                    if !matches!(e, CloudError::Net(_) | CloudError::Answer(_)) {
+                        answers.push((rental.request.clone(), None));
+                    }
+                }
+            }
+        }
+        self.put_rentals(node, |l| settle(l, &answers)).await;
+    }
+
+    async fn rent_kind(
+        &mut self,
+        node: &Node,
+        rental: &Rental,
+        now: Instant,
+    ) -> Result<Vec<Name>, CloudError> {
+        let Rental { request, spot, count, .. } = rental.clone();
+        let offer = Offer { machine_type: rental.machine_type.clone(), zone: rental.zone.clone(), spot };
         let ask = RentRequest {
             request: request.clone(),
             machine_type: offer.machine_type.to_string(),
             zone: offer.zone.to_string(),
-            spot: offer.spot,
+            spot,
             count,
         };
         let mut answer = node.cloud.rent(&ask).await;
@@ -322,7 +376,7 @@
                     request,
                     kind = &*offer.machine_type,
                     zone = &*offer.zone,
-                    spot = offer.spot,
+                    spot,
                     asked = count,
                     got = machines.len(),
                     first = machines.first().map(|m| &**m),
@@ -333,24 +387,16 @@
                 } else {
                     self.blocked.remove(&offer);
                 }
-                self.put_rentals(node, |l| {
-                    if let Some(r) = l.iter_mut().find(|r| r.request == request) {
-                        r.machines = Some(machines.clone());
-                    }
-                })
-                .await;
+                Ok(machines)
             }
             Err(e) => {
-                debug!(request, kind = &*offer.machine_type, zone = &*offer.zone, spot = offer.spot, error = %e, "not rented");
-                let sure = !matches!(e, CloudError::Net(_) | CloudError::Answer(_));
+                debug!(request, kind = &*offer.machine_type, zone = &*offer.zone, spot, error = %e, "not rented");
                 if matches!(e, CloudError::NoCapacity) {
                     self.block(offer, now);
                 } else {
                     sleep(Duration::from_secs(1)).await;
                 }
-                if sure {
-                    self.put_rentals(node, |l| l.retain(|r| r.request != request)).await;
-                }
+                Err(e)
             }
         }
     }
@@ -361,3 +407,29 @@
         self.blocked.insert(offer, (now + pause, pause));
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn answered_requests_of_a_kind_count_as_one_rental() {
+        let rental = |request: &str, zone: &str, asked_ms| Rental {
+            request: request.into(),
+            machine_type: "m".into(),
+            zone: zone.into(),
+            spot: false,
+            count: 2,
+            asked_ms,
+            machines: None,
+        };
+        let mut list = vec![rental("1", "a", 0), rental("2", "a", 5000), rental("3", "b", 5000)];
+        list.extend([rental("4", "a", 5000), rental("5", "a", 20_000)]);
+        let some = |names: &[&str]| Some(names.iter().map(|n| (*n).into()).collect::<Vec<Name>>());
+        settle(&mut list, &[("1".into(), some(&["x", "y"])), ("2".into(), some(&["z"])), ("3".into(), None)]);
+        settle(&mut list, &[("5".into(), some(&["w"])), ("9".into(), some(&["v"]))]);
+        let all: Vec<_> = list.iter().map(|r| (r.request.as_str(), r.machines.clone())).collect();
+        // The one that was not answered keeps its name: a successor knows what may come.
+        assert_eq!(all, [("4", None), ("", some(&["x", "y", "z"])), ("", some(&["w"]))]);
+    }
+}
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -105,12 +105,14 @@
     pub at: Instant,
 }
 
-/// The end of an assignment, proven by another controller.
+/// The end of an assignment, proven by this controller or another.
 pub struct HandedProof {
     pub machine: String,
     pub how: End,
     pub epoch: u64,
+    /// When it was last told, and when first.
     pub at: Instant,
+    pub since: Instant,
 }
 
 /// The machines of each part, by their owner's incarnation, as new jobs are given
--- a/crates/daemon/src/sim.rs
+++ b/crates/daemon/src/sim.rs
@@ -694,7 +694,8 @@
     /// A user cancels a job: a transaction on the newest record.
     fn cancel(&mut self) {
         let last = if self.rng.random_bool(0.5) { FIRST } else { self.next };
-        let job = format!("j-{}", self.rng.random_range(3..last));
+        let replicas = self.rng.random_bool(0.2);
+        let job = format!("j-{}", if replicas { 4 } else { self.rng.random_range(3..last) });
         let world = self.state.world();
         let open = |j: &&sched::world::Versioned<Box<JobRecord>>| {
             matches!(j.value.phase, Phase::Active | Phase::Waiting)
