--- a/crates/daemon/src/client.rs
+++ b/crates/daemon/src/client.rs
@@ -92,7 +92,12 @@
             wire::JobState::Done => "done",
             wire::JobState::Cancelled => "withdrawn",
         };
-        return Ok(format!("{} {state}, {} tasks done, {} running", status.id, status.done, status.running));
+        let waits = match status.waits_for.is_empty() {
+            true => String::new(),
+            false => format!(", waits for {}", status.waits_for.join(" ")),
+        };
+        let JobStatus { id, done, running, .. } = status;
+        return Ok(format!("{id} {state}, {done} tasks done, {running} running{waits}"));
     }
     let why =
         wire::decode::<ErrorBody>(&answer.body).map_or_else(|_| "no reason given".to_owned(), |e| e.error);
@@ -103,6 +108,15 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn what_a_queued_job_waits_for_is_shown() {
+        let waits_for = vec!["j-1".to_owned(), "j-7".to_owned()];
+        let status =
+            JobStatus { id: "j-9".into(), state: wire::JobState::Queued, done: 0, running: 0, waits_for };
+        let line = describe(&Answer { status: 200, body: wire::encode(&status).into() }).expect("an answer");
+        assert_eq!(line, "j-9 queued, 0 tasks done, 0 running, waits for j-1 j-7");
+    }
+
     #[test]
     fn refusals_are_told_with_their_reason() {
         let body = wire::encode(&ErrorBody { error: "unknown team".into() });
--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -415,7 +415,7 @@
 }
 
 /// Commits a round in one transaction, as far as the limits of one go.
-async fn commit(node: &Node, round: Round) {
+pub(crate) async fn commit(node: &Node, round: Round) {
     let Assembled { conditions, puts, left_out, teams, wide } = {
         let mut core = node.core();
         let cautious = core.cautious.is_some_and(|until| Instant::now() < until);
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -8,6 +8,8 @@
 mod limits;
 mod load;
 mod node;
+#[cfg(test)]
+mod pipelines;
 mod placer;
 #[cfg(test)]
 mod production;
--- /dev/null
+++ b/crates/daemon/src/pipelines.rs
@@ -0,0 +1,523 @@
+//! Tests of pipelines and of smaller limits, with controllers that talk to a stand-in
+//! for the state service: conditional transactions, lists, watches, limits, outages.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use net::{Reply, Request};
+use rmpv::Value;
+use sched::records::*;
+use store::{Outcome, Put, StoreError, key};
+use tokio::net::TcpListener;
+use tokio::time::{sleep, timeout};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+use wire::{Changes, Condition, Event, Item, Items, JobKind, JobSpec, JobState, JobStatus, Op, Txn};
+
+use crate::node::Node;
+use crate::settings::tests::EXAMPLE;
+use crate::settings::{Operators, Settings};
+use crate::wide::Sweeper;
+use crate::worker::tests::spec;
+use crate::{engine, front, state_duty};
+
+#[derive(Default)]
+struct Store {
+    keys: BTreeMap<String, (Value, u64)>,
+    log: Vec<Event<Value>>,
+    revision: u64,
+    out: bool,
+    /// Most bytes of a value and changes of a transaction, if they are limited.
+    limits: Option<(usize, usize)>,
+    /// How many transactions more it takes before it is above the rate.
+    rate: Option<usize>,
+    refused: Vec<u16>,
+}
+
+impl Store {
+    fn put(&mut self, put: Put) {
+        self.revision += 1;
+        let version = self.revision;
+        let (key, value) = (put.key, put.value);
+        self.log.push(Event {
+            put: value.is_some().then(|| key.clone()),
+            delete: value.is_none().then(|| key.clone()),
+            value: value.clone(),
+            version,
+        });
+        match value {
+            Some(v) => self.keys.insert(key, (v, version)),
+            None => self.keys.remove(&key),
+        };
+    }
+
+    fn txn(&mut self, txn: Txn<Value>) -> Reply {
+        if let Some(left) = &mut self.rate {
+            if *left == 0 {
+                self.refused.push(429);
+                return Reply::error(429, "too many");
+            }
+            *left -= 1;
+        }
+        let puts: Vec<Put> = txn
+            .ops
+            .into_iter()
+            .map(|op| match op {
+                Op::Put { put, value, .. } => Put { key: put, value: Some(value), lease: None },
+                Op::Delete { delete } => Put::delete(delete),
+            })
+            .collect();
+        let json = |p: &Put| p.value.as_ref().map_or(0, |v| serde_json::to_string(v).expect("JSON").len());
+        if let Some((bytes, ops)) = self.limits
+            && (puts.len() > ops || txn.conditions.len() > ops * 4 || puts.iter().any(|p| json(p) > bytes))
+        {
+            self.refused.push(400);
+            return Reply::error(400, "too large");
+        }
+        let version = |k: &str| self.keys.get(k).map_or(0, |e| e.1);
+        let failed: Vec<&String> =
+            txn.conditions.iter().filter(|c| version(&c.key) != c.version).map(|c| &c.key).collect();
+        if !failed.is_empty() {
+            return Reply::new(409, &serde_json::json!({"failed": failed, "epoch": self.revision}));
+        }
+        // All of it at one revision.
+        let revision = self.revision + 1;
+        for put in puts {
+            self.revision = revision - 1;
+            self.put(put);
+        }
+        Reply::new(200, &serde_json::json!({"epoch": self.revision}))
+    }
+}
+
+#[derive(Clone, Default)]
+struct Service(Arc<Mutex<Store>>);
+
+impl Service {
+    fn store(&self) -> MutexGuard<'_, Store> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn answer(self, request: Request) -> Reply {
+        if self.store().out {
+            return Reply::error(503, "outage");
+        }
+        if request.path == "/txn" {
+            let txn = wire::decode(&request.body).expect("a transaction");
+            return self.store().txn(txn);
+        }
+        let field = |name: &str| {
+            let query = request.path.split_once('?')?.1;
+            query.split('&').find_map(|f| f.strip_prefix(name)?.strip_prefix('=')).map(str::to_owned)
+        };
+        if request.path.starts_with("/follow") {
+            let after: u64 = field("after").and_then(|a| a.parse().ok()).unwrap_or(0);
+            let hold: u64 = field("hold_ms").and_then(|a| a.parse().ok()).unwrap_or(0);
+            let until = Instant::now() + Duration::from_millis(hold);
+            while self.store().revision <= after && Instant::now() < until {
+                sleep(Duration::from_millis(5)).await;
+            }
+            let store = self.store();
+            let events = store.log.iter().filter(|e| e.version > after).cloned().collect();
+            return Reply::new(200, &Changes { revision: store.revision, events });
+        }
+        let store = self.store();
+        let after = field("after").unwrap_or_default();
+        let entries = store.keys.iter().filter(|(k, _)| **k > after);
+        let items: Vec<Item<Value>> = entries
+            .take(3)
+            .map(|(k, (v, at))| Item { key: k.clone(), value: v.clone(), version: *at })
+            .collect();
+        let more = items.last().is_some_and(|i| store.keys.keys().next_back() != Some(&i.key));
+        Reply::new(200, &Items { items, more, revision: store.revision })
+    }
+
+    async fn listen(&self) -> String {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let addr = listener.local_addr().expect("an address").to_string();
+        let this = self.clone();
+        let connections = Arc::new(net::Connections::new(64, &[], |_| 0));
+        let serve = move |request| this.clone().answer(request);
+        tokio::spawn(net::serve(
+            listener,
+            connections,
+            1 << 20,
+            serve,
+            CancellationToken::new(),
+            TaskTracker::new(),
+        ));
+        addr
+    }
+
+    /// A controller that follows the records, alone among its kind.
+    async fn controller(&self, incarnation: u64, text: &str) -> Node {
+        let mut settings = Settings::parse("example", text).expect("valid");
+        settings.external.state = self.listen().await;
+        (settings.facts.teams[0].cpus, settings.facts.teams[0].cpus_max) = (1e4, 1e4);
+        let node = Node::new(settings, Operators::default(), incarnation);
+        node.spawn_duty(state_duty::mirror(node.clone()));
+        node.spawn_duty(state_duty::verifier(node.clone()));
+        assert!(
+            timeout(Duration::from_secs(5), async {
+                while !node.core().ready {
+                    sleep(Duration::from_millis(5)).await;
+                }
+            })
+            .await
+            .is_ok()
+        );
+        node
+    }
+
+    /// This controller leads, and is the only one.
+    fn elect(&self, node: &Node, epoch: u64) {
+        let mut store = self.store();
+        store.put(Put::new(key::MAP.into(), &MapRecord { epoch, live: vec![node.me.clone()] }));
+        store.put(Put::new(key::LEADER.into(), &node.me));
+        store.put(Put::new(key::member(&node.me.name), &node.me));
+        store.put(Put::new(key::upgraded(&node.me.name), &Upgraded { form: FORM }));
+    }
+
+    fn with_types() -> Self {
+        let service = Self::default();
+        let kind = wire::MachineType {
+            name: "m".into(),
+            cpus: 4000.0,
+            gpus: 0.0,
+            memory_gb: 9000.0,
+            cache_gb: 9.0,
+            fetch_gb_per_s: 1.0,
+            price: 1.0,
+            spot_price: 1.0,
+            boot_s: 1.0,
+            zones: vec!["a".into()],
+        };
+        service.store().put(Put::new(key::TYPES.into(), &TypesRecord { types: vec![kind] }));
+        service
+    }
+}
+
+/// The mirror has all that there is.
+async fn caught_up(service: &Service, node: &Node) {
+    let revision = service.store().revision;
+    assert!(node.reach(revision, Duration::from_secs(5)).await);
+}
+
+async fn ask(node: &Node, method: &str, path: &str, body: Vec<u8>) -> (u16, Option<JobStatus>) {
+    let request = Request { method: method.into(), path: path.into(), body: body.into() };
+    let reply = front::serve(node.clone(), request).await;
+    (reply.status, wire::decode(&reply.body).ok())
+}
+
+async fn submit(node: &Node, spec: &JobSpec) -> (u16, Option<JobState>) {
+    let (status, job) = ask(node, "POST", "/v1/jobs", wire::encode(spec)).await;
+    (status, job.map(|j| j.state))
+}
+
+async fn state(node: &Node, id: &str) -> Option<JobState> {
+    ask(node, "GET", &format!("/v1/jobs/{id}"), Vec::new()).await.1.map(|j| j.state)
+}
+
+fn step(id: &str, needs: &[&str]) -> JobSpec {
+    let needs = needs.iter().map(|n| (*n).to_owned()).collect();
+    JobSpec { needs: Some(needs), ..spec(id, JobKind::Array) }
+}
+
+/// One round of a controller, committed.
+async fn round(node: &Node) {
+    let decided = {
+        let mut core = node.core();
+        let ops = node.plan().txn_ops;
+        engine::decide(node, &mut core, false, ops, Instant::now(), crate::node::wall_ms())
+    };
+    if let Some(round) = decided {
+        engine::commit(node, round).await;
+    }
+}
+
+#[tokio::test]
+async fn submissions_that_await_others_are_answered_by_what_is_known() {
+    let service = Service::with_types();
+    let node = service.controller(1, &with_next()).await;
+    service.elect(&node, 1);
+    caught_up(&service, &node).await;
+    assert_eq!(submit(&node, &spec("j-1", JobKind::Array)).await, (201, Some(JobState::Queued)));
+    assert_eq!(submit(&node, &spec("j-2", JobKind::Service)).await.0, 201);
+    // Null, absent and empty are none; duplicates count once.
+    assert_eq!(submit(&node, &step("j-3", &[])).await.0, 201);
+    assert_eq!(submit(&node, &step("j-4", &["j-1", "j-1", "j-3"])).await, (201, Some(JobState::Queued)));
+    let shown = ask(&node, "GET", "/v1/jobs/j-4", Vec::new()).await.1.expect("a job");
+    assert_eq!(shown.waits_for, ["j-1", "j-3"]);
+    for (needs, status) in [(&["j-9"], 422), (&["j-2"], 422), (&["j-5"], 422), (&["x-1"], 400)] {
+        assert_eq!(submit(&node, &step("j-5", needs)).await.0, status, "{needs:?}");
+    }
+    let mut odd: serde_json::Value = wire::decode(&wire::encode(&step("j-6", &[]))).expect("a description");
+    for (awaits, status) in
+        [(serde_json::json!("j-1"), 400), (serde_json::json!([7]), 400), (serde_json::Value::Null, 201)]
+    {
+        odd["awaits"] = awaits;
+        assert_eq!(ask(&node, "POST", "/v1/jobs", wire::encode(&odd)).await.0, status, "{odd}");
+    }
+    // A late copy of a submission keeps its 200, whatever it names.
+    assert_eq!(submit(&node, &step("j-4", &["j-9"])).await, (200, Some(JobState::Queued)));
+    // A description near the limit that is there now is taken, with a list of thousands.
+    let ids: Vec<String> = (0..6000).map(|n| format!("j-{}", 10_000 + n)).collect();
+    for id in &ids {
+        let mut record = JobRecord::new(spec(id, JobKind::Array), None, 0);
+        record.phase = Phase::Active;
+        service.store().put(Put::new(key::job(id), &record));
+    }
+    caught_up(&service, &node).await;
+    let long = JobSpec { needs: Some(ids), ..spec("j-7", JobKind::Array) };
+    service.store().limits = Some((2048, 4));
+    assert_eq!(submit(&node, &long).await, (201, Some(JobState::Queued)));
+    caught_up(&service, &node).await;
+    assert!(service.store().refused.is_empty() && node.core().reader.is_wide(&key::job("j-7")));
+    assert_eq!(node.core().world.jobs["j-7"].value.needs.len(), 6000);
+    // Only checked if it can be.
+    service.store().out = true;
+    sleep(Duration::from_millis(1700)).await;
+    assert_eq!(submit(&node, &step("j-8", &["j-1"])).await.0, 503);
+    service.store().out = false;
+    // With an old controller live, nothing is taken that it could not read.
+    let old = Member { name: "n-9".into(), zone: "a".into(), incarnation: 9 };
+    service.store().put(Put::new(key::member("n-9"), &old));
+    let since = Instant::now();
+    while !node.core().old_is_live() && since.elapsed() < Duration::from_secs(5) {
+        sleep(Duration::from_millis(10)).await;
+    }
+    assert_eq!(submit(&node, &step("j-8", &["j-1"])).await.0, 503);
+    assert_eq!(submit(&node, &spec("j-8", JobKind::Array)).await.0, 201);
+    node.stop.cancel();
+}
+
+/// The first of a chain is cancelled, and the controller ends at once; all others too,
+/// and the state service is away. Whoever is asked says the same, before the records
+/// of the others have followed, and they do.
+#[tokio::test]
+async fn a_cancelled_job_takes_those_after_it_along_whatever_ends() {
+    let service = Service::with_types();
+    let first = service.controller(1, EXAMPLE).await;
+    service.elect(&first, 1);
+    caught_up(&service, &first).await;
+    assert_eq!(submit(&first, &spec("j-0", JobKind::Array)).await.0, 201);
+    for n in 1..40 {
+        let need = format!("j-{}", n - 1);
+        assert_eq!(submit(&first, &step(&format!("j-{n}"), &[&need])).await.0, 201);
+    }
+    assert_eq!(submit(&first, &step("j-90", &["j-0"])).await.0, 201);
+    let (status, told) = ask(&first, "POST", "/v1/jobs/j-1/withdraw", Vec::new()).await;
+    assert_eq!((status, told.map(|t| t.state)), (200, Some(JobState::Cancelled)));
+    first.stop.cancel();
+    // Nobody has written down anything of the others yet.
+    let second = service.controller(2, EXAMPLE).await;
+    for id in ["j-2", "j-20", "j-39"] {
+        assert_eq!(state(&second, id).await, Some(JobState::Cancelled), "{id}");
+    }
+    assert_eq!(state(&second, "j-0").await, Some(JobState::Queued));
+    assert_eq!(state(&second, "j-90").await, Some(JobState::Queued), "it does not need it");
+    // What comes meanwhile is cancelled too, and a cancellation of it is answered so.
+    assert_eq!(submit(&second, &step("j-50", &["j-39"])).await, (201, Some(JobState::Cancelled)));
+    let (_, told) = ask(&second, "POST", "/v1/jobs/j-39/withdraw", Vec::new()).await;
+    assert_eq!(told.map(|t| t.state), Some(JobState::Cancelled));
+    service.elect(&second, 2);
+    caught_up(&service, &second).await;
+    round(&second).await;
+    service.store().out = true;
+    round(&second).await;
+    service.store().out = false;
+    let left = |node: &Node| node.core().world.pipelines.doomed().count();
+    assert!((1..38).contains(&left(&second)), "a few at a time");
+    second.stop.cancel();
+    let third = service.controller(3, EXAMPLE).await;
+    service.elect(&third, 3);
+    caught_up(&service, &third).await;
+    for _ in 0..40 {
+        round(&third).await;
+    }
+    assert_eq!(left(&third), 0);
+    let cancelled = third.core().world.jobs.values().filter(|j| j.value.phase == Phase::Cancelled).count();
+    assert_eq!(cancelled, 40, "j-1 to j-39 and j-50");
+    assert_eq!(state(&third, "j-2").await, Some(JobState::Cancelled));
+    third.stop.cancel();
+}
+
+/// One committed outcome decides: the cancellation of a job that is done by then.
+#[tokio::test]
+async fn a_cancellation_that_comes_too_late_is_answered_with_done() {
+    let service = Service::with_types();
+    let node = service.controller(1, EXAMPLE).await;
+    service.elect(&node, 1);
+    caught_up(&service, &node).await;
+    assert_eq!(submit(&node, &spec("j-0", JobKind::Array)).await.0, 201);
+    assert_eq!(submit(&node, &step("j-1", &["j-0"])).await.0, 201);
+    // Done, as another controller has written; this one does not know.
+    let mut done = JobRecord::new(spec("j-0", JobKind::Array), None, 0);
+    (done.phase, done.ended_ms) = (Phase::Done, 5);
+    done.shrink();
+    service.store().put(Put::new(key::job("j-0"), &done));
+    let (status, told) = ask(&node, "POST", "/v1/jobs/j-0/withdraw", Vec::new()).await;
+    assert_eq!((status, told.map(|t| t.state)), (200, Some(JobState::Done)));
+    caught_up(&service, &node).await;
+    assert!(node.core().world.open.contains("j-1"), "it may begin");
+    node.stop.cancel();
+}
+
+const SMALL: &str = "txn_ops = 16\nnext = { value_kb = 2, txn_ops = 4, write_rps = 20 }";
+
+fn with_next() -> String {
+    EXAMPLE.replacen("txn_ops = 16", SMALL, 1)
+}
+
+/// As production leaves it: 1,300 tasks on machines, in one value of 6 KiB.
+fn production_array() -> JobRecord {
+    let mut job = JobRecord::new(JobSpec { tasks: 2000, ..spec("j-1", JobKind::Array) }, None, 1000);
+    (0..480).for_each(|t| job.done.insert(t));
+    let on = |t: u32| format!("host-{:06}", 100 + (t * 7919) % 157).into();
+    job.run =
+        (500..1800).map(|t| Assignment { task: t, attempt: 1, machine: on(t), want: Want::Run }).collect();
+    job.attempt = 1;
+    job
+}
+
+/// The limits fall a second after the upgrade: every record stays changeable, each
+/// change is whole for whoever reads, and parts that are no longer named go.
+#[tokio::test]
+async fn a_large_record_of_production_is_ended_task_by_task_after_the_limits_have_fallen() {
+    let service = Service::with_types();
+    service.store().put(Put::new(key::job("j-1"), &production_array()));
+    let mut fleet = FleetRecord::default();
+    for n in 0..100u32 {
+        fleet.rentals.push(Rental {
+            request: format!("n-0-{:x}-{n}", 1u64 << 50),
+            machine_type: "m".into(),
+            zone: "a".into(),
+            spot: false,
+            count: 9,
+            asked_ms: 5,
+            machines: Some(
+                (0..9).map(|k| format!("host-{:06}", 5000 + n * 31 + k).as_str().into()).collect(),
+            ),
+        });
+    }
+    service.store().put(Put::new(key::FLEET.into(), &fleet));
+    let node = service.controller(1, &with_next()).await;
+    service.elect(&node, 1);
+    caught_up(&service, &node).await;
+    assert!(node.plan().wide, "all have said that they are new");
+    service.store().limits = Some((2048, 4));
+    let mut tasks: Vec<u32> = (500..1800).collect();
+    let mut seen = 0;
+    while !tasks.is_empty() {
+        let (mut record, version) = {
+            let core = node.core();
+            (core.world.jobs["j-1"].value.clone(), core.world.jobs["j-1"].version)
+        };
+        let some: Vec<u32> = tasks.drain(..tasks.len().min(130)).collect();
+        some.iter().for_each(|t| record.end(*t, 1, End::Done, 2000, 60));
+        let conditions = vec![Condition { key: key::job("j-1"), version }];
+        let put = Put::new(key::job("j-1"), &record);
+        let Ok(Outcome::Committed { .. }) = node.commit(conditions, vec![put]).await else {
+            unreachable!("the record stays changeable")
+        };
+        caught_up(&service, &node).await;
+        assert_eq!(node.core().world.jobs["j-1"].value.run.len(), tasks.len());
+        // Whoever reads all of it anew sees the same.
+        let other = service.controller(9, &with_next()).await;
+        assert_eq!(other.core().world.jobs["j-1"].value.run, record.run);
+        other.stop.cancel();
+        seen += 1;
+    }
+    assert!(seen >= 10);
+    // The record of the fleet: hundreds of rentals, one dropped.
+    let version = node.core().world.fleet.as_ref().map_or(0, |f| f.version);
+    fleet.rentals.pop();
+    let put = Put::new(key::FLEET.into(), &fleet);
+    let conditions = vec![Condition { key: key::FLEET.into(), version }];
+    assert!(matches!(node.commit(conditions, vec![put]).await, Ok(Outcome::Committed { .. })));
+    caught_up(&service, &node).await;
+    assert_eq!(node.core().world.fleet.as_ref().map(|f| f.value.rentals.len()), Some(99));
+    assert!(service.store().refused.is_empty(), "{:?}", service.store().refused);
+    // What no head names goes after a while, and nothing else.
+    let before = service.store().keys.len();
+    let (mut sweeper, mut now) = (Sweeper::default(), Instant::now());
+    for _ in 0..200 {
+        now += Duration::from_secs(6);
+        if let Some((conditions, puts)) = sweeper.next(&node, now) {
+            assert!(matches!(node.commit(conditions, puts).await, Ok(Outcome::Committed { .. })));
+            caught_up(&service, &node).await;
+        }
+    }
+    assert!(service.store().keys.len() + 8 < before);
+    assert!(node.core().reader.orphans().is_empty());
+    let last = service.controller(8, &with_next()).await;
+    assert_eq!(last.core().world.fleet.as_ref().map(|f| f.value.rentals.len()), Some(99));
+    (node.stop.cancel(), last.stop.cancel());
+}
+
+/// A head that is carried out late, after its parts were swept, names nothing.
+#[tokio::test]
+async fn a_late_head_does_not_name_parts_that_are_gone() {
+    let service = Service::with_types();
+    let job = production_array();
+    service.store().put(Put::new(key::job("j-1"), &job));
+    let node = service.controller(1, &with_next()).await;
+    service.elect(&node, 1);
+    caught_up(&service, &node).await;
+    let version = node.core().world.jobs["j-1"].version;
+    let wide = store::split(&Put::new(key::job("j-1"), &job), 77, 2048).expect("parts");
+    let first = wide.parts.last().expect("parts").key.clone();
+    wide.parts.into_iter().for_each(|p| service.store().put(p));
+    let at = service.store().revision;
+    caught_up(&service, &node).await;
+    let (mut sweeper, mut now) = (Sweeper::default(), Instant::now());
+    for _ in 0..20 {
+        now += Duration::from_secs(6);
+        if let Some((conditions, puts)) = sweeper.next(&node, now) {
+            assert!(matches!(node.commit(conditions, puts).await, Ok(Outcome::Committed { .. })));
+            caught_up(&service, &node).await;
+        }
+    }
+    let conditions = vec![Condition { key: key::job("j-1"), version }, Condition { key: first, version: at }];
+    let late = node.state.txn(conditions, vec![wide.head]).await;
+    assert!(matches!(late, Ok(Outcome::Conflict { .. })));
+    node.stop.cancel();
+}
+
+/// The limits that are to come are there, though one controller has not said that it is
+/// new: what is refused shows it. And the rate falls in the middle of a burst.
+#[tokio::test]
+async fn what_is_refused_shows_the_new_limits() {
+    let service = Service::with_types();
+    let text = with_next().replacen(
+        "[external]",
+        "[[peers]]\nnode_name = \"n-1\"\naddress = \"127.0.0.1:3\"\n[external]",
+        1,
+    );
+    let job = production_array();
+    service.store().put(Put::new(key::job("j-1"), &job));
+    let node = service.controller(1, &text).await;
+    service.elect(&node, 1);
+    caught_up(&service, &node).await;
+    assert!(!node.plan().wide, "the other may still come back old");
+    service.store().limits = Some((2048, 4));
+    let write = async || {
+        let version = node.core().world.jobs["j-1"].version;
+        let conditions = vec![Condition { key: key::job("j-1"), version }];
+        node.commit(conditions, vec![Put::new(key::job("j-1"), &job)]).await
+    };
+    assert!(matches!(write().await, Err(StoreError::Refused(400))));
+    assert!(node.plan().wide && node.plan().txn_ops == 4);
+    assert!(matches!(write().await, Ok(Outcome::Committed { .. })), "in smaller pieces");
+    caught_up(&service, &node).await;
+    assert_eq!(service.store().refused, [400], "never sent again unchanged");
+    assert_eq!(node.plan().write_rps, 30.0, "the full rate until then");
+    service.store().rate = Some(0);
+    let e = node.state.txn(Vec::new(), vec![Put::delete(key::job("j-2"))]).await.expect_err("429");
+    node.note_refusal(&e);
+    assert_eq!(node.plan().write_rps, 20.0, "from the first refusal on");
+    node.share_writes(&mut node.core(), Instant::now());
+    assert!(node.core().writes.per_second() <= 20.0);
+    node.stop.cancel();
+}
