--- a/crates/daemon/src/pipelines.rs
+++ b/crates/daemon/src/pipelines.rs
@@ -453,7 +453,8 @@
     assert!(node.core().reader.orphans().is_empty());
     let last = service.controller(8, &with_next()).await;
     assert_eq!(last.core().world.fleet.as_ref().map(|f| f.value.rentals.len()), Some(99));
-    (node.stop.cancel(), last.stop.cancel());
+    node.stop.cancel();
+    last.stop.cancel();
 }
 
 /// A head that is carried out late, after its parts were swept, names nothing.
