--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -8,7 +8,7 @@
 use cloud::CloudClient;
 use net::{Client, Connections};
 use peer::{MachineRow, Summary};
-use sched::placement::Slot;
+use sched::placement::{self, Slot};
 use sched::records::{End, MachineRecord, MapRecord, Member, Name};
 use sched::world::{Team, World};
 use store::{Budget, Reader, StateClient};
@@ -16,6 +16,7 @@
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
+use wire::JobKind;
 
 use crate::front;
 use crate::limits::{self, Plan, Seen};
@@ -144,6 +145,7 @@
     pub writes: Budget,
     /// How many controllers the budget is shared by, and at which rate, as last reckoned.
     live: (usize, u64),
+    shared_at: Option<Instant>,
     /// Reports that came to this controller for other owners' machines.
     pub misdirected: HashMap<String, Instant>,
     /// Room that is being made for a job: the machines, and until when. Without
@@ -187,6 +189,7 @@
             lease: None,
             writes: Budget::new(per_s * 0.5, per_s * 0.5, now),
             live: (0, 0),
+            shared_at: None,
             misdirected: HashMap::new(),
             reserved: HashMap::new(),
             searched: HashMap::new(),
@@ -297,15 +300,22 @@
     /// Shares the changes that the state service takes among the controllers
     /// that are live. The leader, who rents machines and places what is large,
     /// has most; all may go somewhat beyond theirs, as not all need them.
+    /// With fixed shares, one whose part held most of the waiting jobs had a ninth of
+    /// the changes, while others had nothing to write: once all are new, the shares
+    /// follow the jobs that each places, by the records, without a word to each other.
     pub fn share_writes(&self, core: &mut Core, now: Instant) {
         let live = core.map().map_or(1, |m| m.live.len()).max(1);
         let leads = core.leads(&self.me);
         let per_s = self.plan().write_rps;
         let state = (live * 2 + usize::from(leads), per_s.to_bits());
-        if core.live != state {
+        let by_jobs = self.plan().wide && !core.old_is_live();
+        let due = by_jobs && core.shared_at.is_none_or(|t| now.saturating_duration_since(t) >= SHARE_EVERY);
+        if core.live != state || due {
             core.live = state;
+            core.shared_at = Some(now);
             let others = live as f64 - 1.0;
-            let mine = if leads { 0.65 } else { 0.45 / others.max(1.0) };
+            let fixed = if leads { 0.65 } else { 0.45 / others.max(1.0) };
+            let mine = if by_jobs { share_by_jobs(core, &self.me.name).unwrap_or(fixed) } else { fixed };
             core.writes.set_rate(per_s * mine, now);
         }
     }
@@ -370,6 +380,37 @@
 /// A description of this length is taken whatever the limits are.
 const DESCRIBED: f64 = 2048.0;
 
+/// How often the shares of the changes are reckoned anew.
+const SHARE_EVERY: Duration = Duration::from_secs(1);
+/// All shares together: not all use theirs up at a time.
+const SHARES_SUM: f64 = 1.1;
+/// The least share of the leader and of each other controller: for machines, rentals
+/// and ends of jobs that others place.
+const LEADER_LEAST: f64 = 0.3;
+const OTHERS_LEAST: f64 = 0.04;
+
+/// A controller's share of the changes, by how much there is to write of the jobs that
+/// each of them places.
+fn share_by_jobs(core: &Core, me: &str) -> Option<f64> {
+    let leader = core.world.leader.as_ref()?.value.name.as_str();
+    let live: Vec<&str> = core.map()?.live.iter().map(|m| m.name.as_str()).collect();
+    let mut weights: HashMap<&str, f64> = HashMap::new();
+    for job in core.world.open.iter().filter_map(|id| core.world.jobs.get(id)).map(|j| &j.value) {
+        let Some(spec) = job.spec.as_deref() else { continue };
+        let waits = placement::pending_count(job) > 0;
+        // Replicas that run are hardly ever written.
+        let weight = if waits || spec.kind == JobKind::Array { 1.0 } else { 0.1 };
+        if let Some(placer) = core.world.placer_of(job) {
+            *weights.entry(placer).or_default() += weight;
+        }
+    }
+    let of = |name: &str| weights.get(name).copied().unwrap_or(0.0) + 1.0;
+    let all: f64 = live.iter().map(|n| of(n)).sum();
+    let least = |name: &str| if name == leader { LEADER_LEAST } else { OTHERS_LEAST };
+    let free = SHARES_SUM - live.iter().map(|n| least(n)).sum::<f64>();
+    live.contains(&me).then(|| least(me) + free.max(0.0) * of(me) / all)
+}
+
 impl Core {
     pub fn map(&self) -> Option<&MapRecord> {
         self.world.map_record()
@@ -478,6 +519,29 @@
         Summary { name: name.into(), incarnation: 9, count: 1, epoch, state_silent_ms, machines: Vec::new() }
     }
 
+    /// The changes a second go where the jobs are that have to be written.
+    #[test]
+    fn shares_follow_the_jobs_that_each_places() {
+        let node = crate::scale::node(40, 4);
+        let mut core = node.core();
+        let fixed = |core: &Core, name: &str| share_by_jobs(core, name).expect("live");
+        let me = node.me.name.clone();
+        let sum = |core: &Core| {
+            let names = [me.as_str(), "n-1", "n-2", "n-3"];
+            names.iter().map(|n| fixed(core, n)).sum::<f64>()
+        };
+        assert!((sum(&core) - SHARES_SUM).abs() < 1e-9);
+        let before = fixed(&core, "n-2");
+        for n in 0..20 {
+            let spec = crate::worker::tests::spec(&format!("j-{n}"), JobKind::Array);
+            let job = sched::records::JobRecord::new(spec, Some("n-2".into()), 0);
+            core.world.apply(Change::Job(format!("j-{n}"), Some(Box::new(job))), 1 << 40);
+        }
+        assert!(fixed(&core, "n-2") > before * 2.0 && fixed(&core, &me) >= LEADER_LEAST);
+        assert!((sum(&core) - SHARES_SUM).abs() < 1e-9);
+        assert!(share_by_jobs(&core, "n-9").is_none());
+    }
+
     /// A controller that has lost the state service and its peers, but not its
     /// workers, stops renewing leases in time for every cancellation that others
     /// may have given meanwhile.
