--- a/crates/daemon/src/fleet_duty/rentals.rs
+++ b/crates/daemon/src/fleet_duty/rentals.rs
@@ -188,14 +188,16 @@
             (!starts, false, 0)
         };
         demands.sort_by(|a, b| placement::queue_order((a.0, in_time(a.0)), (b.0, in_time(b.0))));
+        // The next steps of pipelines, before they are ready; last, as they may be late.
+        let soon: Vec<&JobSpec> = forecast::next_steps(&core.world).collect();
         self.waiting.clear();
-        for (_, d) in &demands {
+        for spec in demands.iter().map(|(_, d)| d.spec).chain(soon.iter().copied()) {
             let like = |s: &JobSpec| {
-                (s.kind, s.spot, &s.types, &s.zone) == (d.spec.kind, d.spec.spot, &d.spec.types, &d.spec.zone)
-                    && Amount::of_task(s) == Amount::of_task(d.spec)
+                (s.kind, s.spot, &s.types, &s.zone) == (spec.kind, spec.spot, &spec.types, &spec.zone)
+                    && Amount::of_task(s) == Amount::of_task(spec)
             };
             if !self.waiting.iter().any(like) {
-                self.waiting.push(d.spec.clone());
+                self.waiting.push(spec.clone());
             }
         }
         let mut coming: Vec<Coming> = Vec::new();
@@ -252,6 +254,12 @@
         }
         let services = demands.partition_point(|(_, d)| d.spec.kind == JobKind::Service);
         let mut demands: Vec<Demand> = demands.into_iter().map(|(_, d)| d).collect();
+        demands.extend(soon.into_iter().map(|spec| Demand {
+            spec,
+            tasks: spec.tasks,
+            in_zone: HashMap::new(),
+            unsuited: unsuited(node, core, spec),
+        }));
         let expected = forecast::services(&core.world, now_ms);
         if let Some((spec, tasks)) = &expected {
             demands.insert(
--- a/crates/daemon/src/wide.rs
+++ b/crates/daemon/src/wide.rs
@@ -142,7 +142,7 @@
     looked: Option<Instant>,
 }
 
-const LOOK: Duration = Duration::from_secs(5);
+const LOOK: Duration = Duration::from_secs(2);
 
 impl Sweeper {
     /// What to delete now: a transaction's conditions and keys.
@@ -151,7 +151,11 @@
             return None;
         }
         self.looked = Some(now);
-        let core = node.core();
+        let mut core = node.core();
+        // While changes are short, they only cost memory.
+        if core.writes.level(now) < 0.0 {
+            return None;
+        }
         let orphans = core.reader.orphans();
         let id = |o: &Orphans| (o.of.clone(), o.nonce.clone());
         self.seen.retain(|k, _| orphans.iter().any(|o| id(o) == *k));
--- a/crates/sched/src/forecast.rs
+++ b/crates/sched/src/forecast.rs
@@ -6,6 +6,7 @@
 use wire::{JobKind, JobSpec};
 
 use crate::placement::pending_count;
+use crate::records::{Name, Phase};
 use crate::world::World;
 
 /// How far ahead: about what it takes to rent and boot a machine.
@@ -37,6 +38,22 @@
     latest.filter(|_| tasks > 0).map(|(_, spec)| (JobSpec { spread: false, ..spec.clone() }, tasks))
 }
 
+/// The jobs that will be ready about when a machine rented now is up: all that they
+/// still need runs its last tasks, and takes no longer than that.
+pub fn next_steps(world: &World) -> impl Iterator<Item = &JobSpec> {
+    let ends = |id: &Name| {
+        let Some(job) = world.jobs.get(&**id).map(|j| &j.value) else { return false };
+        let short = |s: &JobSpec| s.estimate_s <= AHEAD.as_secs_f64();
+        job.phase == Phase::Done
+            || job.phase == Phase::Active
+                && job.spec.as_deref().is_some_and(short)
+                && !job.run.is_empty()
+                && pending_count(job) == 0
+    };
+    let waiting = world.pipelines.waiting().filter_map(|id| world.jobs.get(&**id));
+    waiting.filter(move |j| j.value.needs.iter().all(ends)).filter_map(|j| j.value.spec.as_deref())
+}
+
 /// How the demand for GPU tasks has grown.
 #[derive(Debug, Default)]
 pub struct GpuDemand {
@@ -85,6 +102,23 @@
         assert!(services(&w, 100_000).is_none(), "none has come lately");
     }
 
+    #[test]
+    fn the_next_step_is_foreseen_when_the_last_tasks_before_it_run() {
+        let mut w = world(&[("a1", "m", "a", false)]);
+        add(&mut w, spec("j-1", JobKind::Array, 2), &[(0, "a1")]);
+        let next =
+            crate::records::JobRecord::waiting(spec("j-2", JobKind::Array, 3), None, 0, vec!["j-1".into()]);
+        w.apply(crate::world::Change::Job("j-2".into(), Some(Box::new(next))), 3);
+        let foreseen = |w: &World| next_steps(w).map(|s| s.id.clone()).collect::<Vec<_>>();
+        assert!(foreseen(&w).is_empty(), "one task before it has no place yet");
+        add(&mut w, spec("j-1", JobKind::Array, 2), &[(0, "a1"), (1, "a1")]);
+        assert_eq!(foreseen(&w), ["j-2"]);
+        let mut long = spec("j-1", JobKind::Array, 2);
+        long.estimate_s = 600.0;
+        add(&mut w, long, &[(0, "a1"), (1, "a1")]);
+        assert!(foreseen(&w).is_empty(), "it would stand idle for long");
+    }
+
     #[test]
     fn growth_is_known_only_after_a_while_and_bounded() {
         let mut w = world(&[("a1", "g", "a", false)]);
