--- a/crates/daemon/src/placer.rs
+++ b/crates/daemon/src/placer.rs
@@ -191,7 +191,15 @@
             round.log.push(Event::Placed { job: id.clone(), tasks: placed.len(), attempt: job.attempt });
             round.teams.insert(spec.team.clone());
             round.placing.insert(id.clone());
-            reserved.remove(&id);
+            // The rest of the room that is made for it stays its own: given to others, it
+            // would be made again and again (recorded: a task was stopped eight times).
+            if let Some((machines, until)) = reserved.remove(&id) {
+                let left = still_held(machines, &placed, placement::pending_count(&job));
+                if !left.is_empty() {
+                    board.reserve(&left, size, 1.0);
+                    reserved.insert(id.clone(), (left, until));
+                }
+            }
             round.jobs.insert(id, job);
             continue;
         }
@@ -221,6 +229,32 @@
     }
 }
 
+/// What is still held for a job of which some tasks were placed.
+fn still_held(mut machines: Vec<Name>, placed: &[Assignment], pending: u32) -> Vec<Name> {
+    for a in placed {
+        if let Some(i) = machines.iter().position(|m| *m == a.machine) {
+            machines.swap_remove(i);
+        }
+    }
+    machines.truncate(pending as usize);
+    machines
+}
+
+/// How long the tasks of a pipeline's arrays wait for room that comes free by itself
+/// before others are stopped for them, if there is time: where hundreds run, some end
+/// every second, and what is stopped has to be done again.
+const PATIENCE_MS: u64 = 5000;
+/// The time that has to be left for that.
+const SLACK_MS: u64 = 15_000;
+
+fn is_patient(job: &JobRecord, now_ms: u64) -> bool {
+    let array = job.spec.as_ref().is_some_and(|s| s.kind == JobKind::Array);
+    array
+        && job.in_pipeline()
+        && now_ms.saturating_sub(job.submitted_ms) < PATIENCE_MS
+        && job.start_by_ms().is_some_and(|by| by > now_ms + SLACK_MS)
+}
+
 /// A job that found no room.
 struct Needs<'a> {
     id: &'a str,
@@ -251,7 +285,7 @@
     let size = Amount::of_task(spec);
     let gang = spec.kind == JobKind::Gang;
     let quiet = placement::retry_at_ms(job) <= now_ms && (!gang || job.run.is_empty());
-    if search.reserved.contains_key(id) || !quiet {
+    if search.reserved.contains_key(id) || !quiet || is_patient(job, now_ms) {
         return;
     }
     // A look at all that runs everywhere is dear, and what has not helped just
@@ -328,3 +362,35 @@
         *used = used.plus(amount, sign);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::worker::tests::spec;
+
+    #[test]
+    fn room_made_for_an_array_stays_its_own_until_its_tasks_are_placed() {
+        let on =
+            |task, machine: &str| Assignment { task, attempt: 1, machine: machine.into(), want: Want::Run };
+        let made = || ["a", "a", "b", "c"].map(Name::from).to_vec();
+        let placed = [on(0, "a"), on(1, "x")];
+        let mut left = still_held(made(), &placed, 9);
+        left.sort_unstable();
+        assert_eq!(left.iter().map(|m| &**m).collect::<Vec<_>>(), ["a", "b", "c"]);
+        assert_eq!(still_held(made(), &placed, 1).len(), 1);
+        assert!(still_held(made(), &placed, 0).is_empty());
+    }
+
+    #[test]
+    fn steps_with_time_left_do_not_stop_others_at_once() {
+        let mut s = spec("j-1", JobKind::Array);
+        (s.estimate_s, s.deadline_s) = (10.0, Some(60.0));
+        let mut job = JobRecord::new(s, None, 0);
+        assert!(!is_patient(&job, 1000), "not a step of a pipeline");
+        job.accepted_ms = 1;
+        assert!(is_patient(&job, 1000));
+        assert!(!is_patient(&job, PATIENCE_MS), "it has waited");
+        job.urgency.done_by_ms = Some(20_000);
+        assert!(!is_patient(&job, 1000), "those after it would be late");
+    }
+}
