--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -166,6 +166,10 @@
     /// Jobs whose records the state service refused for another reason than the limits
     /// that are known, until when they are left alone.
     pub refused: HashMap<String, Instant>,
+    pub started: Instant,
+    /// Since when this controller stands aside, and when it last came back.
+    pub aside: Option<Instant>,
+    pub returned: Option<Instant>,
     /// Until when rounds hold one job each, to find the one that is refused.
     pub cautious: Option<Instant>,
 }
@@ -200,6 +204,9 @@
             widened: HashMap::new(),
             refused: HashMap::new(),
             cautious: None,
+            started: now,
+            aside: None,
+            returned: None,
         };
         Self(Arc::new(Inner {
             teams: settings.teams(),
@@ -380,6 +387,10 @@
 /// A description of this length is taken whatever the limits are.
 const DESCRIBED: f64 = 2048.0;
 
+/// How long nothing may be heard of a controller before it counts as out of reach.
+const PEERS_SILENT: Duration = Duration::from_millis(3500);
+/// How long a controller stands aside at least.
+const ASIDE_LEAST: Duration = Duration::from_secs(5);
 /// How often the shares of the changes are reckoned anew.
 const SHARE_EVERY: Duration = Duration::from_secs(1);
 /// All shares together. With 1.1, as with fixed shares, users met refusals for the rate
@@ -428,6 +439,54 @@
         self.world.members.keys().chain(live).any(|name| !self.world.upgraded.contains(name))
     }
 
+    /// Whether this controller is out of reach of all the others and of most of its
+    /// workers, though not of the state service: as it would stay their owner, nobody
+    /// could renew their leases (recorded: a third of a site's tasks were lost).
+    fn isolated(&self, me: &Member, report: Duration, now: Instant) -> bool {
+        let fresh = self.fresh_at.is_some_and(|f| now.saturating_duration_since(f) < PEERS_SILENT);
+        let limit = report * 5 / 2 + Duration::from_millis(500);
+        let silent = self.workers.values().filter(|w| w.silent_for(now) > limit).count();
+        fresh
+            && !self.stood_still(now)
+            && self.others(me).next().is_some()
+            && !self.hears_others(me, now)
+            && self.workers.len() >= 3
+            && silent * 2 > self.workers.len()
+    }
+
+    fn others<'a>(&'a self, me: &'a Member) -> impl Iterator<Item = &'a String> {
+        self.world.members.keys().filter(|n| **n != me.name)
+    }
+
+    fn hears_others(&self, me: &Member, now: Instant) -> bool {
+        let heard = |p: &PeerView| now.saturating_duration_since(p.at) < PEERS_SILENT;
+        self.others(me).any(|n| self.peers.get(n).is_some_and(heard))
+    }
+
+    /// Whether this controller leaves its machines to the others for now. It comes back
+    /// when it hears one of them, or when there is nobody else.
+    pub fn stands_aside(&mut self, me: &Member, report: Duration, now: Instant) -> bool {
+        let for_long = |t: Instant, least: Duration| now.saturating_duration_since(t) >= least;
+        match self.aside {
+            Some(since) => {
+                let alone = self.others(me).next().is_none();
+                if alone || self.hears_others(me, now) && for_long(since, ASIDE_LEAST) {
+                    (self.aside, self.returned) = (None, Some(now));
+                }
+            }
+            // Not again and again: each time machines change owners.
+            None if for_long(self.started, ASIDE_LEAST * 2)
+                && self.returned.is_none_or(|t| for_long(t, ASIDE_LEAST * 4))
+                && self.in_map(me)
+                && self.isolated(me, report, now) =>
+            {
+                self.aside = Some(now);
+            }
+            None => {}
+        }
+        self.aside.is_some()
+    }
+
     pub fn leads(&self, me: &Member) -> bool {
         self.in_map(me) && self.world.leader.as_ref().is_some_and(|l| l.value == *me)
     }
@@ -520,6 +579,40 @@
         Summary { name: name.into(), incarnation: 9, count: 1, epoch, state_silent_ms, machines: Vec::new() }
     }
 
+    /// A controller that reaches the state service alone stands aside, so that others
+    /// can renew its workers' leases; one that has its workers or a peer does not.
+    #[test]
+    fn a_controller_that_reaches_nobody_stands_aside_until_it_hears_others() {
+        let node = crate::scale::node(40, 2);
+        let (me, report) = (node.me.clone(), node.report_every());
+        let start = Instant::now() + Duration::from_secs(60);
+        let mut core = node.core();
+        let member = |n: &str| Member { name: n.into(), zone: "a".into(), incarnation: 1 };
+        core.world.apply(Change::Member("n-1".into(), Some(member("n-1"))), 1 << 40);
+        crate::engine::decide(&node, &mut core, false, 4, start, 0);
+        assert!(core.workers.len() >= 3);
+        let aside = |core: &mut Core, heard: bool, peer: bool, s: u64| {
+            let now = start + Duration::from_secs(s);
+            (core.beat, core.fresh_at) = (now, Some(now));
+            if heard {
+                core.workers.values_mut().for_each(|w| w.heard = Some(now));
+            }
+            if peer {
+                core.peers.insert("n-1".into(), PeerView { summary: summary("n-1", 7, 0), at: now });
+            }
+            core.stands_aside(&me, report, now)
+        };
+        assert!(!aside(&mut core, true, false, 10), "cut off from its peers, not from its workers");
+        assert!(!aside(&mut core, false, true, 20), "from its workers, not from its peers");
+        assert!(aside(&mut core, false, false, 30));
+        assert!(aside(&mut core, false, true, 32), "not back at once");
+        assert!(!aside(&mut core, false, true, 36));
+        assert!(!aside(&mut core, false, false, 50), "nor away again at once");
+        assert!(aside(&mut core, false, false, 60));
+        core.world.apply(Change::Member("n-1".into(), None), 1 << 41);
+        assert!(!aside(&mut core, false, false, 61), "there is nobody else");
+    }
+
     /// The changes a second go where the jobs are that have to be written.
     #[test]
     fn shares_follow_the_jobs_that_each_places() {
--- a/crates/daemon/src/state_duty.rs
+++ b/crates/daemon/src/state_duty.rs
@@ -203,6 +203,16 @@
 pub async fn membership(node: Node) {
     let mut touched = Instant::now();
     loop {
+        let aside = node.core().stands_aside(&node.me, node.report_every(), Instant::now());
+        if aside {
+            let lease = node.core().lease.take();
+            if let Some(lease) = lease {
+                warn!("out of reach of the others and of its workers; the others go on without it");
+                let _ = node.state.end_lease(lease).await;
+            }
+            sleep(RETRY).await;
+            continue;
+        }
         let lease = node.core().lease;
         let kept = match lease {
             Some(lease) if touched.elapsed() >= MEMBER_TTL / 4 => {
