--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -363,7 +363,7 @@
         Err(e) => return Reply::error(400, &e.to_string()),
     };
     Counts::add(&node.counts.reports, 1);
-    match take_report(node, &report, relayed) {
+    match take_report(node, &report, relayed, Instant::now()) {
         Disposal::Answer(reply) => {
             Counts::add(&node.counts.turned_away, u64::from(reply.status != 200));
             reply
@@ -379,8 +379,12 @@
     }
 }
 
-fn take_report(node: &Node, report: &Report, relayed: bool) -> Disposal {
-    let now = Instant::now();
+/// How long a worker's reports are passed on before it is sent to its machine's owner
+/// once more. Passed on without end, hundreds of workers kept reporting to controllers
+/// in other zones after an upgrade, and a cut between the zones cost their leases.
+const RELAY_FOR: Duration = Duration::from_secs(20);
+
+fn take_report(node: &Node, report: &Report, relayed: bool, now: Instant) -> Disposal {
     let machine = &report.machine;
     let mut guard = node.core();
     let core = &mut *guard;
@@ -405,14 +409,13 @@
         if core.misdirected.len() > 4096 {
             core.misdirected.clear();
         }
-        let before = core.misdirected.insert(machine.clone(), now);
-        let again = before.is_some_and(|t| now.saturating_duration_since(t) < Duration::from_secs(8));
-        // It has been sent to its owner before and came back.
-        return if again {
-            Disposal::Relay(owner.name)
-        } else {
-            Disposal::Answer(elsewhere(Some(owner.name)))
-        };
+        let sent = core.misdirected.get(machine);
+        if sent.is_some_and(|t| now.saturating_duration_since(*t) < RELAY_FOR) {
+            // It was sent to its owner just now and came back.
+            return Disposal::Relay(owner.name);
+        }
+        core.misdirected.insert(machine.clone(), now);
+        return Disposal::Answer(elsewhere(Some(owner.name)));
     }
     let bound = node.settings.renewal_bound();
     if !core.may_renew(&node.me, node.settings.peers.len(), bound, now) {
@@ -632,6 +635,36 @@
         node.stop.cancel();
     }
 
+    /// A worker that cannot reach its owner is passed on for a while only.
+    #[test]
+    fn workers_are_sent_to_their_owner_again_and_again() {
+        let node = crate::scale::node(40, 2);
+        let machine = {
+            let core = node.core();
+            let others = |id: &&Name| core.world.owner_of(id).is_some_and(|o| o.name == "n-1");
+            core.world.machines.keys().find(others).cloned().expect("one of the other's")
+        };
+        let report: Report =
+            wire::decode(&wire::encode(&serde_json::json!({"frame": &*machine, "addr": "a",
+            "shape": "m", "bay": "z", "loaner": false, "stint": 1, "tally": 1, "baton": u64::MAX >> 1,
+            "threads": []})))
+            .expect("a report");
+        let start = Instant::now();
+        let relayed = |s: u64| match take_report(&node, &report, false, start + Duration::from_secs(s)) {
+            Disposal::Relay(owner) => {
+                assert_eq!(owner, "n-1");
+                true
+            }
+            Disposal::Answer(reply) => {
+                assert_eq!(reply.status, 421);
+                false
+            }
+            Disposal::Adopt(_) => unreachable!("its record is there"),
+        };
+        let seen: Vec<bool> = [0, 1, 2, 10, 19, 20, 21, 39, 40].map(relayed).to_vec();
+        assert_eq!(seen, [false, true, true, true, true, false, true, true, false]);
+    }
+
     /// A late copy of a report must not bring back a machine that was returned.
     #[tokio::test]
     async fn a_machine_is_recorded_only_if_it_answers_itself() {
--- a/crates/daemon/src/placer.rs
+++ b/crates/daemon/src/placer.rs
@@ -243,13 +243,14 @@
 /// How long the tasks of a pipeline's arrays wait for room that comes free by itself
 /// before others are stopped for them, if there is time: where hundreds run, some end
 /// every second, and what is stopped has to be done again.
-const PATIENCE_MS: u64 = 5000;
+const PATIENCE_MS: u64 = 3000;
 /// The time that has to be left for that.
 const SLACK_MS: u64 = 15_000;
 
 fn is_patient(job: &JobRecord, now_ms: u64) -> bool {
-    let array = job.spec.as_ref().is_some_and(|s| s.kind == JobKind::Array);
-    array
+    // One whose priority is its own does not wait: it is what its user cares about.
+    let inherits = |s: &JobSpec| s.kind == JobKind::Array && job.priority() > Some(s.priority);
+    job.spec.as_deref().is_some_and(inherits)
         && job.in_pipeline()
         && now_ms.saturating_sub(job.submitted_ms) < PATIENCE_MS
         && job.start_by_ms().is_some_and(|by| by > now_ms + SLACK_MS)
@@ -388,6 +389,8 @@
         let mut job = JobRecord::new(s, None, 0);
         assert!(!is_patient(&job, 1000), "not a step of a pipeline");
         job.accepted_ms = 1;
+        assert!(!is_patient(&job, 1000), "the last step");
+        job.urgency.priority = Some(wire::Priority::High);
         assert!(is_patient(&job, 1000));
         assert!(!is_patient(&job, PATIENCE_MS), "it has waited");
         job.urgency.done_by_ms = Some(20_000);
