--- a/crates/daemon/src/fleet_duty/rentals.rs
+++ b/crates/daemon/src/fleet_duty/rentals.rs
@@ -340,10 +340,17 @@
         }
         // What became of each; it stays unanswered if that is not known.
         let mut answers: Vec<(String, Option<Vec<Name>>)> = Vec::new();
+        let mut trouble = false;
         for rental in &rentals {
+            if trouble {
+                // Not asked for: the next would wait as long.
+                answers.push((rental.request.clone(), None));
+                continue;
+            }
             match self.rent_kind(node, rental, now).await {
                 Ok(machines) => answers.push((rental.request.clone(), Some(machines))),
                 Err(e) => {
+                    trouble = !matches!(e, CloudError::NoCapacity);
                     if !matches!(e, CloudError::Net(_) | CloudError::Answer(_)) {
                         answers.push((rental.request.clone(), None));
                     }
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -215,9 +215,6 @@
     needs.sort_unstable();
     needs.dedup();
     let described = if needs.is_empty() { body.len() } else { wire::encode(&spec).len() };
-    if described > node.describe_bytes() {
-        return Reply::error(400, "the description is too long to be kept");
-    }
     let id = spec.id.clone();
     if look(node, &id).is_some() || node.core().world.unreadable.contains(&id) {
         return match known(node, &id).await {
@@ -229,6 +226,14 @@
     if !node.core().ready {
         return Reply::busy("not ready", 1);
     }
+    if described > node.describe_bytes() {
+        // It may have been accepted when the limits were larger.
+        return match known(node, &id).await {
+            Ok(Some(s)) => Reply::new(200, &s),
+            Ok(None) => Reply::error(400, "the description is too long to be kept"),
+            Err(reply) => reply,
+        };
+    }
     // What became of its needs must not be told by an old view: a job whose user was
     // told long ago that one before it is cancelled would be called queued.
     let fresh = |node: &Node| node.core().fresh_at.is_some_and(|f| f.elapsed() < NEEDS_FRESH);
--- a/crates/daemon/src/pipelines.rs
+++ b/crates/daemon/src/pipelines.rs
@@ -261,6 +261,13 @@
     }
     // A late copy of a submission keeps its 200, whatever it names.
     assert_eq!(submit(&node, &step("j-4", &["j-9"])).await, (200, Some(JobState::Queued)));
+    // One that is too long now may have been accepted when more was allowed.
+    let text = |n: usize| "x".repeat(n);
+    let long = JobSpec { types: Some(vec![text(200); 20]), ..spec("j-66", JobKind::Array) };
+    assert_eq!(submit(&node, &long).await.0, 400);
+    let short = spec("j-66", JobKind::Array);
+    service.store().put(Put::new(key::job("j-66"), &JobRecord::new(short, None, 0)));
+    assert_eq!(submit(&node, &long).await, (200, Some(JobState::Queued)));
     // A description near the limit that is there now is taken, with a list of thousands.
     let ids: Vec<String> = (0..6000).map(|n| format!("j-{}", 10_000 + n)).collect();
     for id in &ids {
