--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -386,8 +386,10 @@
 
 /// How long a worker's reports are passed on before it is sent to its machine's owner
 /// once more. Passed on without end, hundreds of workers kept reporting to controllers
-/// in other zones after an upgrade, and a cut between the zones cost their leases.
-const RELAY_FOR: Duration = Duration::from_secs(20);
+/// in other zones after an upgrade, and a cut between the zones cost their leases. While
+/// a controller is cut off from its workers, being sent there costs each of them the
+/// better part of a lease: this is longer than such cuts mostly last.
+const RELAY_FOR: Duration = Duration::from_secs(60);
 
 fn take_report(node: &Node, report: &Report, relayed: bool, now: Instant) -> Disposal {
     let machine = &report.machine;
@@ -666,7 +668,7 @@
             }
             Disposal::Adopt(_) => unreachable!("its record is there"),
         };
-        let seen: Vec<bool> = [0, 1, 2, 10, 19, 20, 21, 39, 40].map(relayed).to_vec();
+        let seen: Vec<bool> = [0, 1, 2, 10, 59, 60, 61, 119, 120].map(relayed).to_vec();
         assert_eq!(seen, [false, true, true, true, true, false, true, true, false]);
     }
 
