Daemon becomes a library and a thin program; its tests move to test files

Cause: tests stood beside the code, and nothing but the program could use the duties. Change: lib.rs has what main.rs had, main.rs calls it; the bodies of the daemon's test modules lie under tests/unit, unchanged but for their place.

--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,207 @@
+//! The duties of one controller, and the command line that starts them.
+
+mod client;
+mod engine;
+mod fleet_duty;
+mod front;
+mod gossip;
+mod limits;
+mod load;
+mod node;
+#[cfg(test)]
+#[path = "../tests/unit/pipelines.rs"]
+mod pipelines;
+mod placer;
+#[cfg(test)]
+#[path = "../tests/unit/production.rs"]
+mod production;
+#[cfg(test)]
+#[path = "../tests/unit/scale.rs"]
+mod scale;
+mod settings;
+#[cfg(test)]
+#[path = "../tests/unit/sim.rs"]
+mod sim;
+mod state_duty;
+mod wide;
+mod worker;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::{Parser, Subcommand};
+use rand::RngExt;
+use tokio::net::TcpListener;
+use tracing::info;
+
+use node::Node;
+use settings::{Operators, Settings};
+
+/// A cluster scheduler: jobs from users, machines from a cloud.
+#[derive(Parser)]
+#[command(name = "sageloom", version, about, propagate_version = true)]
+struct Cli {
+    #[command(subcommand)]
+    command: Verb,
+}
+
+#[derive(Subcommand)]
+enum Verb {
+    /// Run a controller until it is told to stop.
+    Serve(Files),
+    /// Check the settings files and say what is wrong with them.
+    Check(Files),
+    /// Submit, look at and withdraw jobs.
+    Job(client::JobArgs),
+}
+
+#[derive(clap::Args)]
+struct Files {
+    /// The platform's settings (TOML).
+    #[arg(long, value_name = "FILE")]
+    config: PathBuf,
+    /// The operators' own settings (HCL).
+    #[arg(long, value_name = "FILE")]
+    operators: Option<PathBuf>,
+}
+
+#[derive(Debug, thiserror::Error)]
+enum Failure {
+    #[error(transparent)]
+    Settings(#[from] settings::SettingsError),
+    #[error("LOG_LEVEL: \"{0}\" is none of error, warn, info, debug")]
+    LogLevel(String),
+    #[error("{field}: cannot listen on {addr}: {source}")]
+    Listen { field: &'static str, addr: String, source: std::io::Error },
+    #[error(transparent)]
+    Client(#[from] client::ClientError),
+    #[error("the runtime cannot start: {0}")]
+    Runtime(std::io::Error),
+}
+
+/// Runs the program by its command line.
+pub fn main() -> ExitCode {
+    let cli = Cli::parse();
+    let outcome = match cli.command {
+        Verb::Serve(files) => serve(&files),
+        Verb::Job(args) => runtime().and_then(|r| Ok(r.block_on(client::run(args))?)),
+        Verb::Check(files) => load(&files).map(|_| println!("the settings are valid")),
+    };
+    match outcome {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("sageloom: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn load(files: &Files) -> Result<(Settings, Operators), Failure> {
+    let settings = Settings::load(&files.config)?;
+    let operators = files.operators.as_deref().map(Operators::load).transpose()?.unwrap_or_default();
+    Ok((settings, operators))
+}
+
+fn init_log() -> Result<(), Failure> {
+    let level = match std::env::var("LOG_LEVEL") {
+        Err(_) => tracing::Level::INFO,
+        Ok(text) => match text.as_str() {
+            "" | "info" => tracing::Level::INFO,
+            "error" => tracing::Level::ERROR,
+            "warn" => tracing::Level::WARN,
+            "debug" => tracing::Level::DEBUG,
+            _ => return Err(Failure::LogLevel(text)),
+        },
+    };
+    tracing_subscriber::fmt()
+        .with_max_level(level)
+        .with_writer(std::io::stderr)
+        .with_ansi(false)
+        .without_time()
+        .with_target(false)
+        .init();
+    Ok(())
+}
+
+fn serve(files: &Files) -> Result<(), Failure> {
+    let (settings, operators) = load(files)?;
+    init_log()?;
+    runtime()?.block_on(run(settings, operators))
+}
+
+fn runtime() -> Result<tokio::runtime::Runtime, Failure> {
+    tokio::runtime::Builder::new_current_thread().enable_io().enable_time().build().map_err(Failure::Runtime)
+}
+
+async fn listen(field: &'static str, addr: &str) -> Result<TcpListener, Failure> {
+    TcpListener::bind(addr).await.map_err(|source| Failure::Listen { field, addr: addr.to_owned(), source })
+}
+
+async fn run(settings: Settings, operators: Operators) -> Result<(), Failure> {
+    let front_listener = listen("front", &settings.front).await?;
+    let peer_listener = listen("internal_addr", &settings.internal_addr).await?;
+    // Also part of names that must never be used again, hence drawn anew.
+    let incarnation = rand::rng().random::<u64>() >> 12;
+    info!(name = settings.node_name, zone = settings.zone, incarnation, "starting");
+    let addresses: Vec<String> = settings.peers.iter().map(|p| p.address.clone()).collect();
+    let node = Node::new(settings, operators, incarnation);
+    node.spawn_duty(state_duty::mirror(node.clone()));
+    node.spawn_duty(state_duty::verifier(node.clone()));
+    node.spawn_duty(state_duty::membership(node.clone()));
+    node.spawn_duty(engine::pulse(node.clone()));
+    node.spawn_duty(engine::rounds(node.clone()));
+    node.spawn_duty(engine::prober(node.clone()));
+    node.spawn_duty(front::arrivals(node.clone()));
+    node.spawn_duty(fleet_duty::fleet(node.clone()));
+    node.spawn_duty(load::tell(node.clone()));
+    for address in addresses {
+        node.spawn_duty(gossip::tell(node.clone(), address));
+    }
+    let n = node.clone();
+    let peers = move |request| gossip::serve(n.clone(), request);
+    node.spawn_duty(net::serve(
+        peer_listener,
+        node.internal.clone(),
+        1 << 20,
+        peers,
+        node.stop.clone(),
+        node.tasks.clone(),
+    ));
+    let n = node.clone();
+    let users = move |request| front::serve(n.clone(), request);
+    node.spawn_duty(net::serve(
+        front_listener,
+        node.front.clone(),
+        wire::BODY_LIMIT,
+        users,
+        node.stop.clone(),
+        node.tasks.clone(),
+    ));
+    asked_to_stop().await;
+    info!("stopping");
+    node.stop.cancel();
+    node.tasks.close();
+    let _ = tokio::time::timeout(Duration::from_secs(2), node.tasks.wait()).await;
+    // Leaving at once saves the others the wait for the lease's end.
+    let lease = node.core().lease;
+    if let Some(lease) = lease {
+        let _ = node.state.end_lease(lease).await;
+    }
+    Ok(())
+}
+
+/// Waits for a termination signal, where the platform has them.
+async fn asked_to_stop() {
+    use tokio::signal::unix::{SignalKind, signal};
+    let wait = async |kind| match signal(kind) {
+        Ok(mut s) => {
+            s.recv().await;
+        }
+        Err(_) => std::future::pending().await,
+    };
+    tokio::select! {
+        _ = wait(SignalKind::terminate()) => {}
+        _ = wait(SignalKind::interrupt()) => {}
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/unit/fleet_duty_rentals.rs
@@ -0,0 +1,22 @@
+use super::*;
+
+#[test]
+fn answered_requests_of_a_kind_count_as_one_rental() {
+    let rental = |request: &str, zone: &str, asked_ms| Rental {
+        request: request.into(),
+        machine_type: "m".into(),
+        zone: zone.into(),
+        spot: false,
+        count: 2,
+        asked_ms,
+        machines: None,
+    };
+    let mut list = vec![rental("1", "a", 0), rental("2", "a", 5000), rental("3", "b", 5000)];
+    list.extend([rental("4", "a", 5000), rental("5", "a", 20_000)]);
+    let some = |names: &[&str]| Some(names.iter().map(|n| (*n).into()).collect::<Vec<Name>>());
+    settle(&mut list, &[("1".into(), some(&["x", "y"])), ("2".into(), some(&["z"])), ("3".into(), None)]);
+    settle(&mut list, &[("5".into(), some(&["w"])), ("9".into(), some(&["v"]))]);
+    let all: Vec<_> = list.iter().map(|r| (r.request.as_str(), r.machines.clone())).collect();
+    // The one that was not answered keeps its name: a successor knows what may come.
+    assert_eq!(all, [("4", None), ("", some(&["x", "y", "z"])), ("", some(&["w"]))]);
+}
--- /dev/null
+++ b/crates/daemon/tests/unit/fleet_duty_returns.rs
@@ -0,0 +1,120 @@
+use super::*;
+use crate::fleet_duty::rentals::RENT_ROOM;
+use crate::scale;
+use cloud::RENT_MAX;
+use sched::world::Change;
+
+/// A dark zone's replicas are up until their leases end: they are given up as
+/// fast as they find room, and room for all is asked for at once.
+#[test]
+fn a_dark_zone_is_given_up_as_its_replicas_find_room() {
+    let node = scale::node(2400, 1);
+    let now = Instant::now();
+    scale::fill(&node, now);
+    let mut core = node.core();
+    let dark: Vec<Name> =
+        core.world.machines.iter().filter(|(_, m)| *m.value.zone == *"d").map(|(id, _)| id.clone()).collect();
+    let later = now + node.report_every() * 3;
+    let hear = |core: &mut Core, at: Instant| {
+        core.workers.iter_mut().filter(|(id, _)| !dark.contains(id)).for_each(|(_, w)| w.heard = Some(at));
+    };
+    hear(&mut core, later);
+    let mut fleet =
+        Fleet { led_since: Some(now - Duration::from_secs(60)), listed_at: Some(now), ..Fleet::default() };
+    let replicas = |core: &Core, ids: &[Name]| {
+        let of = |id: &Name| {
+            let service = |j: &JobRecord| j.spec.as_ref().is_some_and(|s| s.kind == JobKind::Service);
+            core.world.assignments(id).filter(|(_, j, _)| service(j)).count()
+        };
+        ids.iter().map(of).sum::<usize>()
+    };
+    let all = replicas(&core, &dark);
+    assert!(all > 100, "{all}");
+    let cpus = |offers: &[Offer]| {
+        offers.iter().map(|o| core.world.types[&*o.machine_type].cpus).sum::<f64>() as usize
+    };
+    assert!(cpus(&fleet.wanted(&node, &core, later)) >= all * 4, "room for all of them is rented");
+    let awake = |core: &mut Core, at: Instant| (core.fresh_at, core.beat) = (Some(at), at);
+    awake(&mut core, later);
+    assert_eq!(fleet.surplus(&node, &core, later), [], "too early to give them up");
+    let silent = now + node.silent_limit();
+    hear(&mut core, silent);
+    awake(&mut core, silent);
+    let mut ready: Vec<Name> = fleet.surplus(&node, &core, silent).into_iter().map(|s| s.0).collect();
+    assert_eq!(ready.len(), dark.len());
+    fleet.pace(&node, &core, &mut ready, silent);
+    let first = replicas(&core, &ready);
+    assert!(first > 0 && first <= all / PACE_PART + 16, "{first} of {all}");
+    // They find no room: hardly any others follow.
+    let gone = Some(ready.clone());
+    core.world.apply(Change::Fleet(Some(FleetRecord { rentals: Vec::new(), gone })), 1 << 40);
+    let mut more: Vec<Name> = fleet.surplus(&node, &core, silent).into_iter().map(|s| s.0).collect();
+    let left = more.clone();
+    fleet.pace(&node, &core, &mut more, silent);
+    assert!(more.is_empty(), "{}", more.len());
+    // Once their leases are over there is nothing to wait for.
+    let over = silent + node.worker_limits(None).lease;
+    let mut rest = left.clone();
+    fleet.pace(&node, &core, &mut rest, over);
+    assert_eq!(rest, left);
+}
+
+/// A controller that stood still for half a minute holds a view in which all its
+/// machines were silent for so long. It gives up none of them for that.
+#[test]
+fn nothing_is_given_up_on_waking() {
+    let node = scale::node(100, 1);
+    let now = Instant::now();
+    scale::fill(&node, now);
+    let mut core = node.core();
+    let mut fleet = Fleet::default();
+    core.beat(now);
+    let woken = now + Duration::from_secs(32);
+    // Some reports are taken in before anything else runs.
+    core.workers.values_mut().take(40).for_each(|w| w.heard = Some(woken));
+    assert_eq!(fleet.surplus(&node, &core, woken), [], "before the beat");
+    core.fresh_at = Some(woken);
+    core.beat(woken);
+    assert_eq!(fleet.surplus(&node, &core, woken), [], "after it");
+    let later = woken + node.silent_limit();
+    (0..9).for_each(|n| core.beat(woken + node.silent_limit() * n / 8));
+    core.fresh_at = Some(later);
+    core.workers.values_mut().take(40).for_each(|w| w.heard = Some(later));
+    assert_eq!(fleet.surplus(&node, &core, later).len(), 60, "but for what it does not hear now");
+}
+
+/// Hundreds of rentals and hundreds of machines gone at a time: whatever the
+/// record is said to have room for, the state service takes.
+#[test]
+fn the_fleets_record_never_outgrows_a_value() {
+    let node = scale::node(4, 1);
+    let mut fleet = FleetRecord::default();
+    let mut host = 0u32;
+    while names_left(&fleet, &node) >= RENT_ROOM + RENT_MAX as usize {
+        // Scattered names, as when several controllers' requests cross.
+        host += RENT_MAX;
+        let number = |n: u32| u64::from(host + n) * 7919 % 1_000_000;
+        let names = (0..RENT_MAX).map(|n| format!("host-{:06}", number(n)).as_str().into());
+        fleet.rentals.push(Rental {
+            request: format!("controller-4-{:x}-{host}", u64::MAX >> 12),
+            machine_type: "machine-type".into(),
+            zone: "zone-of-a-name".into(),
+            spot: true,
+            count: RENT_MAX,
+            asked_ms: 1_796_169_600_000,
+            machines: Some(names.collect()),
+        });
+    }
+    let rented = fleet.rentals.len();
+    assert!(rented >= 20, "{rented}");
+    loop {
+        let room = names_left(&fleet, &node).min(GONE_MOST);
+        if room == 0 {
+            break;
+        }
+        let gone = fleet.gone.get_or_insert_default();
+        gone.extend((0..room).map(|n| Name::from(format!("host-{:06}", n * 104_729 % 1_000_000))));
+        let json = serde_json::to_string(&fleet).expect("encodes").len() as f64;
+        assert!(json < node.plan().value_bytes, "{json}");
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/unit/front.rs
@@ -0,0 +1,147 @@
+use super::*;
+use crate::settings::tests::EXAMPLE;
+use crate::settings::{Operators, Settings};
+use crate::state_duty;
+use crate::worker::tests::spec;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+use wire::{Item, Items};
+
+/// A stand-in for the state service with one job waiting, one done and one
+/// record that nobody can read. It refuses while `out`.
+async fn state_service(out: Arc<AtomicBool>) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let addr = listener.local_addr().expect("an address").to_string();
+    let serve = move |request: Request| {
+        let out = out.clone();
+        async move {
+            if out.load(Ordering::Relaxed) {
+                return Reply::error(503, "outage");
+            }
+            if request.path.starts_with("/follow") {
+                let hold = if request.path.ends_with("hold_ms=0") { 0 } else { 8000 };
+                sleep(Duration::from_millis(hold)).await;
+                return Reply::new(200, &serde_json::json!({"epoch": 7, "news": []}));
+            }
+            let waiting = JobRecord::new(spec("j-1", JobKind::Array), None, 0);
+            let mut done = JobRecord::new(spec("j-2", JobKind::Array), None, 0);
+            done.phase = Phase::Done;
+            done.shrink();
+            let item = |id: &str, put: Put| Item {
+                key: key::job(id),
+                value: put.value.expect("a value"),
+                version: 3,
+            };
+            let items = vec![
+                item("j-1", Put::new(key::job("j-1"), &waiting)),
+                item("j-2", Put::new(key::job("j-2"), &done)),
+                item("j-3", Put::new(key::job("j-3"), &"from another version")),
+            ];
+            Reply::new(200, &Items { items, more: false, revision: 7 })
+        }
+    };
+    let (stop, tasks) = (CancellationToken::new(), TaskTracker::new());
+    let connections = Arc::new(net::Connections::new(64, &[], |_| 0));
+    tokio::spawn(net::serve(listener, connections, 1 << 16, serve, stop, tasks));
+    addr
+}
+
+async fn node(state: String) -> Node {
+    let mut settings = Settings::parse("example", EXAMPLE).expect("the example is valid");
+    settings.external.state = state;
+    let node = Node::new(settings, Operators::default(), 1);
+    node.spawn_duty(state_duty::mirror(node.clone()));
+    node.spawn_duty(state_duty::verifier(node.clone()));
+    node
+}
+
+/// Through start, outage and return, a job that was accepted is answered for
+/// as soon as the state service answers, and never with a 404.
+#[tokio::test]
+async fn an_accepted_job_stays_known() {
+    let out = Arc::new(AtomicBool::new(true));
+    let node = node(state_service(out.clone()).await).await;
+    let ask = async |id: &str| status(&node, id).await;
+    for id in ["j-1", "j-2", "j-3", "j-4"] {
+        let reply = ask(id).await;
+        assert_eq!((reply.status, reply.retry_after), (503, Some(1)), "{id}: nothing is known yet");
+    }
+    out.store(false, Ordering::Relaxed);
+    let since = Instant::now();
+    while ask("j-1").await.status == 503 {
+        assert!(since.elapsed() < Duration::from_secs(10), "answers soon after the outage");
+        sleep(Duration::from_millis(50)).await;
+    }
+    assert_eq!(ask("j-1").await.status, 200);
+    assert_eq!(ask("j-2").await.status, 200);
+    assert_eq!(ask("j-3").await.status, 503, "a record that cannot be read is no 404");
+    assert_eq!(ask("j-4").await.status, 404);
+    out.store(true, Ordering::Relaxed);
+    let since = Instant::now();
+    assert_eq!(ask("j-2").await.status, 200, "what is final stays final");
+    for id in ["j-1", "j-4"] {
+        assert_eq!(ask(id).await.status, 503, "{id}: it may have changed meanwhile");
+    }
+    assert!(since.elapsed() < Duration::from_secs(4), "refused, not held back");
+    node.stop.cancel();
+}
+
+/// A worker that cannot reach its owner is passed on for a while only.
+#[test]
+fn workers_are_sent_to_their_owner_again_and_again() {
+    let node = crate::scale::node(40, 2);
+    let machine = {
+        let core = node.core();
+        let others = |id: &&Name| core.world.owner_of(id).is_some_and(|o| o.name == "n-1");
+        core.world.machines.keys().find(others).cloned().expect("one of the other's")
+    };
+    let report: Report = wire::decode(&wire::encode(&serde_json::json!({"frame": &*machine, "addr": "a",
+        "shape": "m", "bay": "z", "loaner": false, "stint": 1, "tally": 1, "baton": u64::MAX >> 1,
+        "threads": []})))
+    .expect("a report");
+    let start = Instant::now();
+    let relayed = |s: u64| match take_report(&node, &report, false, start + Duration::from_secs(s)) {
+        Disposal::Relay(owner) => {
+            assert_eq!(owner, "n-1");
+            true
+        }
+        Disposal::Answer(reply) => {
+            assert_eq!(reply.status, 421);
+            false
+        }
+        Disposal::Adopt(_) => unreachable!("its record is there"),
+    };
+    let seen: Vec<bool> = [0, 1, 2, 10, 59, 60, 61, 119, 120].map(relayed).to_vec();
+    assert_eq!(seen, [false, true, true, true, true, false, true, true, false]);
+}
+
+/// A late copy of a report must not bring back a machine that was returned.
+#[tokio::test]
+async fn a_machine_is_recorded_only_if_it_answers_itself() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let addr = listener.local_addr().expect("an address").to_string();
+    let serve = |_| async {
+        Reply::new(
+            200,
+            &serde_json::json!({"frame": "host-2", "addr": "a", "shape": "m", "bay": "z",
+                "loaner": false, "stint": 1, "tally": 1, "baton": 0, "threads": []}),
+        )
+    };
+    let (stop, tasks) = (CancellationToken::new(), TaskTracker::new());
+    let connections = Arc::new(net::Connections::new(64, &[], |_| 0));
+    tokio::spawn(net::serve(listener, connections, 1 << 16, serve, stop, tasks));
+    let node = node("127.0.0.1:1".into()).await;
+    let record = |addr: &str| MachineRecord {
+        addr: addr.into(),
+        machine_type: "m".into(),
+        zone: "z".into(),
+        spot: false,
+        release: false,
+    };
+    assert!(answers(&node, "host-2", &record(&addr)).await);
+    assert!(!answers(&node, "host-1", &record(&addr)).await, "another machine has its address now");
+    assert!(!answers(&node, "host-1", &record("127.0.0.1:1")).await, "nobody is there");
+}
--- a/crates/daemon/src/production.rs
+++ b/crates/daemon/tests/unit/production.rs
@@ -218,7 +218,7 @@
     use wire::JobKind;
 
     fn golden(part: &str) -> Vec<(String, Vec<u8>)> {
-        let text = include_str!("../testdata/production.json");
+        let text = include_str!("../../testdata/production.json");
         let all: serde_json::Value = serde_json::from_str(text).expect("test data");
         let hex = |s: &str| {
             let digit = |i| u8::from_str_radix(&s[i..i + 2], 16).expect("hex");
