Leases go on beyond the bound only by read indexes of all peers

Cause: a controller renewed leases past its bound once every peer said that it had no state service either. Change: while the state service cannot be asked, each peer is asked for its read index, by a path and a type of its own. It answers with what it has read and with all cancelled jobs beyond what the asker knows, as records at their versions; the asker takes them in, stops their tasks, and renews for the bound from when it asked the peer whose answer is the oldest. A process that has not read the records counts only if it was heard of before the last fresh reading; late copies, other processes, newer maps, halves and old versions do not count. Tests: tests/unit/read_index.rs. The test of the bound asserted the unsound rule ("an outage for all"); its replacement asserts that no such word extends the bound, and the extension has tests of its own.

--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -408,9 +408,8 @@
         // The worker has seen nobody of this epoch yet: after a crash of several
         // controllers its lease may be about to end. Any live controller renews
         // it once, with the epoch's first token; the next report is sent on.
-        let bound = node.settings.renewal_bound();
         let token = first_token(epoch);
-        if report.token < token && core.may_renew(&node.me, node.settings.peers.len(), bound, now) {
+        if report.token < token && node.may_renew(core, now) {
             return Disposal::Answer(Reply::new(200, &ReportAnswer { token, commands: Vec::new() }));
         }
         if core.misdirected.len() > 4096 {
@@ -424,8 +423,7 @@
         core.misdirected.insert(machine.clone(), now);
         return Disposal::Answer(elsewhere(Some(owner.name)));
     }
-    let bound = node.settings.renewal_bound();
-    if !core.may_renew(&node.me, node.settings.peers.len(), bound, now) {
+    if !node.may_renew(core, now) {
         return Disposal::Answer(elsewhere(None));
     }
     if !core.world.machines.contains_key(machine.as_str()) {
--- a/crates/daemon/src/gossip.rs
+++ b/crates/daemon/src/gossip.rs
@@ -10,8 +10,9 @@
 use crate::engine;
 use crate::front;
 use crate::node::{Core, Node, PeerView};
+use crate::read_index;
 
-const LARGE: usize = 1 << 20;
+pub(crate) const LARGE: usize = 1 << 20;
 
 pub(crate) fn summary(node: &Node) -> Summary {
     let core = node.core();
@@ -64,12 +65,13 @@
     if rows.len() > world.machines.len() {
         rows.retain(|id, _| world.machines.contains_key(id));
     }
-    core.peers.insert(summary.name.clone(), PeerView { summary, at: Instant::now() });
+    let now = Instant::now();
+    core.read_indexes.heard(&summary.name, summary.incarnation, now);
+    core.peers.insert(summary.name.clone(), PeerView { summary, at: now });
 }
 
 /// Whether a summary is newer than what is known of its sender. A late copy, of an
-/// earlier process too, must not pass for the sender's word of now: that it has no
-/// state service may be all that lets this controller renew leases.
+/// earlier process too, must not pass for the sender's word of now.
 fn newer(core: &Core, summary: &Summary) -> bool {
     let known = core.peers.get(&summary.name).map(|p| &p.summary);
     let member = core.world.members.get(&summary.name).map(|m| m.value.incarnation);
@@ -83,6 +85,7 @@
 /// Tells one peer about this controller's machines, and hears of its own.
 pub async fn tell(node: Node, address: String) {
     loop {
+        read_index::ask(&node, &address).await;
         let body = peer::encode(&Message::Summary(summary(&node)));
         let answer =
             node.http.request(&address, "POST", "/peer", body, LARGE, Duration::from_millis(900)).await;
@@ -122,12 +125,15 @@
 
 /// Serves the peers.
 pub async fn serve(node: Node, request: Request) -> Reply {
-    if request.path != "/peer" {
+    if !matches!(request.path.as_str(), "/peer" | read_index::PATH) {
         return Reply::error(404, "unknown path");
     }
     if request.method != "POST" {
         return Reply::error(405, "POST only");
     }
+    if request.path == read_index::PATH {
+        return read_index::serve(&node, &request.body);
+    }
     let answer = match peer::decode(&request.body) {
         Some(Message::Summary(s)) => {
             take(&node, s);
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -15,6 +15,7 @@
 #[cfg(test)]
 #[path = "../tests/unit/production.rs"]
 mod production;
+mod read_index;
 #[cfg(test)]
 #[path = "../tests/unit/scale.rs"]
 mod scale;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -21,6 +21,7 @@
 use crate::front;
 use crate::limits::{self, Plan, Seen};
 use crate::load::{Counts, Purpose};
+use crate::read_index::ReadIndexes;
 use crate::settings::{Operators, Settings};
 use crate::worker::{Key, Limits, Worker};
 
@@ -138,6 +139,8 @@
     pub rows: HashMap<Name, MachineRow>,
     /// When the last request was sent after which the mirror was known fresh.
     pub fresh_at: Option<Instant>,
+    /// What peers have confirmed to users, while the state service cannot be asked.
+    pub read_indexes: ReadIndexes,
     /// When this process was last seen to run, by a duty that does nothing else.
     pub beat: Instant,
     pub asked: u64,
@@ -188,6 +191,7 @@
             peers: HashMap::new(),
             rows: HashMap::new(),
             fresh_at: None,
+            read_indexes: ReadIndexes::default(),
             beat: now,
             asked: 0,
             lease: None,
@@ -327,6 +331,12 @@
         }
     }
 
+    /// Whether reports may be answered now.
+    pub fn may_renew(&self, core: &Core, now: Instant) -> bool {
+        let peers = self.settings.peers.iter().map(|p| p.node_name.as_str());
+        core.may_renew(&self.me, peers, self.settings.renewal_bound(), now)
+    }
+
     pub fn team(&self, name: &str) -> Option<&Team> {
         self.teams.iter().find(|t| t.name == name)
     }
@@ -491,10 +501,21 @@
         self.in_map(me) && self.world.leader.as_ref().is_some_and(|l| l.value == *me)
     }
 
-    /// Whether reports may be answered, which renews leases. Beyond the bound
-    /// this takes every peer's word that it has no state service either: then
-    /// no cancellation can have been accepted that this controller missed.
-    pub fn may_renew(&self, me: &Member, peers: usize, bound: Duration, now: Instant) -> bool {
+    /// Whether reports may be answered, which renews leases: only for a bounded time after
+    /// the moment up to which this controller surely knows of every cancellation that any
+    /// controller has confirmed to a user. That is its last fresh reading, or, while the
+    /// state service cannot be asked, the earliest of its peers' last read indexes.
+    ///
+    /// It used to renew as long as every peer said that it had no state service either. A
+    /// peer may have confirmed a cancellation after this controller's last reading and
+    /// before the outage: tasks of jobs cancelled then ran on to the outage's end.
+    pub fn may_renew<'a>(
+        &self,
+        me: &Member,
+        peers: impl IntoIterator<Item = &'a str>,
+        bound: Duration,
+        now: Instant,
+    ) -> bool {
         let Some(map) = self.map() else { return false };
         if !self.in_map(me) {
             return false;
@@ -503,13 +524,9 @@
         if self.peers.values().any(ousted) {
             return false;
         }
-        if self.fresh_at.is_some_and(|f| now.saturating_duration_since(f) < bound) {
-            return true;
-        }
-        let out = |p: &&PeerView| {
-            now.saturating_duration_since(p.at) < SUMMARY_FRESH && p.summary.state_silent_ms > 2500
-        };
-        peers > 0 && self.peers.values().filter(out).count() == peers
+        let within = |t: Instant| now.saturating_duration_since(t) < bound;
+        self.fresh_at.is_some_and(within)
+            || peers.into_iter().all(|p| self.read_indexes.vouched_at(p).is_some_and(within))
     }
 
     /// The owner of each machine that a peer has spoken of.
--- /dev/null
+++ b/crates/daemon/src/read_index.rs
@@ -0,0 +1,204 @@
+//! Read indexes: what peers may have confirmed to users that this controller has not read.
+//!
+//! A controller that cannot reach the state service goes on answering reports, and so
+//! renewing leases, only if it surely knows of every cancellation that was confirmed.
+//! Whatever a controller confirms stands in its own copy of the records before. So if
+//! every other controller answers a request with what its copy has beyond this one's, all
+//! that was confirmed before the request was sent is known here.
+//!
+//! - An answer counts from when its request was sent: what is confirmed later, the answer
+//!   to a user already on its way too, has its full time from then on.
+//! - A process that has not read the records since it started has confirmed nothing, but
+//!   its predecessor may have. It counts only if it had been heard of before this
+//!   controller's last fresh reading, which then holds all that the predecessor confirmed.
+//! - A new owner, and whatever it places, comes with a new map: an answer from one who
+//!   knows a newer map does not count. Jobs cancelled through `awaits` were never started.
+//!   A released machine has nothing left to renew.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use net::Reply;
+use peer::{CancelledJob, ReadIndex, ReadIndexRequest};
+use rand::RngExt;
+use sched::records::{JobRecord, Phase};
+use sched::world::{Change, World};
+use tracing::{info, warn};
+
+use crate::gossip::LARGE;
+use crate::node::{Core, Node};
+
+pub const PATH: &str = "/read-index";
+/// After how long without a fresh reading peers are asked.
+const ASK_AFTER: Duration = Duration::from_millis(1800);
+const DEADLINE: Duration = Duration::from_millis(900);
+/// Most bytes of records in an answer.
+const ANSWER_BYTES: usize = 768 << 10;
+/// How many of a controller's processes are remembered.
+const PROCESSES: usize = 16;
+
+#[derive(Default)]
+pub struct ReadIndexes {
+    peers: HashMap<String, PeerIndex>,
+    /// When each process of each controller was first heard of.
+    heard: HashMap<String, Vec<(u64, Instant)>>,
+}
+
+#[derive(Clone, Copy)]
+struct PeerIndex {
+    incarnation: u64,
+    /// All that it knew up to this revision has been taken in.
+    revision: u64,
+    /// When the last request was sent that was answered in full.
+    at: Instant,
+}
+
+impl ReadIndexes {
+    /// Notes that a process has been heard of.
+    pub fn heard(&mut self, name: &str, incarnation: u64, now: Instant) {
+        let list = self.heard.entry(name.to_owned()).or_default();
+        if list.iter().all(|(i, _)| *i != incarnation) {
+            // The oldest may be forgotten: its word then counts for less.
+            if list.len() >= PROCESSES {
+                list.remove(0);
+            }
+            list.push((incarnation, now));
+        }
+    }
+
+    fn first_heard(&self, name: &str, incarnation: u64) -> Option<Instant> {
+        self.heard.get(name)?.iter().find(|(i, _)| *i == incarnation).map(|(_, at)| *at)
+    }
+
+    /// Up to when all that a peer has confirmed to users is known here.
+    pub fn vouched_at(&self, name: &str) -> Option<Instant> {
+        self.peers.get(name).map(|p| p.at)
+    }
+
+    /// Up to which revision all cancellations are known, read here or by a peer that told.
+    fn after(&self, read: u64) -> u64 {
+        self.peers.values().map(|p| p.revision).fold(read, u64::max)
+    }
+}
+
+/// What to ask a peer, if there is need to.
+pub(crate) fn request(core: &Core, nonce: u64, now: Instant) -> Option<ReadIndexRequest> {
+    let fresh = core.fresh_at.is_some_and(|f| now.saturating_duration_since(f) < ASK_AFTER);
+    (core.ready && !fresh)
+        .then(|| ReadIndexRequest { nonce, after: core.read_indexes.after(core.world.revision) })
+}
+
+/// This controller's answer: what it has read, and what it knows of beyond.
+pub(crate) fn answer(node: &Node, core: &Core, request: &ReadIndexRequest) -> ReadIndex {
+    let (cancelled, truncated) = cancelled_after(&core.world, request.after);
+    ReadIndex {
+        nonce: request.nonce,
+        name: node.me.name.clone(),
+        incarnation: node.me.incarnation,
+        epoch: core.map().map_or(0, |m| m.epoch),
+        revision: core.world.revision,
+        cancelled,
+        truncated,
+    }
+}
+
+/// Cancelled jobs with something on a machine. By its record, nothing else of a cancelled
+/// job can be on one, nor be started any more.
+fn cancelled_after(world: &World, after: u64) -> (Vec<CancelledJob>, bool) {
+    let (mut list, mut bytes) = (Vec::new(), 0);
+    for id in &world.open {
+        let Some(job) = world.jobs.get(id) else { continue };
+        if job.version <= after || job.value.phase != Phase::Cancelled {
+            continue;
+        }
+        let record = wire::encode(&*job.value);
+        bytes += record.len() + id.len() + 64;
+        if bytes > ANSWER_BYTES {
+            return (list, true);
+        }
+        list.push(CancelledJob { id: id.clone(), version: job.version, record });
+    }
+    (list, false)
+}
+
+/// Takes in a peer's answer to a request that was sent at a time; true if the peer's word
+/// counts from then on.
+pub(crate) fn take(
+    core: &mut Core,
+    peer: &str,
+    asked: &ReadIndexRequest,
+    index: ReadIndex,
+    sent: Instant,
+    now: Instant,
+) -> bool {
+    if index.nonce != asked.nonce || index.name != peer || !core.ready {
+        return false;
+    }
+    core.read_indexes.heard(peer, index.incarnation, now);
+    let known = core.read_indexes.first_heard(peer, index.incarnation);
+    let before = core.fresh_at.zip(known).is_some_and(|(fresh, heard)| heard <= fresh);
+    let epoch = core.map().map_or(0, |m| m.epoch);
+    let mut whole = !index.truncated && index.epoch <= epoch && (index.revision > 0 || before);
+    let mut learnt = 0;
+    for job in index.cancelled {
+        // The record as it lies in the state service, at its own version: as if the news
+        // of it had come from there.
+        match wire::decode::<JobRecord>(&job.record) {
+            Ok(record) if record.phase == Phase::Cancelled => {
+                let newer = core.world.jobs.get(&job.id).is_none_or(|j| j.version < job.version);
+                if newer {
+                    learnt += 1;
+                    core.world.apply(Change::Job(job.id, Some(Box::new(record))), job.version);
+                }
+            }
+            _ => whole = false,
+        }
+    }
+    if learnt > 0 {
+        info!(peer, jobs = learnt, "cancellations learnt from a peer");
+    }
+    if whole {
+        // Of an earlier process's answers nothing is left to build on.
+        let revision = index.revision;
+        let found = PeerIndex { incarnation: index.incarnation, revision, at: sent };
+        let entry = core.read_indexes.peers.entry(peer.to_owned()).or_insert(found);
+        if entry.incarnation != index.incarnation || sent >= entry.at {
+            *entry = found;
+        }
+    }
+    whole
+}
+
+/// Asks a peer while the state service cannot be asked.
+pub async fn ask(node: &Node, address: &str) {
+    let Some(peer) = node.settings.peers.iter().find(|p| p.address == address) else { return };
+    let sent = Instant::now();
+    let Some(asked) = request(&node.core(), rand::rng().random(), sent) else { return };
+    let body = peer::encode_request(&asked);
+    let Ok(answer) = node.http.request(address, "POST", PATH, body, LARGE, DEADLINE).await else { return };
+    let Some(index) = (answer.status == 200).then(|| peer::decode_index(&answer.body)).flatten() else {
+        // A controller of the version in production knows no such request: for as long as
+        // it is there, leases are renewed within the bound alone.
+        return;
+    };
+    let revision = index.revision;
+    let took = take(&mut node.core(), &peer.node_name, &asked, index, sent, Instant::now());
+    if took {
+        node.kick.notify_one();
+    } else {
+        warn!(peer = peer.node_name, revision, "a peer's word does not count for leases");
+    }
+}
+
+/// Answers a peer's request.
+pub fn serve(node: &Node, body: &[u8]) -> Reply {
+    let Some(request) = peer::decode_request(body) else {
+        return Reply::error(400, "not a request for a read index");
+    };
+    let index = answer(node, &node.core(), &request);
+    Reply { status: 200, body: peer::encode_index(&index), retry_after: None }
+}
+
+#[cfg(test)]
+#[path = "../tests/unit/read_index.rs"]
+mod tests;
--- a/crates/daemon/tests/unit/node.rs
+++ b/crates/daemon/tests/unit/node.rs
@@ -65,9 +65,10 @@
 
 /// A controller that has lost the state service and its peers, but not its
 /// workers, stops renewing leases in time for every cancellation that others
-/// may have given meanwhile.
+/// may have given meanwhile. That its peers say that they have no state service either
+/// changes nothing: they may have confirmed a cancellation just before.
 #[test]
-fn renewal_ends_within_the_bound_unless_nobody_can_cancel() {
+fn renewal_ends_within_the_bound_whatever_peers_say_of_the_state_service() {
     let settings = Settings::parse("example", EXAMPLE).expect("the example is valid");
     let bound = settings.renewal_bound();
     let w = &settings.facts.workers;
@@ -81,7 +82,7 @@
     core.ready = true;
     core.world.apply(Change::Map(Some(MapRecord { epoch: 4, live: vec![me.clone()] })), 1);
     core.fresh_at = Some(start);
-    let renews = |core: &Core, at: Duration| core.may_renew(&me, 1, bound, start + at);
+    let renews = |core: &Core, at: Duration| core.may_renew(&me, ["n-1"], bound, start + at);
     assert!(renews(&core, bound - Duration::from_millis(1)));
     assert!(!renews(&core, bound), "no peer says that it has no state service either");
     let mut hear = |silent_ms, epoch, at| {
@@ -89,7 +90,8 @@
         renews(&core, bound)
     };
     assert!(!hear(100, 4, start + bound), "a peer can still take cancellations");
-    assert!(hear(60_000, 4, start + bound), "an outage for all");
+    assert!(!hear(60_000, 4, start + bound), "an outage for all, as it says, but since when?");
     assert!(!hear(60_000, 4, start), "its word is old");
     assert!(!hear(60_000, 5, start + bound), "there is a newer map");
+    assert!(!core.may_renew(&me, ["n-1"], bound, start), "at any time");
 }
--- /dev/null
+++ b/crates/daemon/tests/unit/read_index.rs
@@ -0,0 +1,238 @@
+use super::*;
+use crate::settings::tests::EXAMPLE;
+use crate::settings::{Operators, Settings};
+use crate::worker::tests::spec;
+use crate::worker::{Worker, first_token};
+use sched::records::*;
+use wire::{Command, JobKind, Report};
+
+const MACHINE: &str = "host-1";
+
+/// One of three controllers, which all know a job with a task on the machine, up to
+/// revision 3. The first one owns it.
+fn node(n: usize, incarnation: u64) -> Node {
+    let mut text = EXAMPLE.replacen("n-0", &format!("n-{n}"), 1);
+    for other in (0..3).filter(|o| *o != n) {
+        text = text.replacen(
+            "[external]",
+            &format!(
+                "[[peers]]\nnode_name = \"n-{other}\"\naddress = \"127.0.0.1:{}\"\n[external]",
+                3 + other
+            ),
+            1,
+        );
+    }
+    let settings = Settings::parse("example", &text).expect("valid");
+    Node::new(settings, Operators::default(), incarnation)
+}
+
+fn read(node: &Node) {
+    let mut core = node.core();
+    let live = vec![Member { name: "n-0".into(), zone: "a".into(), incarnation: 1 }];
+    core.world.apply(Change::Map(Some(MapRecord { epoch: 4, live })), 1);
+    let machine = MachineRecord {
+        addr: "a".into(),
+        machine_type: "m".into(),
+        zone: "a".into(),
+        spot: false,
+        release: false,
+    };
+    core.world.apply(Change::Machine(MACHINE.into(), Some(machine)), 2);
+    for id in ["j-1", "j-2"] {
+        let mut job = JobRecord::new(spec(id, JobKind::Service), None, 0);
+        job.run = vec![Assignment { task: 0, attempt: 1, machine: MACHINE.into(), want: Want::Run }];
+        core.world.apply(Change::Job(id.into(), Some(Box::new(job))), 3);
+    }
+    core.world.revision = 3;
+    core.ready = true;
+}
+
+/// What a controller does when it confirms a cancellation to a user.
+fn confirm(node: &Node, id: &str, revision: u64) {
+    let mut core = node.core();
+    let mut record = core.world.jobs[id].value.clone();
+    record.phase = Phase::Cancelled;
+    record.shrink();
+    core.world.apply(Change::Job(id.into(), Some(record)), revision);
+}
+
+/// One question and its answer between two controllers; whether its word counts.
+fn exchange(asker: &Node, of: &Node, at: Instant) -> bool {
+    let mut core = asker.core();
+    let Some(asked) = request(&core, 77, at) else { return false };
+    let bytes = peer::encode_index(&answer(of, &of.core(), &asked));
+    let index = peer::decode_index(&bytes).expect("an answer");
+    take(&mut core, &of.me.name, &asked, index, at, at)
+}
+
+fn three() -> [Node; 3] {
+    let all = [node(0, 1), node(1, 2), node(2, 3)];
+    all.iter().for_each(read);
+    all
+}
+
+/// The state service refuses the leader alone; another controller confirms a
+/// cancellation; then it is out for all, and workers go on reporting to the leader. Before
+/// leases are renewed beyond the bound, the leader has learnt of the cancellation and
+/// stops its task; everything else goes on.
+#[test]
+fn a_cancellation_confirmed_while_the_leader_was_refused_reaches_it_in_the_outage() {
+    let [leader, other, third] = three();
+    let start = Instant::now();
+    let bound = leader.settings.renewal_bound();
+    leader.core().fresh_at = Some(start);
+    let mut worker = Worker::new("a".into(), 4, start);
+    let list = serde_json::json!([{"thread": "j-1/0", "try": 1, "status": "running"},
+        {"thread": "j-2/0", "try": 1, "status": "running"}]);
+    let report = serde_json::json!({"frame": MACHINE, "addr": "a", "shape": "m", "bay": "a", "loaner": false,
+        "stint": 1, "tally": 1, "baton": first_token(4), "threads": list});
+    worker.ingest(wire::decode::<Report>(&wire::encode(&report)).expect("a report"), true, start);
+    confirm(&other, "j-1", 4);
+    let late = start + bound + Duration::from_secs(20);
+    let renews = |at: Instant| leader.may_renew(&leader.core(), at);
+    assert!(renews(start + Duration::from_secs(2)) && !renews(late), "nobody has been asked");
+    assert!(exchange(&leader, &third, late) && !renews(late), "all of them have to answer");
+    assert!(exchange(&leader, &other, late) && renews(late));
+    let core = leader.core();
+    let limits = leader.worker_limits(core.fresh_at);
+    let plan = worker.reconcile(MACHINE, &core.world, &limits, late);
+    let stop = Command::Stop { task: "j-1/0".into(), attempt: 1, grace_s: 0.0 };
+    assert_eq!((plan.commands, plan.ends), (vec![stop], vec![]), "the cancelled one, and only that");
+    // What it can write later is conditional on the version that it learnt.
+    assert_eq!(core.world.jobs["j-1"].version, 4);
+}
+
+/// In a long outage in which nothing was cancelled no lease is lost, as long as all answer;
+/// each answer carries on for the bound from when it was asked for.
+#[test]
+fn leases_go_on_through_a_long_outage_while_every_peer_answers() {
+    let [leader, other, third] = three();
+    let start = Instant::now();
+    let bound = leader.settings.renewal_bound();
+    leader.core().fresh_at = Some(start);
+    for s in (2..600).step_by(2) {
+        let now = start + Duration::from_secs(s);
+        assert!(exchange(&leader, &other, now) && exchange(&leader, &third, now));
+        assert!(leader.may_renew(&leader.core(), now), "{s} s");
+    }
+    let last = start + Duration::from_secs(598);
+    assert!(leader.may_renew(&leader.core(), last + bound - Duration::from_millis(1)));
+    assert!(!leader.may_renew(&leader.core(), last + bound), "one that falls silent ends it");
+    // With the state service there is nothing to ask.
+    leader.core().fresh_at = Some(last);
+    assert!(request(&leader.core(), 1, last + Duration::from_secs(1)).is_none());
+}
+
+/// The answer to a user was on its way when the peer answered: it is confirmed later than
+/// asked, so that its time has not begun before. Its next answer tells of it.
+#[test]
+fn an_answer_to_a_user_in_flight_counts_from_the_question_and_comes_with_the_next_answer() {
+    let [leader, other, third] = three();
+    let start = Instant::now();
+    let bound = leader.settings.renewal_bound();
+    leader.core().fresh_at = Some(start);
+    let asked = start + Duration::from_secs(3);
+    assert!(exchange(&leader, &other, asked) && exchange(&leader, &third, asked + Duration::from_secs(9)));
+    confirm(&other, "j-1", 4);
+    assert!(!leader.may_renew(&leader.core(), asked + bound), "the earliest counts");
+    let phase = || leader.core().world.jobs["j-1"].value.phase;
+    assert_eq!(phase(), Phase::Active);
+    assert!(exchange(&leader, &other, asked + bound));
+    assert_eq!(phase(), Phase::Cancelled);
+    // Learnt by the third from the leader, not read: it passes that on as well.
+    assert!(exchange(&third, &leader, asked + bound));
+    assert_eq!(third.core().world.jobs["j-1"].value.phase, Phase::Cancelled);
+}
+
+/// A process that came back has forgotten what its predecessor confirmed.
+#[test]
+fn a_peer_that_ended_and_came_back_counts_only_for_what_it_can_know() {
+    let [leader, _, third] = three();
+    let start = Instant::now();
+    let bound = leader.settings.renewal_bound();
+    leader.core().fresh_at = Some(start);
+    let late = start + bound;
+    assert!(exchange(&leader, &third, late));
+    // Back after this controller's last reading: its predecessor may have confirmed more.
+    let back = node(1, 9);
+    assert!(!exchange(&leader, &back, late) && !leader.may_renew(&leader.core(), late));
+    // The same process, heard of before the last reading: whatever was confirmed before it
+    // began was read, and it has confirmed nothing.
+    let at = late + Duration::from_secs(1);
+    leader.core().fresh_at = Some(at);
+    let later = at + bound;
+    assert!(exchange(&leader, &third, later));
+    assert!(exchange(&leader, &back, later) && leader.may_renew(&leader.core(), later));
+    // It has read the records: it knows all that its predecessors confirmed.
+    let [.., read] = [node(1, 10), node(1, 11)];
+    super::tests::read(&read);
+    assert!(exchange(&leader, &read, later));
+}
+
+/// What says nothing of the peer's present knowledge does not count.
+#[test]
+fn late_copies_other_processes_newer_maps_and_halves_do_not_count() {
+    let [leader, other, third] = three();
+    let start = Instant::now();
+    leader.core().fresh_at = Some(start);
+    let late = start + leader.settings.renewal_bound();
+    assert!(exchange(&leader, &third, late));
+    confirm(&other, "j-1", 4);
+    let mut core = leader.core();
+    let asked = request(&core, 5, late).expect("there is need");
+    let whole = answer(&other, &other.core(), &asked);
+    let broken = CancelledJob { record: vec![0xc1], ..whole.cancelled[0].clone() };
+    let cases = [
+        ReadIndex { nonce: 4, ..whole.clone() },
+        ReadIndex { name: "n-2".into(), ..whole.clone() },
+        ReadIndex { epoch: 5, ..whole.clone() },
+        ReadIndex { truncated: true, ..whole.clone() },
+        ReadIndex { revision: 0, ..whole.clone() },
+        ReadIndex { cancelled: vec![broken], ..whole.clone() },
+    ];
+    for (n, index) in cases.into_iter().enumerate() {
+        assert!(!take(&mut core, "n-1", &asked, index, late, late), "case {n}");
+        assert!(!leader.may_renew(&core, late), "case {n}");
+    }
+    assert!(take(&mut core, "n-1", &asked, whole, late, late) && leader.may_renew(&core, late));
+    // An older reading of its own does not bring back what was learnt.
+    let old = JobRecord::new(spec("j-1", JobKind::Service), None, 0);
+    core.world.apply(Change::Job("j-1".into(), Some(Box::new(old))), 3);
+    assert_eq!(core.world.jobs["j-1"].value.phase, Phase::Cancelled);
+}
+
+/// Far more cancelled at once than an answer holds: leases go rather than tasks stay.
+#[test]
+fn an_answer_has_a_size() {
+    let [_, other, _] = three();
+    let mut core = other.core();
+    for n in 0..4000 {
+        let mut job = JobRecord::new(spec(&format!("j-{}", 1000 + n), JobKind::Array), None, 0);
+        job.phase = Phase::Cancelled;
+        job.run = vec![Assignment { task: 0, attempt: 1, machine: MACHINE.into(), want: Want::Run }];
+        core.world.apply(Change::Job(format!("j-{}", 1000 + n), Some(Box::new(job))), 9);
+    }
+    let index = answer(&other, &core, &ReadIndexRequest { nonce: 1, after: 3 });
+    assert!(index.truncated && index.cancelled.len() > 100);
+    assert!(peer::encode_index(&index).len() < LARGE);
+    let none = answer(&other, &core, &ReadIndexRequest { nonce: 1, after: 9 });
+    assert!(!none.truncated && none.cancelled.is_empty());
+}
+
+/// Over HTTP; a controller of the version in production answers 404.
+#[tokio::test]
+async fn controllers_ask_each_other_over_their_own_path() {
+    use net::Request;
+    let [_, other, _] = three();
+    confirm(&other, "j-1", 4);
+    let post = |path: &str, body: Vec<u8>| {
+        let request = Request { method: "POST".into(), path: path.into(), body: body.into() };
+        crate::gossip::serve(other.clone(), request)
+    };
+    let asked = peer::encode_request(&ReadIndexRequest { nonce: 8, after: 3 });
+    let reply = post(PATH, asked.clone()).await;
+    let index = peer::decode_index(&reply.body).expect("an index");
+    assert_eq!((reply.status, index.nonce, index.cancelled.len()), (200, 8, 1));
+    assert_eq!(post(PATH, vec![1, 2, 3]).await.status, 400);
+    assert_eq!(post("/read-indexes", asked).await.status, 404);
+}
--- a/crates/daemon/tests/unit/sim.rs
+++ b/crates/daemon/tests/unit/sim.rs
@@ -27,7 +27,7 @@
 use crate::node::Node;
 use crate::production;
 use crate::settings::tests::EXAMPLE;
-use crate::settings::{NextState, Operators, Settings};
+use crate::settings::{NextState, Operators, Peer, Settings};
 use crate::worker::tests::spec;
 
 const STEP: Duration = Duration::from_millis(100);
@@ -269,6 +269,12 @@
     fn node(n: usize, incarnation: u64, sabotage: Sabotage, old: bool) -> Node {
         let mut settings = Settings::parse("example", EXAMPLE).expect("the example is valid");
         settings.node_name = format!("n-{n}");
+        // The others: their word is never asked for here, so that leases are renewed within
+        // the bound alone.
+        settings.peers = (0..CONTROLLERS)
+            .filter(|o| *o != n)
+            .map(|o| Peer { node_name: format!("n-{o}"), address: format!("127.0.0.1:{}", 100 + o) })
+            .collect();
         settings.zone = if n.is_multiple_of(2) { "z" } else { "y" }.into();
         if !old && sabotage != Sabotage::Sizes {
             let (value_kb, txn_ops) = (Some(NEXT_KB), Some(NEXT_OPS));
@@ -608,7 +614,7 @@
         let mut core = node.core();
         let core = &mut *core;
         let mine = core.world.owner_of(&id(m)).is_some_and(|o| *o == node.me);
-        if !mine || !core.may_renew(&node.me, 0, node.settings.renewal_bound(), now) {
+        if !mine || !node.may_renew(core, now) {
             return None;
         }
         let worker = core.workers.get_mut(id(m).as_str()).filter(|w| !w.overtaken_by(&report))?;
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -75,15 +75,74 @@
     },
 }
 
+/// Asks a controller for its read index: whether there are cancellations that it may have
+/// confirmed to users and that the sender has not read. It has a path and a type of its
+/// own, as controllers of the version in production know neither.
+#[derive(Debug, Clone, PartialEq, Archive, Serialize, Deserialize)]
+pub struct ReadIndexRequest {
+    /// Names this request, so that a late copy of another's answer does not pass for its own.
+    pub nonce: u64,
+    /// The revision up to which the sender knows of all cancellations.
+    pub after: u64,
+}
+
+/// What its sender had read or learnt when it answered. Whatever it confirms to a user
+/// stands in its copy of the records before.
+#[derive(Debug, Clone, PartialEq, Archive, Serialize, Deserialize)]
+pub struct ReadIndex {
+    pub nonce: u64,
+    pub name: String,
+    pub incarnation: u64,
+    /// Epoch of the newest map it knows.
+    pub epoch: u64,
+    /// The revision up to which it has read everything; 0 if it has not read the records
+    /// since it started.
+    pub revision: u64,
+    /// All cancelled jobs that it knows of with something on a machine by their records,
+    /// changed after the revision that was asked for.
+    pub cancelled: Vec<CancelledJob>,
+    /// There are more than an answer holds.
+    pub truncated: bool,
+}
+
+#[derive(Debug, Clone, PartialEq, Archive, Serialize, Deserialize)]
+pub struct CancelledJob {
+    pub id: String,
+    /// The revision at which its record last changed.
+    pub version: u64,
+    /// The record as it lies in the state service (MessagePack).
+    pub record: Vec<u8>,
+}
+
+pub fn encode_request(request: &ReadIndexRequest) -> Vec<u8> {
+    rkyv::to_bytes::<rancor::Error>(request).map(|b| b.to_vec()).unwrap_or_default()
+}
+
+pub fn decode_request(bytes: &[u8]) -> Option<ReadIndexRequest> {
+    rkyv::from_bytes::<ReadIndexRequest, rancor::Error>(&aligned(bytes)).ok()
+}
+
+pub fn encode_index(index: &ReadIndex) -> Vec<u8> {
+    rkyv::to_bytes::<rancor::Error>(index).map(|b| b.to_vec()).unwrap_or_default()
+}
+
+pub fn decode_index(bytes: &[u8]) -> Option<ReadIndex> {
+    rkyv::from_bytes::<ReadIndex, rancor::Error>(&aligned(bytes)).ok()
+}
+
 pub fn encode(message: &Message) -> Vec<u8> {
     rkyv::to_bytes::<rancor::Error>(message).map(|b| b.to_vec()).unwrap_or_default()
 }
 
 /// Checks and reads a message; None if it is not one.
 pub fn decode(bytes: &[u8]) -> Option<Message> {
-    let mut aligned = rkyv::util::AlignedVec::<16>::with_capacity(bytes.len());
+    rkyv::from_bytes::<Message, rancor::Error>(&aligned(bytes)).ok()
+}
+
+fn aligned(bytes: &[u8]) -> rkyv::util::AlignedVec<16> {
+    let mut aligned = rkyv::util::AlignedVec::with_capacity(bytes.len());
     aligned.extend_from_slice(bytes);
-    rkyv::from_bytes::<Message, rancor::Error>(&aligned).ok()
+    aligned
 }
 
 #[cfg(test)]
