An answer that renews a lease stops what is cancelled with the same word

Cause: an owner went on renewing a worker's lease while the stops of a cancelled task did not reach it: answers had no commands while a request was on its way (2.5 s of every 3 to 5), and other controllers renew once in each epoch, without commands. Both could go on for longer than cancel_s: in the tests for 44 s and on, with no end. Change: every answer of the owner that renews has the stops of all tasks of cancelled jobs that the worker is known to have, whatever is on its way; others do not renew a lease, nor adopt a machine, with such a task in its report. So what keeps a lease alive ends those tasks.

--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -626,20 +626,20 @@
                 None
             }
         };
-        {
-            let mut core = node.core();
-            if let Some(w) = core.workers.get_mut(&machine) {
-                let now = Instant::now();
-                w.finish(token, report.is_some(), now);
-                if let Some(report) = report {
-                    w.ingest(report, false, now);
-                }
-            }
-        }
+        answered(&mut node.core(), &machine, token, report, Instant::now());
         node.kick.notify_one();
     });
 }
 
+/// Takes in what became of commands: the report that answers them, if any.
+pub(crate) fn answered(core: &mut Core, machine: &str, token: u64, report: Option<Report>, now: Instant) {
+    let Some(w) = core.workers.get_mut(machine) else { return };
+    w.finish(token, report.is_some(), now);
+    if let Some(report) = report {
+        w.ingest(report, false, now);
+    }
+}
+
 /// Notices when the process has stood still.
 pub async fn pulse(node: Node) {
     loop {
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -17,7 +17,7 @@
 use crate::load::{Counts, Purpose, few};
 use crate::node::{Core, Node, View, wall_ms};
 use crate::placer;
-use crate::worker::{Worker, first_token};
+use crate::worker::{Worker, final_stops, first_token};
 
 pub async fn serve(node: Node, request: Request) -> Reply {
     let path = request.path.split('?').next().unwrap_or_default();
@@ -353,7 +353,7 @@
 }
 
 /// What becomes of a report.
-enum Disposal {
+pub(crate) enum Disposal {
     Answer(Reply),
     /// The machine's owner cannot reach it, perhaps: pass the report on.
     Relay(String),
@@ -391,7 +391,7 @@
 /// better part of a lease: this is longer than such cuts mostly last.
 const RELAY_FOR: Duration = Duration::from_secs(60);
 
-fn take_report(node: &Node, report: &Report, relayed: bool, now: Instant) -> Disposal {
+pub(crate) fn take_report(node: &Node, report: &Report, relayed: bool, now: Instant) -> Disposal {
     let machine = &report.machine;
     let mut guard = node.core();
     let core = &mut *guard;
@@ -401,6 +401,9 @@
         return Disposal::Answer(elsewhere(None));
     };
     let epoch = map.epoch;
+    // Only the owner can renew the lease of a worker that has to stop something: the
+    // answers of others have no commands.
+    let must_stop = !final_stops(&report.tasks, &core.world).is_empty();
     if owner != node.me {
         if relayed || owner.name == node.me.name {
             return Disposal::Answer(elsewhere(None));
@@ -410,7 +413,8 @@
         // it once, with the epoch's first token; the next report is sent on.
         let bound = node.settings.renewal_bound();
         let token = first_token(epoch);
-        if report.token < token && core.may_renew(&node.me, node.settings.peers.len(), bound, now) {
+        let may_renew = !must_stop && report.token < token;
+        if may_renew && core.may_renew(&node.me, node.settings.peers.len(), bound, now) {
             return Disposal::Answer(Reply::new(200, &ReportAnswer { token, commands: Vec::new() }));
         }
         if core.misdirected.len() > 4096 {
@@ -429,7 +433,7 @@
         return Disposal::Answer(elsewhere(None));
     }
     if !core.world.machines.contains_key(machine.as_str()) {
-        return Disposal::Adopt(epoch);
+        return if must_stop { Disposal::Answer(elsewhere(None)) } else { Disposal::Adopt(epoch) };
     }
     let limits = node.worker_limits(core.fresh_at);
     let worker = core
@@ -441,10 +445,13 @@
         return Disposal::Answer(elsewhere(None));
     }
     let news = worker.ingest(report.clone(), true, now);
-    // A copy of an older report gets no commands; it may still be the one that
+    // A copy of an older report gets nothing new to do; it may still be the one that
     // the worker waits to have answered.
     worker.renew(now);
-    let commands = if news { worker.answer(machine, &core.world, &limits, now) } else { Vec::new() };
+    let commands = match news {
+        true => worker.answer(machine, &core.world, &limits, now),
+        false => worker.final_stops(&core.world),
+    };
     let answer = ReportAnswer { token: worker.token(), commands };
     if worker.due(now) {
         node.kick.notify_one();
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,6 +7,9 @@
 mod gossip;
 mod limits;
 mod load;
+#[cfg(test)]
+#[path = "../tests/unit/meetings_machines.rs"]
+mod meetings_machines;
 mod node;
 #[cfg(test)]
 #[path = "../tests/unit/pipelines.rs"]
--- a/crates/daemon/src/worker.rs
+++ b/crates/daemon/src/worker.rs
@@ -10,7 +10,7 @@
 
 use sched::records::{End, Phase};
 use sched::world::World;
-use wire::{Cause, Command, Report, TaskReport, TaskState};
+use wire::{Cause, Command, JobState, Report, TaskReport, TaskState};
 
 /// Job, task and attempt.
 pub type Key = (String, u32, u64);
@@ -431,13 +431,21 @@
         silent.max(deaf)
     }
 
+    /// What every answer has to say that renews the worker's lease.
+    pub fn final_stops(&self, world: &World) -> Vec<Command> {
+        final_stops(&self.tasks, world)
+    }
+
     /// The commands that go with the answer to a report: launches and stops.
     /// Clears never do, as they need a token above every launch.
     pub fn answer(&mut self, machine: &str, world: &World, limits: &Limits, now: Instant) -> Vec<Command> {
+        let stops = self.final_stops(world);
         if self.in_flight.is_some() || !self.due(now) {
-            return Vec::new();
+            return stops;
         }
-        let mut commands = self.reconcile(machine, world, limits, now).commands;
+        let rest = self.reconcile(machine, world, limits, now).commands;
+        let mut commands = stops;
+        commands.extend(rest.into_iter().filter(|c| !commands.contains(c)).collect::<Vec<_>>());
         commands.retain(|c| !matches!(c, Command::Forget { .. }));
         self.offered |= commands.iter().any(|c| matches!(c, Command::Start { .. }));
         // The ends that it found are for the next round.
@@ -446,6 +454,19 @@
     }
 }
 
+/// Stops for the tasks of cancelled jobs. Whoever renews a worker's lease sends them with
+/// the same answer, or does not renew it: a task that went on after its cancellation would
+/// else be kept alive by one answer after the other, while the requests that are to stop
+/// it are lost, or one of them is not answered yet.
+pub fn final_stops(tasks: &[TaskReport], world: &World) -> Vec<Command> {
+    let cancelled = |t: &&TaskReport| {
+        let state = t.parts().and_then(|(job, _)| world.state_of(job));
+        t.state != TaskState::Exited && state == Some(JobState::Cancelled)
+    };
+    let stop = |t: &TaskReport| Command::Stop { task: t.task.clone(), attempt: t.attempt, grace_s: 0.0 };
+    tasks.iter().filter(cancelled).map(stop).collect()
+}
+
 fn end_of(cause: Option<Cause>) -> End {
     match cause {
         Some(Cause::Done) => End::Done,
--- /dev/null
+++ b/crates/daemon/tests/unit/meetings_machines.rs
@@ -0,0 +1,392 @@
+//! Meetings of two troubles on the machines' side, on a clock of their own: controllers
+//! with their real decisions and answers, a scripted state service, and workers as the
+//! protocol describes them. Each test brings one meeting about, by its script alone.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::{Duration, Instant};
+
+use sched::records::*;
+use store::{Put, decode_change, key};
+use wire::{
+    Cause, Command, Commands, Condition, JobKind, JobSpec, MachineType, Report, ReportAnswer, TaskReport,
+    TaskState,
+};
+
+use crate::engine;
+use crate::front::{Disposal, take_report};
+use crate::node::Node;
+use crate::settings::tests::EXAMPLE;
+use crate::settings::{Operators, Settings};
+use crate::worker::tests::spec;
+
+/// As the example settings have them.
+const LEASE: Duration = Duration::from_secs(24);
+const CANCEL: Duration = Duration::from_secs(44);
+
+fn secs(s: f64) -> Duration {
+    Duration::from_secs_f64(s)
+}
+
+/// Controllers and the state service.
+struct Site {
+    nodes: Vec<Node>,
+    keys: HashMap<String, u64>,
+    log: Vec<(u64, Put)>,
+    /// How much of the log each controller's mirror has.
+    seen: Vec<usize>,
+    epoch: u64,
+    now: Instant,
+}
+
+impl Site {
+    /// All controllers are live, the first leads; the machines have eight CPUs each.
+    fn new(controllers: usize, machines: &[(&str, &str)]) -> Self {
+        let node = |n: usize| {
+            let mut settings = Settings::parse("example", EXAMPLE).expect("the example is valid");
+            settings.node_name = format!("n-{n}");
+            Node::new(settings, Operators::default(), 100 + n as u64)
+        };
+        let mut site = Self {
+            nodes: (0..controllers).map(node).collect(),
+            keys: HashMap::new(),
+            log: Vec::new(),
+            seen: vec![0; controllers],
+            epoch: 0,
+            now: Instant::now(),
+        };
+        let kind = MachineType {
+            name: "m".into(),
+            cpus: 8.0,
+            gpus: 0.0,
+            memory_gb: 64.0,
+            cache_gb: 50.0,
+            fetch_gb_per_s: 1.0,
+            price: 1.0,
+            spot_price: 0.5,
+            boot_s: 30.0,
+            zones: vec!["a".into(), "b".into()],
+        };
+        site.put(vec![Put::new(key::TYPES.into(), &TypesRecord { types: vec![kind] })]);
+        for (id, zone) in machines {
+            site.record(id, zone);
+        }
+        site.map(&(0..controllers).collect::<Vec<_>>());
+        (0..controllers).for_each(|n| site.read(n));
+        site
+    }
+
+    fn record(&mut self, id: &str, zone: &str) {
+        let record = MachineRecord {
+            addr: id.into(),
+            machine_type: "m".into(),
+            zone: zone.into(),
+            spot: false,
+            release: false,
+        };
+        self.put(vec![Put::new(key::machine(id), &record)]);
+    }
+
+    fn txn(&mut self, conditions: &[Condition], puts: Vec<Put>) -> bool {
+        if conditions.iter().any(|c| self.keys.get(&c.key).copied().unwrap_or(0) != c.version) {
+            return false;
+        }
+        let revision = self.log.last().map_or(1, |l| l.0 + 1);
+        for put in puts {
+            match put.value {
+                Some(_) => self.keys.insert(put.key.clone(), revision),
+                None => self.keys.remove(&put.key),
+            };
+            self.log.push((revision, put));
+        }
+        true
+    }
+
+    fn put(&mut self, puts: Vec<Put>) {
+        assert!(self.txn(&[], puts));
+    }
+
+    /// A new map of these controllers, of which the first leads.
+    fn map(&mut self, live: &[usize]) {
+        self.epoch += 1;
+        let live: Vec<Member> = live.iter().map(|n| self.nodes[*n].me.clone()).collect();
+        self.put(vec![
+            Put::new(key::LEADER.into(), &live[0]),
+            Put::new(key::MAP.into(), &MapRecord { epoch: self.epoch, live }),
+        ]);
+    }
+
+    /// A controller reads all changes.
+    fn read(&mut self, n: usize) {
+        let mut core = self.nodes[n].core();
+        for (revision, put) in &self.log[self.seen[n]..] {
+            let (change, bad) = decode_change(&put.key, put.value.clone());
+            assert!(!bad, "{}", put.key);
+            core.world.apply(change, *revision);
+            core.world.revision = *revision;
+        }
+        self.seen[n] = self.log.len();
+        (core.ready, core.fresh_at, core.beat) = (true, Some(self.now), self.now);
+    }
+
+    /// A round of decisions: it is committed if nothing changed meanwhile, and told
+    /// which commands to send.
+    fn round(&mut self, n: usize) -> Vec<(Name, Commands)> {
+        let (sends, conditions, puts) = {
+            let node = &self.nodes[n];
+            let mut core = node.core();
+            let Some(round) = engine::decide(node, &mut core, false, 16, self.now, 1_000_000) else {
+                return Vec::new();
+            };
+            let assembled = engine::assemble(&core.world, &round, &node.plan(), usize::MAX);
+            (round.sends, assembled.conditions, assembled.puts)
+        };
+        self.txn(&conditions, puts);
+        sends.into_iter().map(|(machine, _, commands)| (machine, commands)).collect()
+    }
+
+    /// A worker's report arrives: the answer with which it stays, if it gets one.
+    fn report(&mut self, n: usize, report: &Report) -> Option<ReportAnswer> {
+        match take_report(&self.nodes[n], report, false, self.now) {
+            Disposal::Answer(reply) if reply.status == 200 => wire::decode(&reply.body).ok(),
+            _ => None,
+        }
+    }
+
+    fn answered(&mut self, n: usize, machine: &str, commands: &Commands, report: Option<Report>) {
+        engine::answered(&mut self.nodes[n].core(), machine, commands.token, report, self.now);
+    }
+
+    fn job(&self, id: &str) -> Box<JobRecord> {
+        let put = self.log.iter().rfind(|(_, p)| p.key == key::job(id)).map(|(_, p)| p);
+        let (change, _) = decode_change(&key::job(id), put.and_then(|p| p.value.clone()));
+        match change {
+            sched::world::Change::Job(_, Some(job)) => job,
+            other => unreachable!("{other:?}"),
+        }
+    }
+
+    /// Some controller cancels a job.
+    fn cancel(&mut self, id: &str) {
+        let mut job = self.job(id);
+        job.phase = Phase::Cancelled;
+        job.shrink();
+        self.put(vec![Put::new(key::job(id), &job)]);
+    }
+
+    /// The record says that these tasks are on these machines.
+    fn assign(&mut self, spec: JobSpec, run: &[(u32, u64, &str)]) {
+        let mut job = JobRecord::new(spec.clone(), None, 1000);
+        job.attempt = run.iter().map(|r| r.1).max().unwrap_or(0);
+        job.run = run
+            .iter()
+            .map(|(task, attempt, machine)| Assignment {
+                task: *task,
+                attempt: *attempt,
+                machine: (*machine).into(),
+                want: Want::Run,
+            })
+            .collect();
+        self.put(vec![Put::new(key::job(&spec.id), &job)]);
+    }
+
+    fn wait(&mut self, s: f64) {
+        self.now += secs(s);
+    }
+
+    /// The worker reports to a controller and hears the answer.
+    fn meet(&mut self, n: usize, host: &mut Host) {
+        host.live(self.now);
+        let answer = self.report(n, &host.report());
+        host.hear(self.now, answer);
+    }
+
+    /// A round whose commands reach the worker, and whose answers come back.
+    fn command(&mut self, n: usize, host: &mut Host) -> Vec<Command> {
+        let mut sent = Vec::new();
+        for (machine, commands) in self.round(n) {
+            if *machine == *host.id {
+                let report = host.execute(&commands, self.now);
+                self.answered(n, &machine, &commands, Some(report));
+                sent.extend(commands.commands);
+            }
+        }
+        sent
+    }
+}
+
+/// A worker as the protocol has it.
+struct Host {
+    id: &'static str,
+    zone: &'static str,
+    session: u64,
+    seq: u64,
+    token: u64,
+    /// When the last answered report was sent, or the session began.
+    renewed: Instant,
+    tasks: BTreeMap<(String, u64), (TaskState, Option<Cause>)>,
+}
+
+impl Host {
+    fn new(id: &'static str, zone: &'static str, now: Instant) -> Self {
+        Self { id, zone, session: 1, seq: 0, token: 0, renewed: now, tasks: BTreeMap::new() }
+    }
+
+    /// The lease ends: everything is killed and forgotten.
+    fn live(&mut self, now: Instant) {
+        if now.saturating_duration_since(self.renewed) > LEASE {
+            self.session += 1;
+            self.renewed = now;
+            self.tasks.clear();
+        }
+    }
+
+    fn report(&mut self) -> Report {
+        self.seq += 1;
+        let tasks = self.tasks.iter().map(|((task, attempt), (state, cause))| TaskReport {
+            task: task.clone(),
+            attempt: *attempt,
+            state: *state,
+            cause: *cause,
+            saved: None,
+        });
+        Report {
+            machine: self.id.into(),
+            addr: self.id.into(),
+            machine_type: "m".into(),
+            zone: self.zone.into(),
+            spot: false,
+            session: self.session,
+            seq: self.seq,
+            token: self.token,
+            notice_s: None,
+            tasks: tasks.collect(),
+        }
+    }
+
+    /// The answer to a report that was sent at this time.
+    fn hear(&mut self, sent: Instant, answer: Option<ReportAnswer>) {
+        let Some(answer) = answer.filter(|a| a.token >= self.token) else { return };
+        (self.token, self.renewed) = (answer.token, sent);
+        self.obey(&answer.commands);
+    }
+
+    /// A request to the machine itself.
+    fn execute(&mut self, commands: &Commands, now: Instant) -> Report {
+        self.live(now);
+        if commands.token >= self.token && commands.session == self.session {
+            self.token = commands.token;
+            self.obey(&commands.commands);
+        }
+        self.report()
+    }
+
+    fn obey(&mut self, commands: &[Command]) {
+        for command in commands {
+            match command {
+                Command::Start { task, attempt } => {
+                    let start = (TaskState::Running, None);
+                    self.tasks.entry((task.clone(), *attempt)).or_insert(start);
+                }
+                Command::Stop { task, attempt, .. } => self.end(task, *attempt, Cause::Stopped),
+                Command::Forget { task, attempt } => {
+                    let exited = |s: &(TaskState, Option<Cause>)| s.0 == TaskState::Exited;
+                    let key = (task.clone(), *attempt);
+                    if self.tasks.get(&key).is_some_and(exited) {
+                        self.tasks.remove(&key);
+                    }
+                }
+            }
+        }
+    }
+
+    fn end(&mut self, task: &str, attempt: u64, cause: Cause) {
+        if let Some(state) = self.tasks.get_mut(&(task.to_owned(), attempt))
+            && state.0 != TaskState::Exited
+        {
+            *state = (TaskState::Exited, Some(cause));
+        }
+    }
+
+    fn runs(&self, task: &str) -> bool {
+        self.tasks.iter().any(|((t, _), (state, _))| t == task && *state != TaskState::Exited)
+    }
+}
+
+/// A task runs on a worker of the only controller, as its record says.
+fn running(controllers: usize) -> (Site, Host) {
+    let mut site = Site::new(controllers, &[("host-1", "a")]);
+    let mut host = Host::new("host-1", "a", site.now);
+    site.assign(spec("j-1", JobKind::Array), &[(0, 1, "host-1")]);
+    let owner = owner(&site);
+    site.read(owner);
+    site.meet(owner, &mut host);
+    site.meet(owner, &mut host);
+    site.command(owner, &mut host);
+    assert!(host.runs("j-1/0"));
+    (site, host)
+}
+
+/// The controller that owns the first machine by the newest map.
+fn owner(site: &Site) -> usize {
+    let put = site.log.iter().rfind(|(_, p)| p.key == key::MAP).map(|(_, p)| p.clone());
+    let put = put.expect("a map");
+    let (sched::world::Change::Map(Some(map)), false) = decode_change(&put.key, put.value) else {
+        unreachable!("a map")
+    };
+    let owner = map.owner("host-1", "a").expect("an owner").name.clone();
+    site.nodes.iter().position(|n| n.me.name == owner).expect("a controller")
+}
+
+/// Answers reach a worker, requests to it do not: one of them is always on its way when
+/// it reports. Each answer renews its lease, and without the stops it would keep a
+/// cancelled task alive for good.
+#[test]
+fn an_answer_that_renews_a_lease_stops_what_is_cancelled() {
+    let (mut site, mut host) = running(1);
+    site.cancel("j-1");
+    site.read(0);
+    let told = site.now;
+    while host.runs("j-1/0") {
+        assert!(site.now < told + CANCEL, "it runs on");
+        site.read(0);
+        for (machine, commands) in site.round(0) {
+            // Lost; the worker reports before that is known.
+            site.meet(0, &mut host);
+            site.wait(2.5);
+            site.answered(0, &machine, &commands, None);
+        }
+        site.wait(0.1);
+    }
+    assert!(site.now < told + secs(3.0), "with the first answer that it hears");
+}
+
+/// Leaders change again and again, and the worker never reaches its owner. Any
+/// controller renews its lease once in each epoch, but not for a cancelled task.
+#[test]
+fn others_do_not_renew_the_lease_of_what_is_cancelled() {
+    let (mut site, mut host) = running(3);
+    site.cancel("j-1");
+    let told = site.now;
+    while host.runs("j-1/0") {
+        assert!(site.now < told + CANCEL, "it runs on");
+        site.map(&[0, 1, 2]);
+        let owner = owner(&site);
+        for n in 0..3 {
+            site.read(n);
+            if n != owner {
+                site.meet(n, &mut host);
+            }
+        }
+        site.wait(5.0);
+        host.live(site.now);
+    }
+    // What is not cancelled is renewed.
+    site.assign(spec("j-2", JobKind::Array), &[(0, 1, "host-1")]);
+    site.map(&[0, 1, 2]);
+    let others = (0..3).find(|n| *n != owner(&site)).expect("some");
+    site.read(others);
+    let before = host.renewed;
+    site.wait(1.0);
+    site.meet(others, &mut host);
+    assert!(host.renewed > before);
+}
