Nothing is launched by a copy of the records that is older than 4 s

Cause: rounds and answers launched what the mirror showed, however old it was. A controller that the state service refuses alone, and that had not reached a machine before, launched a task a minute after another controller had confirmed its job's cancellation: the request needs neither a lease nor the newest token if the machine has heard nobody else. Change: launches need a mirror that was known to be fresh within 4 s, which is how long a controller may be out of touch before others may have its machines. What is withheld is looked at again soon. Result: a test on the fake clock launches after 3.5 s and not after 5, 14, 23 and 60 s, by request or with an answer; it was red with the condition taken away.

--- a/crates/daemon/src/worker.rs
+++ b/crates/daemon/src/worker.rs
@@ -12,6 +12,8 @@
 use sched::world::World;
 use wire::{Cause, Command, JobState, Report, TaskReport, TaskState};
 
+use crate::node::MEMBER_TTL;
+
 /// Job, task and attempt.
 pub type Key = (String, u32, u64);
 
@@ -89,6 +91,10 @@
 }
 
 const STOP_AGAIN: Duration = Duration::from_secs(2);
+/// How old the copy of the records may be by which tasks are launched: what it shows may
+/// have been cancelled since, by a controller that reaches the state service while this one
+/// does not. After that long others may have this one's machines.
+const LAUNCH_FRESH: Duration = MEMBER_TTL;
 const STRAY_AFTER: Duration = Duration::from_millis(1500);
 /// How soon a worker is compared with the records again while something is
 /// open, and when nothing is.
@@ -257,6 +263,8 @@
             return plan;
         }
         let lease_over = self.lease_over(limits, now);
+        let fresh = limits.fresh_at.is_some_and(|f| now.saturating_duration_since(f) < LAUNCH_FRESH);
+        let mut withheld = false;
         let mut wanted: HashMap<(&str, u32), u64> = HashMap::new();
         let (mut stops, mut launches) = (Vec::new(), Vec::new());
         let mut keys = HashSet::new();
@@ -297,7 +305,10 @@
                 // An end that was proven once may be written at any moment: what it
                 // is the end of must never start after all.
                 None if run && !self.present.contains(&key) && !self.ended.contains_key(&key) => {
-                    launches.push(Command::Start { task: name, attempt: a.attempt });
+                    match fresh {
+                        true => launches.push(Command::Start { task: name, attempt: a.attempt }),
+                        false => withheld = true,
+                    }
                 }
                 // Seen before and gone now: a new session.
                 None => {
@@ -347,7 +358,7 @@
         plan.commands = clears;
         plan.commands.extend(stops);
         plan.commands.extend(launches);
-        let open = !plan.ends.is_empty() || !plan.commands.is_empty() || plan.poke;
+        let open = !plan.ends.is_empty() || !plan.commands.is_empty() || plan.poke || withheld;
         if open || !self.strays.is_empty() || !self.stops.is_empty() {
             self.look_at = Some(now + LOOK_SOON);
         }
--- a/crates/daemon/tests/unit/meetings_machines.rs
+++ b/crates/daemon/tests/unit/meetings_machines.rs
@@ -390,3 +390,34 @@
     site.meet(others, &mut host);
     assert!(host.renewed > before);
 }
+
+/// The state service refuses a controller alone, and another one confirms a cancellation.
+/// The first has placed a task of that job, and its machine hung when it was to be
+/// launched; now it goes on. Nothing is launched by so old a copy of the records,
+/// neither by request nor with an answer.
+#[test]
+fn nothing_is_launched_by_an_old_copy_of_the_records() {
+    let launches = |old: f64| {
+        let mut site = Site::new(1, &[("host-1", "a")]);
+        let mut host = Host::new("host-1", "a", site.now);
+        site.meet(0, &mut host);
+        site.assign(spec("j-1", JobKind::Array), &[(0, 1, "host-1")]);
+        site.read(0);
+        for (machine, commands) in site.round(0) {
+            site.wait(2.5);
+            site.answered(0, &machine, &commands, None);
+        }
+        site.cancel("j-1");
+        site.wait(old - 2.5);
+        let by_answer = {
+            site.meet(0, &mut host);
+            host.runs("j-1/0")
+        };
+        let by_request = site.command(0, &mut host).iter().any(|c| matches!(c, Command::Start { .. }));
+        (by_answer, by_request)
+    };
+    assert_eq!(launches(3.5), (true, true), "it cannot know better yet");
+    for old in [5.0, 14.0, 23.0, 60.0] {
+        assert_eq!(launches(old), (false, false), "{old} s");
+    }
+}
