What an owner knew before others had its machine ends nothing

Cause: a controller that reads two maps at once, of which the first gave its machines to others, kept what it knew of their workers, as it compares owners only between rounds. A task whose end it had seen, and that the next owner had started anew after the machine lost its lease, was written as ended and placed elsewhere while it ran. A first answer to a request could be trusted though it showed no token of the new epoch. Change: the mirror keeps the epoch since which each machine has had its owner without a break; what is known from before is dropped, in rounds and when a report comes first. A list of tasks is trusted only with a token from since then, whatever brings it. Result: a test on the fake clock, with and without a late copy of the report as the first message; red with each of the two checks, the break's epoch, or the token's condition taken away.

--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -202,7 +202,10 @@
     let changed: Vec<Name> = match world.take_touched() {
         Some(touched) => touched.into_iter().collect(),
         None => {
-            workers.retain(|id, _| world.owner_of(id) == Some(&node.me));
+            let kept = |id: &Name, w: &Worker| {
+                world.owner_of(id) == Some(&node.me) && !w.lapsed(world.owned_since(id))
+            };
+            workers.retain(|id, w| kept(id, w));
             world.owned_by(&node.me).cloned().collect()
         }
     };
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -436,6 +436,10 @@
         return if must_stop { Disposal::Answer(elsewhere(None)) } else { Disposal::Adopt(epoch) };
     }
     let limits = node.worker_limits(core.fresh_at);
+    let owned_since = core.world.owned_since(machine);
+    if core.workers.get(machine.as_str()).is_some_and(|w| w.lapsed(owned_since)) {
+        core.workers.remove(machine.as_str());
+    }
     let worker = core
         .workers
         .entry(machine.as_str().into())
--- a/crates/daemon/src/worker.rs
+++ b/crates/daemon/src/worker.rs
@@ -47,9 +47,9 @@
     /// Until when silence is this controller's own fault, as it stood still.
     excused: Option<Instant>,
     tasks: Vec<TaskReport>,
-    /// The list of tasks is from after this controller became the owner: it answers
-    /// a request of ours, or shows a token of ours. Any other report may be a late
-    /// copy from long before, and what ended then may have been started anew since.
+    /// The list of tasks is from after this controller became the owner: it shows a token
+    /// from since then. Any other report may be a late copy from long before, and what
+    /// ended then may have been started anew since.
     trusted: bool,
     /// Assignments that have been seen on the worker.
     present: HashSet<Key>,
@@ -152,6 +152,13 @@
         }
     }
 
+    /// Whether what is known of the worker is from before its machine was another's for a
+    /// while: two maps may become known at once, and whoever had it between them may have
+    /// started anew what is known here to have ended.
+    pub fn lapsed(&self, owned_since: u64) -> bool {
+        self.epoch < owned_since
+    }
+
     /// Something has changed: compare with the records in the next round.
     pub fn look_again(&mut self) {
         self.look_at = None;
@@ -192,7 +199,7 @@
             // the last has been executed or dropped.
             self.offered = false;
         }
-        self.trusted |= !by_itself || report.token >= first_token(self.owned_epoch);
+        self.trusted |= report.token >= first_token(self.owned_epoch);
         self.heard = Some(now);
         self.session = report.session;
         self.seq = report.seq;
--- a/crates/daemon/tests/unit/meetings_machines.rs
+++ b/crates/daemon/tests/unit/meetings_machines.rs
@@ -421,3 +421,48 @@
         assert_eq!(launches(old), (false, false), "{old} s");
     }
 }
+
+/// A task fails, and its owner cannot write that, as the state service refuses it alone.
+/// The machine gets another owner, loses its lease, and the task is started there once
+/// more. Then the first is the owner again, and learns of both changes at once. What it
+/// knew of the machine is from before, and ends nothing; nor does a late copy of the report
+/// of that end, which comes before anything else.
+#[test]
+fn what_an_owner_knew_before_others_had_its_machine_ends_nothing() {
+    for late_copy in [false, true] {
+        let mut site = Site::new(2, &[("host-1", "a")]);
+        site.map(&[0]);
+        site.read(0);
+        let mut host = Host::new("host-1", "a", site.now);
+        site.assign(spec("j-1", JobKind::Array), &[(0, 1, "host-1")]);
+        site.read(0);
+        site.meet(0, &mut host);
+        site.meet(0, &mut host);
+        assert!(host.runs("j-1/0"));
+        host.end("j-1/0", 1, Cause::Error);
+        let copy = host.report();
+        site.report(0, &copy);
+        site.map(&[1]);
+        site.wait(25.0);
+        site.read(1);
+        site.meet(1, &mut host);
+        site.command(1, &mut host);
+        site.meet(1, &mut host);
+        assert!(host.session == 2 && host.runs("j-1/0"), "started anew");
+        site.map(&[0]);
+        site.read(0);
+        if late_copy {
+            site.report(0, &copy);
+        }
+        site.round(0);
+        assert_eq!(site.job("j-1").run.len(), 1, "it runs");
+        site.meet(0, &mut host);
+        site.round(0);
+        assert_eq!(site.job("j-1").run.len(), 1, "it still runs");
+        host.end("j-1/0", 1, Cause::Error);
+        site.meet(0, &mut host);
+        site.round(0);
+        let job = site.job("j-1");
+        assert!(job.errors == 1 && job.run.iter().all(|a| a.attempt > 1), "its end is proven now: {job:?}");
+    }
+}
--- a/crates/sched/src/world.rs
+++ b/crates/sched/src/world.rs
@@ -127,8 +127,9 @@
     pub orphaned: BTreeSet<Name>,
     /// Images used on each machine, the latest last. A guess at its cache.
     pub images: HashMap<Name, VecDeque<(String, f64)>>,
-    /// Each machine's owner by the map: hashing them all anew takes long.
-    owners: BTreeMap<Name, Member>,
+    /// Each machine's owner by the map, and the epoch since which it has been that without a
+    /// break: hashing them all anew takes long.
+    owners: BTreeMap<Name, (Member, u64)>,
     /// Machines on which something has changed since [`World::take_touched`].
     touched: BTreeSet<Name>,
     all_touched: bool,
@@ -231,10 +232,14 @@
             self.owners.clear();
             return;
         };
+        let before = std::mem::take(&mut self.owners);
+        let since =
+            |id: &Name, owner: &Member| before.get(id).filter(|o| o.0 == *owner).map_or(map.epoch, |o| o.1);
         self.owners = self
             .machines
             .iter()
-            .filter_map(|(id, m)| Some((id.clone(), map.owner(id, &m.value.zone)?.clone())))
+            .filter_map(|(id, m)| Some((id, map.owner(id, &m.value.zone)?)))
+            .map(|(id, owner)| (id.clone(), (owner.clone(), since(id, owner))))
             .collect();
     }
 
@@ -314,8 +319,11 @@
                     self.gone.insert(id, Versioned { value, version });
                     return;
                 }
-                if let Some(owner) = self.map.as_ref().and_then(|m| m.value.owner(&id, &value.zone)) {
-                    self.owners.insert(id.clone(), owner.clone());
+                if let Some(map) = self.map.as_ref().map(|m| &m.value)
+                    && let Some(owner) = map.owner(&id, &value.zone)
+                {
+                    let since = self.owners.get(&id).filter(|o| o.0 == *owner).map_or(map.epoch, |o| o.1);
+                    self.owners.insert(id.clone(), (owner.clone(), since));
                 }
                 self.touched.insert(id.clone());
                 self.orphaned.remove(&id);
@@ -496,12 +504,18 @@
     }
 
     pub fn owner_of(&self, machine: &str) -> Option<&Member> {
-        self.owners.get(machine)
+        self.owners.get(machine).map(|o| &o.0)
+    }
+
+    /// The epoch since which a machine's owner has been that. Several maps may become known
+    /// at a time, and who had the machine between them may have acted on it.
+    pub fn owned_since(&self, machine: &str) -> u64 {
+        self.owners.get(machine).map_or(0, |o| o.1)
     }
 
     /// The machines that a controller owns by the map.
     pub fn owned_by<'a>(&'a self, member: &'a Member) -> impl Iterator<Item = &'a Name> {
-        self.owners.iter().filter(move |(_, o)| *o == member).map(|(id, _)| id)
+        self.owners.iter().filter(move |(_, o)| o.0 == *member).map(|(id, _)| id)
     }
 
     /// The name of the controller that places this job's tasks.
