--- a/crates/daemon/src/worker.rs
+++ b/crates/daemon/src/worker.rs
@@ -10,7 +10,9 @@
 
 use sched::records::{End, Phase};
 use sched::world::World;
-use wire::{Cause, Command, Report, TaskReport, TaskState};
+use wire::{Cause, Command, JobState, Report, TaskReport, TaskState};
+
+use crate::node::MEMBER_TTL;
 
 /// Job, task and attempt.
 pub type Key = (String, u32, u64);
@@ -45,9 +47,9 @@
     /// Until when silence is this controller's own fault, as it stood still.
     excused: Option<Instant>,
     tasks: Vec<TaskReport>,
-    /// The list of tasks is from after this controller became the owner: it answers
-    /// a request of ours, or shows a token of ours. Any other report may be a late
-    /// copy from long before, and what ended then may have been started anew since.
+    /// The list of tasks is from after this controller became the owner: it shows a token
+    /// from since then. Any other report may be a late copy from long before, and what
+    /// ended then may have been started anew since.
     trusted: bool,
     /// Assignments that have been seen on the worker.
     present: HashSet<Key>,
@@ -89,6 +91,10 @@
 }
 
 const STOP_AGAIN: Duration = Duration::from_secs(2);
+/// How old the copy of the records may be by which tasks are launched: what it shows may
+/// have been cancelled since, by a controller that reaches the state service while this one
+/// does not. After that long others may have this one's machines.
+const LAUNCH_FRESH: Duration = MEMBER_TTL;
 const STRAY_AFTER: Duration = Duration::from_millis(1500);
 /// How soon a worker is compared with the records again while something is
 /// open, and when nothing is.
@@ -146,6 +152,13 @@
         }
     }
 
+    /// Whether what is known of the worker is from before its machine was another's for a
+    /// while: two maps may become known at once, and whoever had it between them may have
+    /// started anew what is known here to have ended.
+    pub fn lapsed(&self, owned_since: u64) -> bool {
+        self.epoch < owned_since
+    }
+
     /// Something has changed: compare with the records in the next round.
     pub fn look_again(&mut self) {
         self.look_at = None;
@@ -186,7 +199,7 @@
             // the last has been executed or dropped.
             self.offered = false;
         }
-        self.trusted |= !by_itself || report.token >= first_token(self.owned_epoch);
+        self.trusted |= report.token >= first_token(self.owned_epoch);
         self.heard = Some(now);
         self.session = report.session;
         self.seq = report.seq;
@@ -257,6 +270,8 @@
             return plan;
         }
         let lease_over = self.lease_over(limits, now);
+        let fresh = limits.fresh_at.is_some_and(|f| now.saturating_duration_since(f) < LAUNCH_FRESH);
+        let mut withheld = false;
         let mut wanted: HashMap<(&str, u32), u64> = HashMap::new();
         let (mut stops, mut launches) = (Vec::new(), Vec::new());
         let mut keys = HashSet::new();
@@ -297,7 +312,10 @@
                 // An end that was proven once may be written at any moment: what it
                 // is the end of must never start after all.
                 None if run && !self.present.contains(&key) && !self.ended.contains_key(&key) => {
-                    launches.push(Command::Start { task: name, attempt: a.attempt });
+                    match fresh {
+                        true => launches.push(Command::Start { task: name, attempt: a.attempt }),
+                        false => withheld = true,
+                    }
                 }
                 // Seen before and gone now: a new session.
                 None => {
@@ -347,7 +365,7 @@
         plan.commands = clears;
         plan.commands.extend(stops);
         plan.commands.extend(launches);
-        let open = !plan.ends.is_empty() || !plan.commands.is_empty() || plan.poke;
+        let open = !plan.ends.is_empty() || !plan.commands.is_empty() || plan.poke || withheld;
         if open || !self.strays.is_empty() || !self.stops.is_empty() {
             self.look_at = Some(now + LOOK_SOON);
         }
@@ -431,13 +449,21 @@
         silent.max(deaf)
     }
 
+    /// What every answer has to say that renews the worker's lease.
+    pub fn final_stops(&self, world: &World) -> Vec<Command> {
+        final_stops(&self.tasks, world)
+    }
+
     /// The commands that go with the answer to a report: launches and stops.
     /// Clears never do, as they need a token above every launch.
     pub fn answer(&mut self, machine: &str, world: &World, limits: &Limits, now: Instant) -> Vec<Command> {
+        let stops = self.final_stops(world);
         if self.in_flight.is_some() || !self.due(now) {
-            return Vec::new();
+            return stops;
         }
-        let mut commands = self.reconcile(machine, world, limits, now).commands;
+        let rest = self.reconcile(machine, world, limits, now).commands;
+        let mut commands = stops;
+        commands.extend(rest.into_iter().filter(|c| !commands.contains(c)).collect::<Vec<_>>());
         commands.retain(|c| !matches!(c, Command::Forget { .. }));
         self.offered |= commands.iter().any(|c| matches!(c, Command::Start { .. }));
         // The ends that it found are for the next round.
@@ -446,6 +472,19 @@
     }
 }
 
+/// Stops for the tasks of cancelled jobs. Whoever renews a worker's lease sends them with
+/// the same answer, or does not renew it: a task that went on after its cancellation would
+/// else be kept alive by one answer after the other, while the requests that are to stop
+/// it are lost, or one of them is not answered yet.
+pub fn final_stops(tasks: &[TaskReport], world: &World) -> Vec<Command> {
+    let cancelled = |t: &&TaskReport| {
+        let state = t.parts().and_then(|(job, _)| world.state_of(job));
+        t.state != TaskState::Exited && state == Some(JobState::Cancelled)
+    };
+    let stop = |t: &TaskReport| Command::Stop { task: t.task.clone(), attempt: t.attempt, grace_s: 0.0 };
+    tasks.iter().filter(cancelled).map(stop).collect()
+}
+
 fn end_of(cause: Option<Cause>) -> End {
     match cause {
         Some(Cause::Done) => End::Done,
--- a/crates/daemon/tests/unit/sim/controllers.rs
+++ b/crates/daemon/tests/unit/sim/controllers.rs
@@ -6,6 +6,12 @@
     pub(super) fn node(n: usize, incarnation: u64, sabotage: Sabotage, old: bool) -> Node {
         let mut settings = Settings::parse("example", EXAMPLE).expect("the example is valid");
         settings.node_name = format!("n-{n}");
+        // The others: their word is never asked for here, so that leases are renewed within
+        // the bound alone.
+        settings.peers = (0..CONTROLLERS)
+            .filter(|o| *o != n)
+            .map(|o| Peer { node_name: format!("n-{o}"), address: format!("127.0.0.1:{}", 100 + o) })
+            .collect();
         settings.zone = if n.is_multiple_of(2) { "z" } else { "y" }.into();
         if !old && sabotage != Sabotage::Sizes {
             let (value_kb, txn_ops) = (Some(NEXT_KB), Some(NEXT_OPS));
--- a/crates/daemon/tests/unit/sim/machines.rs
+++ b/crates/daemon/tests/unit/sim/machines.rs
@@ -139,7 +139,7 @@
         let mut core = node.core();
         let core = &mut *core;
         let mine = core.world.owner_of(&id(m)).is_some_and(|o| *o == node.me);
-        if !mine || !core.may_renew(&node.me, 0, node.settings.renewal_bound(), now) {
+        if !mine || !node.may_renew(core, now) {
             return None;
         }
         let worker = core.workers.get_mut(id(m).as_str()).filter(|w| !w.overtaken_by(&report))?;
--- a/crates/daemon/tests/unit/sim/mod.rs
+++ b/crates/daemon/tests/unit/sim/mod.rs
@@ -27,7 +27,7 @@
 use crate::node::Node;
 use crate::production;
 use crate::settings::tests::EXAMPLE;
-use crate::settings::{NextState, Operators, Settings};
+use crate::settings::{NextState, Operators, Peer, Settings};
 use crate::worker::tests::spec;
 
 mod checker;
