One place tells the time, and a client may go over another transport

Cause: whole controllers could not be played on a clock that does not wait, nor over a network in memory: duties asked the machine's clock, clients opened sockets. Change: clock.rs tells the time by the runtime's clock, which in the program is the machine's; net's Client can be given a transport; the start of all duties and the leaving are functions of their own. No change of behaviour.

--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -16,6 +16,7 @@
 use tracing::{debug, info, warn};
 use wire::{Command, Commands, Condition, JobKind, Priority, Report};
 
+use crate::clock;
 use crate::gossip;
 use crate::limits::Plan;
 use crate::load::{Counts, Purpose};
@@ -87,10 +88,10 @@
 const SHUN: Duration = Duration::from_secs(3);
 
 pub async fn rounds(node: Node) {
-    let mut scanned = Instant::now();
+    let mut scanned = clock::now();
     loop {
         let _ = timeout(Duration::from_millis(250), node.kick.notified()).await;
-        let now = Instant::now();
+        let now = clock::now();
         let scan = now.saturating_duration_since(scanned) >= node.operators.rescheduler.scan;
         if scan {
             scanned = now;
@@ -102,7 +103,7 @@
             let ops = core.writes.allowance(now).min(node.plan().txn_ops);
             decide(&node, &mut core, scan, ops, now, wall_ms())
         };
-        let cost = now.elapsed();
+        let cost = clock::since(now);
         Counts::add(&node.counts.rounds, 1);
         Counts::add(&node.counts.round_us, cost.as_micros() as u64);
         let Some(mut round) = round else {
@@ -359,7 +360,7 @@
     tasks.spawn(async move {
         if !gossip::hand_over(&node, &to, epoch, proofs).await {
             // Its jobs' ends are written here for a while.
-            node.core().shunned.insert(to, Instant::now() + SHUN);
+            node.core().shunned.insert(to, clock::now() + SHUN);
             node.kick.notify_one();
         }
     });
@@ -421,10 +422,10 @@
 pub(crate) async fn commit(node: &Node, round: Round) {
     let Assembled { conditions, puts, left_out, teams, wide } = {
         let mut core = node.core();
-        let cautious = core.cautious.is_some_and(|until| Instant::now() < until);
+        let cautious = core.cautious.is_some_and(|until| clock::now() < until);
         let most_jobs = if cautious { 1 } else { usize::MAX };
         let assembled = assemble(&core.world, &round, &node.plan(), most_jobs);
-        core.writes.take(assembled.puts.len() as f64, 0.0, Instant::now());
+        core.writes.take(assembled.puts.len() as f64, 0.0, clock::now());
         node.counts.spend(Purpose::Rounds, assembled.puts.len());
         assembled
     };
@@ -435,7 +436,7 @@
     let sent: Vec<String> = round.jobs.keys().filter(|id| !left_out.contains(*id)).cloned().collect();
     let result = node.commit(conditions, puts).await;
     if let Some(id) = wide {
-        node.core().widened.insert(id, Instant::now());
+        node.core().widened.insert(id, clock::now());
     }
     match result {
         Ok(Outcome::Committed { revision }) => {
@@ -475,7 +476,7 @@
 /// refused alone waits. None of the others is to wait with it.
 fn set_apart(node: &Node, jobs: Vec<String>) {
     let mut core = node.core();
-    let now = Instant::now();
+    let now = clock::now();
     match <[String; 1]>::try_from(jobs) {
         Ok([job]) => {
             warn!(job, "its record is refused; it is left alone for a while");
@@ -629,7 +630,7 @@
                 None
             }
         };
-        answered(&mut node.core(), &machine, token, report, Instant::now());
+        answered(&mut node.core(), &machine, token, report, clock::now());
         node.kick.notify_one();
     });
 }
@@ -646,7 +647,7 @@
 /// Notices when the process has stood still.
 pub async fn pulse(node: Node) {
     loop {
-        node.core().beat(Instant::now());
+        node.core().beat(clock::now());
         sleep(Duration::from_millis(250)).await;
     }
 }
@@ -659,7 +660,7 @@
         sleep(Duration::from_millis(700)).await;
         let mut quiet: Vec<(Name, String)> = {
             let core = node.core();
-            let now = Instant::now();
+            let now = clock::now();
             let limit = node.report_every() * 3 / 2 + Duration::from_millis(500);
             core.workers
                 .iter()
@@ -691,7 +692,7 @@
                     return;
                 }
                 if let Some(w) = node.core().workers.get_mut(&machine) {
-                    w.ingest(report, false, Instant::now());
+                    w.ingest(report, false, clock::now());
                 }
                 node.kick.notify_one();
             });
--- a/crates/daemon/src/fleet_duty.rs
+++ b/crates/daemon/src/fleet_duty.rs
@@ -12,6 +12,7 @@
 use tracing::{debug, info, warn};
 use wire::{Condition, JobKind, JobSpec, ListedMachine};
 
+use crate::clock;
 use crate::load::Purpose;
 use crate::node::{Core, Node, wall_ms};
 use crate::wide::Sweeper;
@@ -61,7 +62,7 @@
             fleet = Fleet { requests: fleet.requests, ..Fleet::default() };
             continue;
         }
-        fleet.led_since.get_or_insert_with(Instant::now);
+        fleet.led_since.get_or_insert_with(clock::now);
         cost = fleet.step(&node).await;
     }
 }
@@ -69,7 +70,8 @@
 impl Fleet {
     /// One look at everything; tells how long the planning took.
     async fn step(&mut self, node: &Node) -> Duration {
-        let every = |at: Option<Instant>, s: u64| at.is_none_or(|t| t.elapsed() >= Duration::from_secs(s));
+        let every =
+            |at: Option<Instant>, s: u64| at.is_none_or(|t| clock::since(t) >= Duration::from_secs(s));
         let types_known = !node.core().world.types.is_empty();
         if every(self.types_at, if types_known { 60 } else { 1 }) {
             self.refresh_types(node).await;
@@ -78,10 +80,10 @@
             self.refresh_list(node).await;
         }
         if every(self.told_at, 10) {
-            self.told_at = Some(Instant::now());
+            self.told_at = Some(clock::now());
             tell(&node.core());
         }
-        if let Some((conditions, puts)) = self.sweeper.next(node, Instant::now()) {
+        if let Some((conditions, puts)) = self.sweeper.next(node, clock::now()) {
             write(node, conditions, puts).await;
         }
         self.give_back(node).await;
@@ -91,7 +93,7 @@
     }
 
     async fn refresh_types(&mut self, node: &Node) {
-        self.types_at = Some(Instant::now());
+        self.types_at = Some(clock::now());
         match node.cloud.machine_types().await {
             Ok(types) => {
                 let (version, same) = {
@@ -111,10 +113,10 @@
     }
 
     async fn refresh_list(&mut self, node: &Node) {
-        self.listed_at = Some(Instant::now());
+        self.listed_at = Some(clock::now());
         match node.cloud.list().await {
             Ok(list) => {
-                let now = Instant::now();
+                let now = clock::now();
                 self.listed = list.into_iter().map(|m| (m.id.as_str().into(), m)).collect();
                 for id in self.listed.keys() {
                     self.first_seen.entry(id.clone()).or_insert(now);
@@ -220,7 +222,7 @@
     }
     // Machines take long to boot; a request for some does not wait behind rounds
     // that are in debt.
-    node.core().writes.take(puts.len() as f64, 0.0, Instant::now());
+    node.core().writes.take(puts.len() as f64, 0.0, clock::now());
     node.counts.spend(Purpose::Fleet, puts.len());
     match node.commit(conditions, puts).await {
         Ok(Outcome::Committed { revision }) => node.reach(revision, Duration::from_secs(2)).await,
--- a/crates/daemon/src/fleet_duty/rentals.rs
+++ b/crates/daemon/src/fleet_duty/rentals.rs
@@ -15,6 +15,7 @@
 use wire::{Condition, JobKind, JobSpec, MachineStatus, MachineType, RentRequest};
 
 use super::{Fleet, names, names_left, spare_spec, write};
+use crate::clock;
 use crate::load::few;
 use crate::node::{Core, Node, wall_ms};
 
@@ -104,7 +105,7 @@
             let machines: Vec<&Name> = late.iter().collect();
             info!(count = late.len(), machines = few(&machines), "released: they never came up");
             for id in &late {
-                self.released.insert(id.clone(), Instant::now());
+                self.released.insert(id.clone(), clock::now());
             }
         }
         let put = Put::new(key::FLEET.into(), &fleet);
@@ -292,13 +293,13 @@
     }
 
     pub(super) async fn rent(&mut self, node: &Node) -> Duration {
-        let now = Instant::now();
+        let now = clock::now();
         let wanted = {
             let core = node.core();
             self.gpu_demand.note(&core.world, now);
             self.wanted(node, &core, now)
         };
-        let cost = now.elapsed();
+        let cost = clock::since(now);
         let mut kinds: Vec<(Offer, u32)> = Vec::new();
         for offer in wanted {
             match kinds.iter_mut().find(|(o, _)| *o == offer) {
--- a/crates/daemon/src/fleet_duty/returns.rs
+++ b/crates/daemon/src/fleet_duty/returns.rs
@@ -15,6 +15,7 @@
 use wire::{Condition, JobKind, JobSpec, MachineStatus};
 
 use super::{Fleet, Silent, names, names_left, spare_spec, write};
+use crate::clock;
 use crate::load::few;
 use crate::node::{Core, Node, wall_ms};
 
@@ -164,8 +165,8 @@
             }
             let boot = core.world.types.get(&m.machine_type).map_or(60.0, |t| t.boot_s);
             let known = core.world.machines.contains_key(id);
-            let age = m.age_s + self.listed_at.map_or(0.0, |t| t.elapsed().as_secs_f64());
-            let seen = self.first_seen.get(id).map_or(0.0, |t| t.elapsed().as_secs_f64());
+            let age = m.age_s + self.listed_at.map_or(0.0, |t| clock::since(t).as_secs_f64());
+            let seen = self.first_seen.get(id).map_or(0.0, |t| clock::since(*t).as_secs_f64());
             if m.status == MachineStatus::Failed {
                 out.push((id.clone(), "failed"));
             } else if !known && !rented.contains(id) && age > boot * 4.0 + 30.0 && seen > 30.0 {
@@ -176,7 +177,7 @@
     }
 
     pub(super) async fn give_back(&mut self, node: &Node) {
-        let now = Instant::now();
+        let now = clock::now();
         // Released already, but the state service did not take it then.
         let known = |id: &&Name| node.core().world.machines.contains_key(*id);
         let left: Vec<Name> = self.released.keys().filter(known).cloned().collect();
@@ -334,7 +335,7 @@
         let ops = node.plan().txn_ops;
         let (dead, mut fleet, version) = {
             let mut core = node.core();
-            let (level, rate) = (core.writes.level(Instant::now()), core.writes.per_second());
+            let (level, rate) = (core.writes.level(clock::now()), core.writes.per_second());
             let Some(f) = &core.world.fleet else { return };
             let full = f.value.gone.iter().flatten().count() > GONE_MOST / 2;
             if core.world.gone.is_empty() || level < rate * 0.6 && !full {
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -13,6 +13,7 @@
 use tracing::{debug, info};
 use wire::{Condition, JobKind, JobSpec, JobState, JobStatus, Redirect, Report, ReportAnswer};
 
+use crate::clock;
 use crate::gossip;
 use crate::load::{Counts, Purpose, few};
 use crate::node::{Core, Node, View, wall_ms};
@@ -51,7 +52,7 @@
 
 fn healthz(node: &Node) -> Reply {
     let core = node.core();
-    if core.ready && !core.alone_without_state(Instant::now()) {
+    if core.ready && !core.alone_without_state(clock::now()) {
         Reply { status: 200, body: wire::encode(&"ok"), retry_after: None }
     } else {
         Reply::busy("not ready", 1)
@@ -112,7 +113,7 @@
     if placer::collected_for(&core.world, spec, wall_ms()) {
         return None;
     }
-    let now = Instant::now();
+    let now = clock::now();
     let epoch = core.map()?.epoch;
     let fresh = |v: &View| v.epoch == epoch && now.saturating_duration_since(v.at) < VIEW_FOR;
     let mut view = match core.view.take().filter(fresh) {
@@ -236,7 +237,7 @@
     }
     // What became of its needs must not be told by an old view: a job whose user was
     // told long ago that one before it is cancelled would be called queued.
-    let fresh = |node: &Node| node.core().fresh_at.is_some_and(|f| f.elapsed() < NEEDS_FRESH);
+    let fresh = |node: &Node| node.core().fresh_at.is_some_and(|f| clock::since(f) < NEEDS_FRESH);
     if !needs.is_empty() && !fresh(node) && !node.fresh().await {
         return Reply::busy("the state service cannot be asked", 1);
     }
@@ -368,7 +369,7 @@
         Err(e) => return Reply::error(400, &e.to_string()),
     };
     Counts::add(&node.counts.reports, 1);
-    match take_report(node, &report, relayed, Instant::now()) {
+    match take_report(node, &report, relayed, clock::now()) {
         Disposal::Answer(reply) => {
             Counts::add(&node.counts.turned_away, u64::from(reply.status != 200));
             reply
--- a/crates/daemon/src/gossip.rs
+++ b/crates/daemon/src/gossip.rs
@@ -1,12 +1,13 @@
 //! Free-room summaries among the controllers, and relayed reports.
 
 use std::sync::atomic::Ordering;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use net::{Reply, Request};
 use peer::{MachineRow, Message, Summary};
 use tokio::time::timeout;
 
+use crate::clock;
 use crate::engine;
 use crate::front;
 use crate::node::{Core, Node, PeerView};
@@ -16,7 +17,7 @@
 
 pub(crate) fn summary(node: &Node) -> Summary {
     let core = node.core();
-    let now = Instant::now();
+    let now = clock::now();
     let ms = |d: Duration| d.as_millis() as u64;
     let report = node.report_every();
     let machines = core
@@ -65,7 +66,7 @@
     if rows.len() > world.machines.len() {
         rows.retain(|id, _| world.machines.contains_key(id));
     }
-    let now = Instant::now();
+    let now = clock::now();
     core.read_indexes.heard(&summary.name, summary.incarnation, now);
     core.peers.insert(summary.name.clone(), PeerView { summary, at: now });
 }
@@ -144,7 +145,7 @@
             Message::Relayed { status: reply.status, body: reply.body }
         }
         Some(Message::Proofs(p)) => {
-            engine::take_proofs(&node, p.epoch, p.list, Instant::now());
+            engine::take_proofs(&node, p.epoch, p.list, clock::now());
             Message::Taken
         }
         _ => return Reply::error(400, "not a message between controllers"),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,6 +1,7 @@
 //! The duties of one controller, and the command line that starts them.
 
 mod client;
+mod clock;
 mod engine;
 mod fleet_duty;
 mod front;
@@ -148,20 +149,8 @@
     // Also part of names that must never be used again, hence drawn anew.
     let incarnation = rand::rng().random::<u64>() >> 12;
     info!(name = settings.node_name, zone = settings.zone, incarnation, "starting");
-    let addresses: Vec<String> = settings.peers.iter().map(|p| p.address.clone()).collect();
     let node = Node::new(settings, operators, incarnation);
-    node.spawn_duty(state_duty::mirror(node.clone()));
-    node.spawn_duty(state_duty::verifier(node.clone()));
-    node.spawn_duty(state_duty::membership(node.clone()));
-    node.spawn_duty(engine::pulse(node.clone()));
-    node.spawn_duty(engine::rounds(node.clone()));
-    node.spawn_duty(engine::prober(node.clone()));
-    node.spawn_duty(front::arrivals(node.clone()));
-    node.spawn_duty(fleet_duty::fleet(node.clone()));
-    node.spawn_duty(load::tell(node.clone()));
-    for address in addresses {
-        node.spawn_duty(gossip::tell(node.clone(), address));
-    }
+    spawn_duties(&node);
     let n = node.clone();
     let peers = move |request| gossip::serve(n.clone(), request);
     node.spawn_duty(net::serve(
@@ -187,12 +176,32 @@
     node.stop.cancel();
     node.tasks.close();
     let _ = tokio::time::timeout(Duration::from_secs(2), node.tasks.wait()).await;
-    // Leaving at once saves the others the wait for the lease's end.
+    leave(&node).await;
+    Ok(())
+}
+
+/// Starts all duties but the servers.
+fn spawn_duties(node: &Node) {
+    node.spawn_duty(state_duty::mirror(node.clone()));
+    node.spawn_duty(state_duty::verifier(node.clone()));
+    node.spawn_duty(state_duty::membership(node.clone()));
+    node.spawn_duty(engine::pulse(node.clone()));
+    node.spawn_duty(engine::rounds(node.clone()));
+    node.spawn_duty(engine::prober(node.clone()));
+    node.spawn_duty(front::arrivals(node.clone()));
+    node.spawn_duty(fleet_duty::fleet(node.clone()));
+    node.spawn_duty(load::tell(node.clone()));
+    for peer in &node.settings.peers {
+        node.spawn_duty(gossip::tell(node.clone(), peer.address.clone()));
+    }
+}
+
+/// Leaving at once saves the others the wait for the lease's end.
+async fn leave(node: &Node) {
     let lease = node.core().lease;
     if let Some(lease) = lease {
         let _ = node.state.end_lease(lease).await;
     }
-    Ok(())
 }
 
 /// Waits for a termination signal, where the platform has them.
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use cloud::CloudClient;
 use net::{Client, Connections};
@@ -18,6 +18,8 @@
 use tokio_util::task::TaskTracker;
 use wire::JobKind;
 
+use crate::clock;
+pub use crate::clock::wall_ms;
 use crate::front;
 use crate::limits::{self, Plan, Seen};
 use crate::load::{Counts, Purpose};
@@ -180,8 +182,20 @@
 impl Node {
     pub fn new(settings: Settings, operators: Operators, incarnation: u64) -> Self {
         let sockets = settings.sockets();
-        let http = Client::new(sockets.others);
-        let now = Instant::now();
+        let clients = (Client::new(sockets.others), Client::new(sockets.to_workers));
+        Self::with_clients(settings, operators, incarnation, clients)
+    }
+
+    /// With clients of its own choice: one to the state service, the cloud and the
+    /// peers, one to workers.
+    pub fn with_clients(
+        settings: Settings,
+        operators: Operators,
+        incarnation: u64,
+        (http, workers_http): (Client, Client),
+    ) -> Self {
+        let sockets = settings.sockets();
+        let now = clock::now();
         let per_s = settings.facts.state.write_rps;
         let core = Core {
             world: World::default(),
@@ -218,7 +232,7 @@
             state: StateClient::new(http.clone(), settings.external.state.clone()),
             cloud: CloudClient::new(http.clone(), settings.external.cloud.clone()),
             http,
-            workers_http: Client::new(sockets.to_workers),
+            workers_http,
             front: Arc::new(Connections::new(
                 sockets.front,
                 &[(front::SHARES[0], sockets.workers_kept), (front::SHARES[1], sockets.users_kept)],
@@ -287,7 +301,7 @@
 
     /// Waits until `n` changes may be written, leaving `reserve` for others.
     pub async fn may_write(&self, n: usize, reserve: f64) {
-        let wait = self.core().writes.take(n as f64, reserve, Instant::now());
+        let wait = self.core().writes.take(n as f64, reserve, clock::now());
         if !wait.is_zero() {
             tokio::time::sleep(wait).await;
         }
@@ -297,7 +311,7 @@
     /// not take is answered at once, and the rounds make up for the debt.
     pub fn write_for_user(&self) {
         self.counts.spend(Purpose::Users, 1);
-        self.core().writes.take(1.0, 0.0, Instant::now());
+        self.core().writes.take(1.0, 0.0, clock::now());
     }
 
     /// The pause between two requests for changes. There are two kinds of them,
@@ -582,10 +596,6 @@
     }
 }
 
-pub fn wall_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
-}
-
 #[cfg(test)]
 #[path = "../tests/unit/node.rs"]
 mod tests;
--- a/crates/daemon/src/read_index.rs
+++ b/crates/daemon/src/read_index.rs
@@ -25,6 +25,7 @@
 use sched::world::{Change, World};
 use tracing::{info, warn};
 
+use crate::clock;
 use crate::gossip::LARGE;
 use crate::node::{Core, Node};
 
@@ -172,7 +173,7 @@
 /// Asks a peer while the state service cannot be asked.
 pub async fn ask(node: &Node, address: &str) {
     let Some(peer) = node.settings.peers.iter().find(|p| p.address == address) else { return };
-    let sent = Instant::now();
+    let sent = clock::now();
     let Some(asked) = request(&node.core(), rand::rng().random(), sent) else { return };
     let body = peer::encode_request(&asked);
     let Ok(answer) = node.http.request(address, "POST", PATH, body, LARGE, DEADLINE).await else { return };
@@ -182,7 +183,7 @@
         return;
     };
     let revision = index.revision;
-    let took = take(&mut node.core(), &peer.node_name, &asked, index, sent, Instant::now());
+    let took = take(&mut node.core(), &peer.node_name, &asked, index, sent, clock::now());
     if took {
         node.kick.notify_one();
     } else {
--- a/crates/daemon/src/state_duty.rs
+++ b/crates/daemon/src/state_duty.rs
@@ -1,7 +1,7 @@
 //! Dealings with the state service: mirror, freshness, membership, leadership.
 
 use std::sync::atomic::Ordering;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use rmpv::Value;
 use sched::records::{FORM, MapRecord, Member, Upgraded};
@@ -11,6 +11,7 @@
 use tracing::{debug, info, warn};
 use wire::{Changes, Condition};
 
+use crate::clock;
 use crate::load::Purpose;
 use crate::node::{Core, MEMBER_TTL, Node};
 
@@ -130,7 +131,7 @@
         let (epoch, live) = core.map().map_or((0, 0), |m| (m.epoch, m.live.len()));
         info!(epoch, live, entitled = core.in_map(&node.me), "new map");
     }
-    node.share_writes(&mut core, Instant::now());
+    node.share_writes(&mut core, clock::now());
     drop(core);
     node.revision.send_replace(changes.revision);
     node.kick.notify_one();
@@ -169,7 +170,7 @@
             sleep(RETRY).await;
             continue;
         }
-        let sent = Instant::now();
+        let sent = clock::now();
         let result = timeout(Duration::from_millis(1500), node.state.watch(after, Duration::ZERO)).await;
         match result {
             Ok(Ok(changes)) => {
@@ -201,9 +202,9 @@
 
 /// Keeps this controller among the members, and leads when nobody does.
 pub async fn membership(node: Node) {
-    let mut touched = Instant::now();
+    let mut touched = clock::now();
     loop {
-        let aside = node.core().stands_aside(&node.me, node.report_every(), Instant::now());
+        let aside = node.core().stands_aside(&node.me, node.report_every(), clock::now());
         if aside {
             let lease = node.core().lease.take();
             if let Some(lease) = lease {
@@ -215,13 +216,13 @@
         }
         let lease = node.core().lease;
         let kept = match lease {
-            Some(lease) if touched.elapsed() >= MEMBER_TTL / 4 => {
-                touched = Instant::now();
+            Some(lease) if clock::since(touched) >= MEMBER_TTL / 4 => {
+                touched = clock::now();
                 node.state.touch(lease).await
             }
             Some(_) => Ok(()),
             None => {
-                touched = Instant::now();
+                touched = clock::now();
                 match node.state.new_lease(MEMBER_TTL).await {
                     Ok(lease) => {
                         node.core().lease = Some(lease);
@@ -328,7 +329,7 @@
     };
     // Never behind other changes: the lease would run out meanwhile, and a
     // controller in debt would join again and again without ever being live.
-    node.core().writes.take(puts.len() as f64, 0.0, Instant::now());
+    node.core().writes.take(puts.len() as f64, 0.0, clock::now());
     node.counts.spend(Purpose::Members, puts.len());
     match node.state.txn(conditions, puts).await? {
         Outcome::Committed { revision } => Ok(node.reach(revision, Duration::from_secs(2)).await),
--- a/crates/daemon/src/wide.rs
+++ b/crates/daemon/src/wide.rs
@@ -9,6 +9,7 @@
 use tracing::{info, warn};
 use wire::Condition;
 
+use crate::clock;
 use crate::load::Purpose;
 use crate::node::{Inner, Node};
 
@@ -69,7 +70,7 @@
         for some in wide.parts.chunks(at_once) {
             let mut tries = 0;
             written = loop {
-                self.core().writes.take(some.len() as f64, 0.0, Instant::now());
+                self.core().writes.take(some.len() as f64, 0.0, clock::now());
                 self.counts.spend(Purpose::Parts, some.len());
                 match self.state.txn(Vec::new(), some.to_vec()).await {
                     Ok(Outcome::Committed { revision } | Outcome::Conflict { revision, .. }) => {
@@ -119,7 +120,7 @@
         if !matches!(e, StoreError::Rate) {
             return;
         }
-        let (now, seen) = (Instant::now(), self.seen.get());
+        let (now, seen) = (clock::now(), self.seen.get());
         let mut core = self.core();
         core.writes.drained(now);
         let next = self.settings.facts.state.next.clone().unwrap_or_default();
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -1,4 +1,5 @@
 use std::collections::{BTreeMap, HashMap};
+use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -26,6 +27,16 @@
     pub body: Bytes,
 }
 
+/// What carries requests in place of connections: a network of a kind of its own, such
+/// as one that lies in memory.
+pub trait Transport: Send + Sync {
+    /// Sends one request; never ends if there is no answer.
+    fn request(&self, addr: &str, method: &str, path: &str, body: Vec<u8>) -> Exchange;
+}
+
+/// A request on its way, and its answer.
+pub type Exchange = Pin<Box<dyn Future<Output = Result<Answer, NetError>> + Send>>;
+
 type Sender = SendRequest<Full<Bytes>>;
 
 const IDLE_PER_HOST: usize = 4;
@@ -102,12 +113,18 @@
     idle: Arc<Mutex<Idle>>,
     most: usize,
     turns: Arc<Semaphore>,
+    transport: Option<Arc<dyn Transport>>,
 }
 
 impl Client {
     pub fn new(most: usize) -> Self {
         let most = most.clamp(1, Semaphore::MAX_PERMITS);
-        Self { idle: Arc::default(), most, turns: Arc::new(Semaphore::new(most)) }
+        Self { idle: Arc::default(), most, turns: Arc::new(Semaphore::new(most)), transport: None }
+    }
+
+    /// A client whose requests something else carries than connections of its own.
+    pub fn over(transport: Arc<dyn Transport>) -> Self {
+        Self { transport: Some(transport), ..Self::new(Semaphore::MAX_PERMITS) }
     }
 
     fn idle(&self) -> MutexGuard<'_, Idle> {
@@ -141,6 +158,10 @@
         let unknown = |why: String| NetError::Unknown(addr.to_owned(), why);
         let busy = || NetError::Connect(addr.to_owned(), "too many requests are open".into());
         let until = Instant::now() + deadline;
+        if let Some(transport) = &self.transport {
+            let exchange = transport.request(addr, method, path, body);
+            return timeout_at(until, exchange).await.map_err(|_| unknown("deadline passed".into()))?;
+        }
         let turn = timeout_at(until, self.turns.acquire()).await;
         let _turn = turn.ok().and_then(Result::ok).ok_or_else(busy)?;
         let idle = {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -4,5 +4,5 @@
 mod client;
 mod server;
 
-pub use client::{Answer, Client, NetError};
+pub use client::{Answer, Client, Exchange, NetError, Transport};
 pub use server::{Connections, Reply, Request, serve};
