A machine that reaches no controller gets no work; launches it was offered are ruled out

Cause: a worker that cannot open connections but answers requests counted as heard. A launch in an answer that was lost kept its assignment on record, and in the team's limit, for as long as the worker did not report by itself. Change: placement takes no machine that has not reported by itself for two and a half reports, to this owner or since it is one. An offered launch is also ruled out by a list of tasks that shows a later token than its answer had, or a later session: the worker drops that answer. Result: two tests on the fake clock; red without the mute check, without the token's comparison, and with offers forgotten at once.

--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -556,6 +556,7 @@
                 w.heard.is_some()
                     && w.hears()
                     && w.silent_for(now) < report * 5 / 2
+                    && !w.is_mute(report * 5 / 2, now)
                     && w.notice_until.is_none()
                     && !w.sick()
             }),
--- a/crates/daemon/src/worker.rs
+++ b/crates/daemon/src/worker.rs
@@ -37,10 +37,12 @@
     owned_epoch: u64,
     /// The token of the request that is not answered yet.
     in_flight: Option<u64>,
-    /// Launches went out with a report's answer: until the next report comes,
-    /// they may still be executed.
-    offered: bool,
+    /// The token of a report's answer that launches went out with. Until the next report
+    /// comes, or the worker shows a later token, they may still be executed.
+    offered: Option<u64>,
     pub owned_since: Instant,
+    /// When the worker last reported by itself to this controller, the owner.
+    reported: Instant,
     /// Last sign of life, and last report that was answered with 200.
     pub heard: Option<Instant>,
     pub renewed: Option<Instant>,
@@ -113,8 +115,9 @@
             proof_token: first_token(epoch),
             owned_epoch: epoch,
             in_flight: None,
-            offered: false,
+            offered: None,
             owned_since: now,
+            reported: now,
             heard: None,
             renewed: None,
             excused: None,
@@ -143,7 +146,7 @@
             self.epoch = epoch;
             self.token = first_token(epoch);
             self.proof_token = self.token;
-            self.offered = false;
+            self.offered = None;
             self.in_flight = None;
             self.renewed = None;
             self.told = 0;
@@ -194,10 +197,15 @@
         if report.session != self.session || report.tasks != self.tasks || report.notice_s.is_some() {
             self.look_again();
         }
+        // A worker has one report in flight: by the next one, the answer to the last has
+        // been executed or dropped. It also drops answers to an earlier session, and those
+        // with a lower token than it has seen: that counts for a machine that reaches no
+        // controller any more, but answers requests.
+        if by_itself || report.session > self.session || self.offered.is_some_and(|t| report.token > t) {
+            self.offered = None;
+        }
         if by_itself {
-            // A worker has one report in flight: by the next one, the answer to
-            // the last has been executed or dropped.
-            self.offered = false;
+            self.reported = now;
         }
         self.trusted |= report.token >= first_token(self.owned_epoch);
         self.heard = Some(now);
@@ -239,6 +247,13 @@
         self.deaf_since.is_none() && self.failures < 3 && self.seen_token >= first_token(self.owned_epoch)
     }
 
+    /// Whether the worker answers requests at most, but does not report: nobody renews its
+    /// lease, and whatever is started there will be killed.
+    pub fn is_mute(&self, limit: Duration, now: Instant) -> bool {
+        let since = self.excused.map_or(self.reported, |e| e.max(self.reported));
+        now.saturating_duration_since(since) > limit
+    }
+
     /// An answer that renews the worker's lease goes out.
     pub fn renew(&mut self, now: Instant) {
         self.renewed = Some(now);
@@ -259,7 +274,10 @@
 
     /// Whether absence from the last report proves that an assignment is over.
     fn absence_proves(&self) -> bool {
-        self.in_flight.is_none() && !self.offered && self.session > 0 && self.seen_token >= self.proof_token
+        self.in_flight.is_none()
+            && self.offered.is_none()
+            && self.session > 0
+            && self.seen_token >= self.proof_token
     }
 
     /// Compares what the records want with what the worker reports.
@@ -465,7 +483,9 @@
         let mut commands = stops;
         commands.extend(rest.into_iter().filter(|c| !commands.contains(c)).collect::<Vec<_>>());
         commands.retain(|c| !matches!(c, Command::Forget { .. }));
-        self.offered |= commands.iter().any(|c| matches!(c, Command::Start { .. }));
+        if commands.iter().any(|c| matches!(c, Command::Start { .. })) {
+            self.offered = Some(self.token);
+        }
         // The ends that it found are for the next round.
         self.look_again();
         commands
--- a/crates/daemon/tests/unit/meetings_machines.rs
+++ b/crates/daemon/tests/unit/meetings_machines.rs
@@ -200,15 +200,23 @@
         host.hear(self.now, answer);
     }
 
-    /// A round whose commands reach the worker, and whose answers come back.
-    fn command(&mut self, n: usize, host: &mut Host) -> Vec<Command> {
+    /// The owner asks a worker for its status.
+    fn ask(&mut self, n: usize, host: &mut Host) {
+        host.live(self.now);
+        let report = host.report();
+        if let Some(w) = self.nodes[n].core().workers.get_mut(host.id) {
+            w.ingest(report, false, self.now);
+        }
+    }
+
+    /// A round whose commands reach the workers, and whose answers come back.
+    fn command(&mut self, n: usize, hosts: &mut [&mut Host]) -> Vec<Command> {
         let mut sent = Vec::new();
         for (machine, commands) in self.round(n) {
-            if *machine == *host.id {
-                let report = host.execute(&commands, self.now);
-                self.answered(n, &machine, &commands, Some(report));
-                sent.extend(commands.commands);
-            }
+            let host = hosts.iter_mut().find(|h| *machine == *h.id);
+            let report = host.map(|h| h.execute(&commands, self.now));
+            self.answered(n, &machine, &commands, report);
+            sent.extend(commands.commands);
         }
         sent
     }
@@ -321,7 +329,7 @@
     site.read(owner);
     site.meet(owner, &mut host);
     site.meet(owner, &mut host);
-    site.command(owner, &mut host);
+    site.command(owner, &mut [&mut host]);
     assert!(host.runs("j-1/0"));
     (site, host)
 }
@@ -413,7 +421,7 @@
             site.meet(0, &mut host);
             host.runs("j-1/0")
         };
-        let by_request = site.command(0, &mut host).iter().any(|c| matches!(c, Command::Start { .. }));
+        let by_request = site.command(0, &mut [&mut host]).iter().any(|c| matches!(c, Command::Start { .. }));
         (by_answer, by_request)
     };
     assert_eq!(launches(3.5), (true, true), "it cannot know better yet");
@@ -446,7 +454,7 @@
         site.wait(25.0);
         site.read(1);
         site.meet(1, &mut host);
-        site.command(1, &mut host);
+        site.command(1, &mut [&mut host]);
         site.meet(1, &mut host);
         assert!(host.session == 2 && host.runs("j-1/0"), "started anew");
         site.map(&[0]);
@@ -466,3 +474,72 @@
         assert!(job.errors == 1 && job.run.iter().all(|a| a.attempt > 1), "its end is proven now: {job:?}");
     }
 }
+
+/// A machine reaches no controller, but requests reach it: its owner hears of it all the
+/// time, and nobody renews its lease. Its task is killed with that, is proven so, and is
+/// started elsewhere, once; a launch from before meets another session. Nothing is placed
+/// there while that lasts, as it would be killed again.
+#[test]
+fn a_mute_machine_gets_no_work_and_its_tasks_start_elsewhere_once() {
+    let mut site = Site::new(1, &[("host-1", "a"), ("host-2", "a")]);
+    let (mut mute, mut other) = (Host::new("host-1", "a", site.now), Host::new("host-2", "a", site.now));
+    site.assign(spec("j-1", JobKind::Array), &[(0, 1, "host-1")]);
+    site.read(0);
+    for host in [&mut mute, &mut other] {
+        site.meet(0, host);
+        site.meet(0, host);
+    }
+    assert!(mute.runs("j-1/0"));
+    let late = Commands {
+        token: mute.token,
+        session: 1,
+        commands: vec![Command::Start { task: "j-1/0".into(), attempt: 1 }],
+    };
+    for step in 0..160 {
+        site.wait(0.5);
+        site.read(0);
+        if step % 6 == 0 {
+            site.meet(0, &mut other);
+        }
+        if step % 4 == 0 {
+            site.ask(0, &mut mute);
+        }
+        if step == 60 {
+            mute.execute(&late, site.now);
+        }
+        site.command(0, &mut [&mut mute, &mut other]);
+        assert!(!(mute.runs("j-1/0") && other.runs("j-1/0")), "step {step}");
+        assert!(mute.session == 1 || !mute.runs("j-1/0"), "started there again, step {step}");
+    }
+    assert!(other.runs("j-1/0") && mute.session > 1);
+}
+
+/// A launch is offered with an answer that is held up, and the machine reaches no
+/// controller any more. Its job is cancelled, and counts in its team's limit until it is
+/// proven that nothing will come of the launch: a request shows the worker a later token.
+#[test]
+fn a_launch_in_a_lost_answer_is_ruled_out_while_the_machine_is_mute() {
+    let mut site = Site::new(1, &[("host-1", "a")]);
+    let mut host = Host::new("host-1", "a", site.now);
+    site.meet(0, &mut host);
+    site.assign(spec("j-1", JobKind::Array), &[(0, 1, "host-1")]);
+    site.read(0);
+    site.wait(1.0);
+    let sent = site.now;
+    let held = site.report(0, &host.report());
+    assert!(held.as_ref().is_some_and(|a| !a.commands.is_empty()));
+    site.cancel("j-1");
+    site.read(0);
+    site.ask(0, &mut host);
+    let commands = site.round(0);
+    assert_eq!(site.job("j-1").run.len(), 1, "the answer may still arrive");
+    for (machine, commands) in commands {
+        let report = host.execute(&commands, site.now);
+        site.answered(0, &machine, &commands, Some(report));
+    }
+    site.wait(1.0);
+    site.round(0);
+    assert!(site.job("j-1").run.is_empty(), "it stays on record");
+    host.hear(sent, held);
+    assert!(!host.runs("j-1/0"));
+}
