A leader with an old view releases no machines that seem never to have come up

Cause: surplus machines were given back by a fresh view only, but rentals that seemed never to have come up were released by any. A leader that had stood still, or that the state service refused alone, released machines that had come up meanwhile and ran the next leader's work. Change: the same condition for both: a view of at most 4 s, by a process that did not stand still. Result: a test; red without the condition and without each half of it.

--- a/crates/daemon/src/fleet_duty/rentals.rs
+++ b/crates/daemon/src/fleet_duty/rentals.rs
@@ -14,7 +14,7 @@
 use tracing::{debug, info};
 use wire::{Condition, JobKind, JobSpec, MachineStatus, MachineType, RentRequest};
 
-use super::{Fleet, names, names_left, spare_spec, write};
+use super::{Fleet, is_current, names, names_left, spare_spec, write};
 use crate::load::few;
 use crate::node::{Core, Node, wall_ms};
 
@@ -67,36 +67,8 @@
 impl Fleet {
     /// Drops rentals whose machines are all up, and gives up on those that are not.
     pub(super) async fn settle_rentals(&mut self, node: &Node) {
-        let now_ms = wall_ms();
-        let (fleet, version, late) = {
-            let core = node.core();
-            let Some(f) = &core.world.fleet else { return };
-            let mut late: Vec<Name> = Vec::new();
-            let mut rentals = Vec::new();
-            for r in &f.value.rentals {
-                let boot = core.world.types.get(&*r.machine_type).map_or(60.0, |t| t.boot_s);
-                let age = now_ms.saturating_sub(r.asked_ms) as f64 / 1000.0;
-                let mut r = r.clone();
-                if let Some(machines) = &mut r.machines {
-                    machines
-                        .retain(|m| !core.world.machines.contains_key(m) && !self.released.contains_key(m));
-                    if age > boot * 3.0 + 15.0 {
-                        late.append(machines);
-                    }
-                    if machines.is_empty() {
-                        continue;
-                    }
-                } else if age > 30.0 {
-                    // Never answered: whatever comes of it will report by itself.
-                    continue;
-                }
-                rentals.push(r);
-            }
-            if rentals == f.value.rentals && late.is_empty() {
-                return;
-            }
-            (FleetRecord { rentals, gone: f.value.gone.clone() }, f.version, late)
-        };
+        let settled = self.settled(&node.core(), Instant::now(), wall_ms());
+        let Some((fleet, version, late)) = settled else { return };
         if !late.is_empty() {
             if node.cloud.release(names(&late)).await.is_err() {
                 return;
@@ -111,6 +83,39 @@
         write(node, vec![Condition { key: key::FLEET.into(), version }], vec![put]).await;
     }
 
+    /// The fleet's record without what is settled, its version, and the machines that never
+    /// came up. By an old view, those that are up and busy would be among them.
+    pub(super) fn settled(
+        &self,
+        core: &Core,
+        now: Instant,
+        now_ms: u64,
+    ) -> Option<(FleetRecord, u64, Vec<Name>)> {
+        let f = core.world.fleet.as_ref().filter(|_| is_current(core, now))?;
+        let mut late: Vec<Name> = Vec::new();
+        let mut rentals = Vec::new();
+        for r in &f.value.rentals {
+            let boot = core.world.types.get(&*r.machine_type).map_or(60.0, |t| t.boot_s);
+            let age = now_ms.saturating_sub(r.asked_ms) as f64 / 1000.0;
+            let mut r = r.clone();
+            if let Some(machines) = &mut r.machines {
+                machines.retain(|m| !core.world.machines.contains_key(m) && !self.released.contains_key(m));
+                if age > boot * 3.0 + 15.0 {
+                    late.append(machines);
+                }
+                if machines.is_empty() {
+                    continue;
+                }
+            } else if age > 30.0 {
+                // Never answered: whatever comes of it will report by itself.
+                continue;
+            }
+            rentals.push(r);
+        }
+        let fleet = FleetRecord { rentals, gone: f.value.gone.clone() };
+        (fleet.rentals != f.value.rentals || !late.is_empty()).then_some((fleet, f.version, late))
+    }
+
     /// Machines that have not been heard of for longer than placement would wait.
     pub(super) fn about_to_go(&self, node: &Node, core: &Core, now: Instant) -> HashSet<Name> {
         let limit = node.report_every() * 5 / 2;
--- a/crates/daemon/src/fleet_duty/returns.rs
+++ b/crates/daemon/src/fleet_duty/returns.rs
@@ -14,7 +14,7 @@
 use tracing::{debug, info, warn};
 use wire::{Condition, JobKind, JobSpec, MachineStatus};
 
-use super::{Fleet, Silent, names, names_left, spare_spec, write};
+use super::{Fleet, Silent, is_current, names, names_left, spare_spec, write};
 use crate::load::few;
 use crate::node::{Core, Node, wall_ms};
 
@@ -42,9 +42,7 @@
     /// Which machines to give back, and why.
     pub(super) fn surplus(&mut self, node: &Node, core: &Core, now: Instant) -> Vec<(Name, &'static str)> {
         let mut out = Vec::new();
-        // Woken with a view from before: nothing is given up by it.
-        let fresh = |t: Instant| now.saturating_duration_since(t) < Duration::from_secs(4);
-        if core.stood_still(now) || !core.fresh_at.is_some_and(fresh) {
+        if !is_current(core, now) {
             return out;
         }
         let silent = node.silent_limit();
--- a/crates/daemon/tests/unit/fleet_duty_rentals.rs
+++ b/crates/daemon/tests/unit/fleet_duty_rentals.rs
@@ -1,4 +1,5 @@
 use super::*;
+use sched::world::Change;
 
 #[test]
 fn answered_requests_of_a_kind_count_as_one_rental() {
@@ -20,3 +21,39 @@
     // The one that was not answered keeps its name: a successor knows what may come.
     assert_eq!(all, [("4", None), ("", some(&["x", "y", "z"])), ("", some(&["w"]))]);
 }
+
+/// A leader stands still, or the state service refuses it alone, while machines that it
+/// rented come up and get work from the next leader. By its old view they never came up,
+/// and the cloud would still take them back at its word.
+#[test]
+fn machines_that_came_up_unseen_are_not_released() {
+    let node = crate::scale::node(4, 1);
+    let now = Instant::now();
+    let mut core = node.core();
+    let rental = Rental {
+        request: String::new(),
+        machine_type: "m".into(),
+        zone: "a".into(),
+        spot: false,
+        count: 1,
+        asked_ms: 1000,
+        machines: Some(vec!["host-000009".into()]),
+    };
+    let record = FleetRecord { rentals: vec![rental], gone: None };
+    core.world.apply(Change::Fleet(Some(record)), 1 << 40);
+    let fleet = Fleet::default();
+    let late = |core: &Core, now: Instant, now_ms: u64| {
+        fleet.settled(core, now, now_ms).map_or(0, |(_, _, late)| late.len())
+    };
+    (core.fresh_at, core.beat) = (Some(now), now);
+    assert_eq!(late(&core, now, 60_000), 0, "it may still come up");
+    assert_eq!(late(&core, now, 200_000), 1);
+    let later = now + Duration::from_secs(5);
+    assert_eq!(late(&core, later, 200_000), 0);
+    core.fresh_at = Some(later);
+    assert_eq!(late(&core, later, 200_000), 0, "it stood still");
+    (core.fresh_at, core.beat) = (Some(now), later);
+    assert_eq!(late(&core, later, 200_000), 0, "it has not heard what came up");
+    core.fresh_at = Some(later);
+    assert_eq!(late(&core, later, 200_000), 1);
+}
