--- a/crates/daemon/src/gossip.rs
+++ b/crates/daemon/src/gossip.rs
@@ -48,7 +48,7 @@
     }
 }
 
-fn take(node: &Node, summary: Summary) {
+pub(crate) fn take(node: &Node, summary: Summary) {
     let mut core = node.core();
     if !node.settings.peers.iter().any(|p| p.node_name == summary.name) || !newer(&core, &summary) {
         return;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,5 +1,8 @@
 //! The duties of one controller, and the command line that starts them.
 
+#[cfg(feature = "bench")]
+#[path = "../benches/load/cases.rs"]
+pub mod cases;
 mod client;
 mod engine;
 mod fleet_duty;
--- a/crates/daemon/src/state_duty.rs
+++ b/crates/daemon/src/state_duty.rs
@@ -96,7 +96,7 @@
 
 /// Applies changes to the mirror. Answers may overlap and cross each other: what
 /// is known already is passed over.
-fn take_in(node: &Node, changes: Changes<Value>) {
+pub(crate) fn take_in(node: &Node, changes: Changes<Value>) {
     let mut core = node.core();
     let known = core.world.revision;
     if changes.revision <= known {
