--- /dev/null
+++ b/crates/emulator/src/journal.rs
@@ -0,0 +1,159 @@
+//! A file of checksummed entries: a snapshot, then a log of what came after.
+//!
+//! An entry is on the disk when `append` returns. A process may be killed at any byte:
+//! what was appended before comes back, and an entry that was being written is cut off.
+//! A damaged entry with sound ones after it is no torn write; then the file is refused,
+//! as what was acknowledged would be lost without a word.
+
+use std::fs::{File, OpenOptions};
+use std::io::{self, Seek, SeekFrom, Write};
+use std::path::{Path, PathBuf};
+
+#[derive(Debug, thiserror::Error)]
+pub enum JournalError {
+    #[error("{file}: {source}")]
+    Io { file: String, source: io::Error },
+    #[error("{file}: damaged at byte {at}, with sound entries after it")]
+    Damaged { file: String, at: u64 },
+    #[error("{file}: not a file of this program, or of another version")]
+    Foreign { file: String },
+}
+
+const MAGIC: &[u8; 8] = b"slmjrnl1";
+/// Length, number and checksum.
+const HEAD: usize = 4 + 8 + 4;
+/// No entry is larger; a length above it is damage.
+const LARGEST: usize = 256 << 20;
+
+/// The open file. Entries are numbered from 0 in each file.
+#[derive(Debug)]
+pub struct Journal {
+    path: PathBuf,
+    file: File,
+    next: u64,
+    len: u64,
+    snapshot_len: u64,
+}
+
+fn checksum(number: u64, payload: &[u8]) -> u32 {
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(&(payload.len() as u32).to_le_bytes());
+    hasher.update(&number.to_le_bytes());
+    hasher.update(payload);
+    hasher.finalize()
+}
+
+fn frame(number: u64, payload: &[u8]) -> Vec<u8> {
+    let mut out = Vec::with_capacity(HEAD + payload.len());
+    out.extend((payload.len() as u32).to_le_bytes());
+    out.extend(number.to_le_bytes());
+    out.extend(checksum(number, payload).to_le_bytes());
+    out.extend(payload);
+    out
+}
+
+/// The entry at the beginning of `bytes` if it is whole and sound: its number and payload.
+fn read_frame(bytes: &[u8]) -> Option<(u64, &[u8])> {
+    let len = u32::from_le_bytes(bytes.get(..4)?.try_into().ok()?) as usize;
+    let number = u64::from_le_bytes(bytes.get(4..12)?.try_into().ok()?);
+    let sum = u32::from_le_bytes(bytes.get(12..HEAD)?.try_into().ok()?);
+    if len > LARGEST {
+        return None;
+    }
+    let payload = bytes.get(HEAD..HEAD + len)?;
+    (checksum(number, payload) == sum).then_some((number, payload))
+}
+
+impl Journal {
+    /// Opens the file or begins a new one, and reads what it holds, oldest first.
+    pub fn open(path: &Path) -> Result<(Self, Vec<Vec<u8>>), JournalError> {
+        let name = path.display().to_string();
+        let io = |source| JournalError::Io { file: name.clone(), source };
+        // Left by a process that was killed while it wrote a snapshot.
+        let _ = std::fs::remove_file(path.with_extension("new"));
+        let bytes = match std::fs::read(path) {
+            Ok(bytes) => bytes,
+            Err(e) if e.kind() == io::ErrorKind::NotFound => Vec::new(),
+            Err(e) => return Err(io(e)),
+        };
+        if !MAGIC.starts_with(head(&bytes)) {
+            return Err(JournalError::Foreign { file: name });
+        }
+        if bytes.len() < MAGIC.len() {
+            let mut journal = Self::create(path, path, &[]).map_err(io)?;
+            journal.snapshot_len = journal.len;
+            return Ok((journal, Vec::new()));
+        }
+        let (mut at, mut next, mut entries) = (MAGIC.len(), 0, Vec::new());
+        while let Some((number, payload)) = bytes.get(at..).and_then(read_frame)
+            && number == next
+        {
+            at += HEAD + payload.len();
+            next += 1;
+            entries.push(payload.to_vec());
+        }
+        let rest = bytes.get(at + 1..).unwrap_or_default();
+        let follows = |i: usize| read_frame(rest.get(i..).unwrap_or_default()).is_some_and(|(n, _)| n > next);
+        if (0..rest.len()).any(follows) {
+            return Err(JournalError::Damaged { file: name, at: at as u64 });
+        }
+        let file = OpenOptions::new().write(true).open(path).map_err(io)?;
+        let mut journal = Self { path: path.to_owned(), file, next, len: at as u64, snapshot_len: 0 };
+        journal.file.set_len(journal.len).map_err(io)?;
+        journal.file.sync_all().map_err(io)?;
+        journal.file.seek(SeekFrom::End(0)).map_err(io)?;
+        Ok((journal, entries))
+    }
+
+    fn create(path: &Path, at: &Path, entries: &[Vec<u8>]) -> io::Result<Self> {
+        let mut file = OpenOptions::new().write(true).create(true).truncate(true).open(at)?;
+        let mut bytes = MAGIC.to_vec();
+        for (number, payload) in entries.iter().enumerate() {
+            bytes.extend(frame(number as u64, payload));
+        }
+        file.write_all(&bytes)?;
+        file.sync_all()?;
+        sync_folder(at)?;
+        let len = bytes.len() as u64;
+        Ok(Self { path: path.to_owned(), file, next: entries.len() as u64, len, snapshot_len: len })
+    }
+
+    /// Writes one entry and waits until the disk has it. After an error nobody knows
+    /// what the disk has: the caller must not go on.
+    pub fn append(&mut self, payload: &[u8]) -> Result<(), JournalError> {
+        let bytes = frame(self.next, payload);
+        let written = self.file.write_all(&bytes).and_then(|()| self.file.sync_data());
+        written.map_err(|source| JournalError::Io { file: self.path.display().to_string(), source })?;
+        self.next += 1;
+        self.len += bytes.len() as u64;
+        Ok(())
+    }
+
+    /// Whether the log has grown well beyond the snapshot, so that a new one pays.
+    pub fn wants_snapshot(&self) -> bool {
+        self.len > (1 << 20) + 4 * self.snapshot_len
+    }
+
+    /// Replaces all entries by these, at once: whoever is killed meanwhile finds either.
+    pub fn replace(&mut self, entries: &[Vec<u8>]) -> Result<(), JournalError> {
+        let new = self.path.with_extension("new");
+        let replaced = Self::create(&self.path, &new, entries).and_then(|journal| {
+            std::fs::rename(&new, &self.path)?;
+            sync_folder(&self.path)?;
+            Ok(journal)
+        });
+        *self =
+            replaced.map_err(|source| JournalError::Io { file: self.path.display().to_string(), source })?;
+        Ok(())
+    }
+}
+
+fn head(bytes: &[u8]) -> &[u8] {
+    bytes.get(..MAGIC.len()).unwrap_or(bytes)
+}
+
+/// A new name lasts only once its folder is on the disk.
+fn sync_folder(path: &Path) -> io::Result<()> {
+    let folder = path.parent().filter(|p| !p.as_os_str().is_empty()).unwrap_or(Path::new("."));
+    File::open(folder)?.sync_all()
+}
--- /dev/null
+++ b/crates/emulator/src/state/data.rs
@@ -0,0 +1,188 @@
+//! The keys, leases and changes of the state service: what its file holds.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use rmpv::Value;
+use serde::{Deserialize, Serialize};
+use wire::{Condition, Event, Item};
+
+/// How many changes are kept for watches.
+pub const CHANGES_KEPT: usize = 10_000;
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Entry {
+    pub value: Value,
+    pub version: u64,
+    pub lease: Option<u64>,
+}
+
+/// One change of a key; no value: deleted.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Write {
+    pub key: String,
+    pub value: Option<Value>,
+    pub lease: Option<u64>,
+}
+
+/// What is done to the data, one entry of the log each.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Change {
+    Writes(Vec<Write>),
+    Granted {
+        lease: u64,
+        ttl_ms: u64,
+    },
+    /// The lease's keys go with it.
+    Ended {
+        lease: u64,
+    },
+    /// The beginning of a snapshot. What follows builds on these numbers.
+    Base {
+        revision: u64,
+        last_lease: u64,
+    },
+    /// A key of a snapshot.
+    Held {
+        key: String,
+        entry: Entry,
+    },
+}
+
+#[derive(Debug, Clone)]
+struct Past {
+    revision: u64,
+    key: String,
+    value: Option<Value>,
+}
+
+/// The data. Changed by `apply` alone, so that the log repeats all of it.
+#[derive(Debug, Clone, Default)]
+pub struct Data {
+    pub revision: u64,
+    pub keys: BTreeMap<String, Entry>,
+    /// How long each lease lasts, in milliseconds, and its keys.
+    pub leases: BTreeMap<u64, (u64, BTreeSet<String>)>,
+    last_lease: u64,
+    past: VecDeque<Past>,
+    /// Changes up to this revision are not kept any more.
+    forgotten: u64,
+}
+
+impl Data {
+    pub fn version(&self, key: &str) -> u64 {
+        self.keys.get(key).map_or(0, |e| e.version)
+    }
+
+    /// The keys that have other versions than these.
+    pub fn failed(&self, conditions: &[Condition]) -> Vec<String> {
+        let fails = |c: &&Condition| self.version(&c.key) != c.version;
+        conditions.iter().filter(fails).map(|c| c.key.clone()).collect()
+    }
+
+    pub fn next_lease(&self) -> u64 {
+        self.last_lease + 1
+    }
+
+    pub fn apply(&mut self, change: Change) {
+        match change {
+            Change::Writes(writes) => {
+                self.revision += 1;
+                for write in writes {
+                    self.write(write);
+                }
+            }
+            Change::Granted { lease, ttl_ms } => {
+                self.last_lease = self.last_lease.max(lease);
+                self.leases.insert(lease, (ttl_ms, BTreeSet::new()));
+            }
+            Change::Ended { lease } => {
+                let Some((_, keys)) = self.leases.remove(&lease) else { return };
+                if !keys.is_empty() {
+                    self.revision += 1;
+                }
+                for key in keys {
+                    self.write(Write { key, value: None, lease: None });
+                }
+            }
+            Change::Base { revision, last_lease } => {
+                *self = Self { revision, last_lease, forgotten: revision, ..Self::default() };
+            }
+            Change::Held { key, entry } => {
+                if let Some((_, keys)) = entry.lease.and_then(|l| self.leases.get_mut(&l)) {
+                    keys.insert(key.clone());
+                }
+                self.keys.insert(key, entry);
+            }
+        }
+    }
+
+    fn write(&mut self, write: Write) {
+        let Write { key, value, lease } = write;
+        let old = match &value {
+            Some(v) => {
+                let entry = Entry { value: v.clone(), version: self.revision, lease };
+                self.keys.insert(key.clone(), entry)
+            }
+            None => match self.keys.remove(&key) {
+                Some(old) => Some(old),
+                // What was not there has not changed.
+                None => return,
+            },
+        };
+        if let Some((_, keys)) = old.and_then(|e| e.lease).and_then(|l| self.leases.get_mut(&l)) {
+            keys.remove(&key);
+        }
+        if let Some((_, keys)) = lease.and_then(|l| self.leases.get_mut(&l)) {
+            keys.insert(key.clone());
+        }
+        self.past.push_back(Past { revision: self.revision, key, value });
+        while self.past.len() > CHANGES_KEPT
+            && let Some(gone) = self.past.pop_front()
+        {
+            self.forgotten = gone.revision;
+        }
+    }
+
+    /// What changed under a prefix after a revision; None if that is too long ago.
+    pub fn changes(&self, prefix: &str, after: u64) -> Option<Vec<Event<Value>>> {
+        if after < self.forgotten {
+            return None;
+        }
+        let begin = self.past.partition_point(|p| p.revision <= after);
+        let event = |p: &Past| Event {
+            put: p.value.is_some().then(|| p.key.clone()),
+            delete: p.value.is_none().then(|| p.key.clone()),
+            value: p.value.clone(),
+            version: p.revision,
+        };
+        Some(self.past.range(begin..).filter(|p| p.key.starts_with(prefix)).map(event).collect())
+    }
+
+    /// Keys with a prefix, beginning after a key, at most `count` and `bytes` (as JSON):
+    /// the items, and whether there are more.
+    pub fn page(&self, prefix: &str, after: &str, count: usize, bytes: usize) -> (Vec<Item<Value>>, bool) {
+        use std::ops::Bound::{Excluded, Included, Unbounded};
+        let from = if after < prefix { Included(prefix) } else { Excluded(after) };
+        let (mut items, mut size) = (Vec::new(), 0);
+        for (key, entry) in self.keys.range::<str, _>((from, Unbounded)) {
+            if !key.starts_with(prefix) {
+                break;
+            }
+            let item = Item { key: key.clone(), value: entry.value.clone(), version: entry.version };
+            size += super::json_len(&item) + 1;
+            if items.len() == count || (size > bytes && !items.is_empty()) {
+                return (items, true);
+            }
+            items.push(item);
+        }
+        (items, false)
+    }
+
+    /// All of it, as changes that build it again. Watches begin anew after it.
+    pub fn snapshot(&self) -> Vec<Change> {
+        let mut all = vec![Change::Base { revision: self.revision, last_lease: self.last_lease }];
+        all.extend(self.leases.iter().map(|(l, (ttl_ms, _))| Change::Granted { lease: *l, ttl_ms: *ttl_ms }));
+        all.extend(self.keys.iter().map(|(k, e)| Change::Held { key: k.clone(), entry: e.clone() }));
+        all
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/state/mod.rs
@@ -0,0 +1,16 @@
+//! The state service: a small consistent store of keys.
+
+mod data;
+mod requests;
+mod service;
+
+pub use data::Data;
+pub(crate) use data::{Change, Write};
+pub use service::{StateLimits, StateService, Step, Troubles, Watch};
+
+use serde::Serialize;
+
+/// The size limits are measured in this form.
+pub(crate) fn json_len<T: Serialize>(value: &T) -> usize {
+    serde_json::to_vec(value).map_or(usize::MAX / 2, |v| v.len())
+}
--- a/crates/wire/src/outside.rs
+++ b/crates/wire/src/outside.rs
@@ -104,6 +104,26 @@
     pub revision: u64,
 }
 
+/// The answer to a read of one key.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct StoredKey<V> {
+    #[serde(rename = "k")]
+    pub key: String,
+    #[serde(rename = "v")]
+    pub value: V,
+    #[serde(rename = "stamp")]
+    pub version: u64,
+    #[serde(rename = "hold", default, skip_serializing_if = "Option::is_none")]
+    pub lease: Option<u64>,
+}
+
+/// The body of a 404 for a key that does not exist.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct NoKey {
+    #[serde(rename = "epoch")]
+    pub revision: u64,
+}
+
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Condition {
     #[serde(rename = "k")]
@@ -130,15 +150,16 @@
 
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Txn<V> {
-    #[serde(rename = "if")]
+    #[serde(rename = "if", default = "Vec::new")]
     pub conditions: Vec<Condition>,
-    #[serde(rename = "then")]
+    /// None: the transaction only compares.
+    #[serde(rename = "then", default = "Vec::new")]
     pub ops: Vec<Op<V>>,
 }
 
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct TxnAnswer {
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub failed: Vec<String>,
     #[serde(rename = "epoch")]
     pub revision: u64,
@@ -159,11 +180,11 @@
 /// A change in the watch's answer: a put has a value, a delete has none.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Event<V> {
-    #[serde(default = "none")]
+    #[serde(default = "none", skip_serializing_if = "Option::is_none")]
     pub put: Option<String>,
-    #[serde(rename = "remove", default = "none")]
+    #[serde(rename = "remove", default = "none", skip_serializing_if = "Option::is_none")]
     pub delete: Option<String>,
-    #[serde(rename = "v", default = "none")]
+    #[serde(rename = "v", default = "none", skip_serializing_if = "Option::is_none")]
     pub value: Option<V>,
     #[serde(rename = "stamp")]
     pub version: u64,
