--- /dev/null
+++ b/crates/emulator/src/cloud/machines.rs
@@ -0,0 +1,96 @@
+use std::time::{Duration, Instant};
+
+use rand::RngExt;
+use rand::rngs::StdRng;
+use wire::{ListedMachine, MachineStatus};
+
+use super::{CloudSettings, DEATH_UNSEEN};
+use crate::worker::MachineInfo;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    Deleted,
+    /// The cloud took it back.
+    Taken,
+    /// It stopped on its own, and stays listed until it is deleted.
+    Failed,
+}
+
+/// One machine and what will become of it.
+pub struct Machine {
+    pub info: MachineInfo,
+    pub rented: Instant,
+    /// None: it never comes up.
+    pub up: Option<Instant>,
+    pub told_up: bool,
+    pub dies: Option<Instant>,
+    /// When the cloud wants it back.
+    pub reclaimed: Option<Instant>,
+    pub noticed: bool,
+    /// When it is taken after a notice.
+    pub taken: Option<Instant>,
+    pub end: Option<(Instant, End)>,
+    /// Paid for until here.
+    pub charged: Instant,
+    shown: bool,
+}
+
+/// A time that is as likely to be over in the next second as in any other.
+fn life(mean: Option<Duration>, rng: &mut StdRng) -> Option<Duration> {
+    mean.map(|m| m.mul_f64(-(1.0 - rng.random_range(0.0..1.0_f64)).ln()))
+}
+
+impl Machine {
+    pub fn new(info: MachineInfo, settings: &CloudSettings, now: Instant, rng: &mut StdRng) -> Self {
+        let usual = Duration::try_from_secs_f64(info.machine_type.boot_s).unwrap_or_default();
+        let (never, slow) = (settings.never_up, settings.never_up + settings.slow_boots);
+        let boot = match rng.random_range(0.0..1.0) {
+            x if x < never => None,
+            x if x < slow => Some(usual.mul_f64(rng.random_range(2.0..5.0))),
+            x if x < slow + settings.quick_boots => Some(Duration::from_millis(rng.random_range(300..2000))),
+            _ => Some(usual.mul_f64(rng.random_range(0.6..1.5))),
+        };
+        let up = boot.map(|b| now + b);
+        let from = up.unwrap_or(now);
+        let spot_life = settings.spot_life.filter(|_| info.spot);
+        Self {
+            info,
+            rented: now,
+            up,
+            told_up: false,
+            dies: life(settings.life, rng).map(|l| from + l),
+            reclaimed: life(spot_life, rng).map(|l| from + l),
+            noticed: false,
+            taken: None,
+            end: None,
+            charged: now,
+            shown: false,
+        }
+    }
+
+    /// As a list describes it that is `lag` old; None if it is not on it.
+    pub fn listed(&mut self, lag: Duration, now: Instant) -> Option<ListedMachine> {
+        let was = |at: Instant| at + lag <= now;
+        if !self.shown && !was(self.rented) {
+            return None;
+        }
+        if matches!(self.end, Some((at, End::Deleted | End::Taken)) if was(at)) {
+            return None;
+        }
+        self.shown = true;
+        let status = match self.end {
+            Some((at, End::Failed)) if was(at + DEATH_UNSEEN) => MachineStatus::Failed,
+            _ if self.up.is_some_and(was) => MachineStatus::Running,
+            _ => MachineStatus::Booting,
+        };
+        Some(ListedMachine {
+            id: self.info.name.clone(),
+            addr: Some(self.info.addr.clone()),
+            machine_type: self.info.machine_type.name.clone(),
+            zone: self.info.zone.clone(),
+            spot: self.info.spot,
+            status,
+            age_s: now.saturating_duration_since(self.rented).saturating_sub(lag).as_secs_f64(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/cloud/mod.rs
@@ -0,0 +1,314 @@
+//! The cloud: rents machines by the second, by "Controller nodes -> cloud" of the
+//! protocol's page.
+
+mod machines;
+mod prices;
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::{Duration, Instant};
+
+use net::{Reply, Request};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use wire::{MachineList, MachineNames, MachineType, MachineTypes, RentRequest};
+
+use crate::bucket::Bucket;
+use crate::state::query;
+use crate::troubles::{Step, Troubles};
+use crate::worker::MachineInfo;
+use machines::{End, Machine};
+use prices::Prices;
+
+#[derive(Debug, Clone)]
+pub struct CloudSettings {
+    pub types: Vec<MachineType>,
+    /// How many machines there are of a type and zone, ordinary and spot. What is not
+    /// named cannot be had.
+    pub capacity: HashMap<(String, String), (u32, u32)>,
+    pub rps: f64,
+    pub list_lag: Duration,
+    /// Shares of the machines that come up late, at once, or never.
+    pub slow_boots: f64,
+    pub quick_boots: f64,
+    pub never_up: f64,
+    /// The mean life of spot machines and of all machines; None: without end.
+    pub spot_life: Option<Duration>,
+    pub life: Option<Duration>,
+    /// The nominal time from a spot notice to the end, and the share that has none.
+    pub notice: Duration,
+    pub no_notice: f64,
+    /// The number of the first machine. Names must never come back.
+    pub first: u64,
+}
+
+/// What happens to machines, for whoever has their workers.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Event {
+    Up(String),
+    /// It will be taken away at this time.
+    Notice(String, Instant),
+    /// Deleted, taken or dead.
+    Gone(String),
+}
+
+/// Gives a new machine's address; None if there is none left.
+pub type Addresses = Box<dyn FnMut(&str) -> Option<String> + Send>;
+
+const RENT_MAX: u32 = 50;
+const RELEASE_MAX: usize = 100;
+const PAGE_MAX: usize = 500;
+/// Bursts of so many seconds' worth are allowed.
+const BURST_S: f64 = 2.0;
+/// How long a machine that died is still listed as running.
+const DEATH_UNSEEN: Duration = Duration::from_secs(30);
+/// How long one lag of the list lasts.
+const LAG_LASTS: Duration = Duration::from_secs(1);
+
+pub struct Cloud {
+    settings: CloudSettings,
+    addresses: Addresses,
+    machines: BTreeMap<String, Machine>,
+    /// What each request that succeeded was answered.
+    hires: HashMap<String, Vec<String>>,
+    prices: Prices,
+    troubles: Troubles,
+    bucket: Bucket,
+    lag: (Duration, Instant),
+    next: u64,
+    events: Vec<Event>,
+    rng: StdRng,
+}
+
+impl Cloud {
+    pub fn new(settings: CloudSettings, addresses: Addresses, seed: u64, now: Instant) -> Self {
+        let bucket = Bucket::new(settings.rps, BURST_S, now);
+        let prices = Prices::new(&settings.types, now);
+        let next = settings.first;
+        Self {
+            settings,
+            addresses,
+            machines: BTreeMap::new(),
+            hires: HashMap::new(),
+            prices,
+            troubles: Troubles::default(),
+            bucket,
+            lag: (Duration::ZERO, now),
+            next,
+            events: Vec::new(),
+            rng: StdRng::seed_from_u64(seed),
+        }
+    }
+
+    pub fn troubles(&self) -> &Troubles {
+        &self.troubles
+    }
+
+    pub fn set_troubles(&mut self, troubles: Troubles) {
+        self.troubles = troubles;
+    }
+
+    /// What a machine is.
+    pub fn info(&self, name: &str) -> Option<MachineInfo> {
+        self.machines.get(name).map(|m| m.info.clone())
+    }
+
+    /// The machines that are rented and not gone.
+    pub fn live(&self) -> impl Iterator<Item = &MachineInfo> {
+        self.machines.values().filter(|m| m.end.is_none()).map(|m| &m.info)
+    }
+
+    /// Money spent so far, in the prices' unit.
+    pub fn spent(&mut self, now: Instant) -> f64 {
+        self.charge(now);
+        self.prices.spent
+    }
+
+    fn charge(&mut self, now: Instant) {
+        for m in self.machines.values_mut().filter(|m| m.end.is_none()) {
+            self.prices.charge(&m.info, m.charged, now);
+            m.charged = m.charged.max(now);
+        }
+    }
+
+    /// Takes a request.
+    pub fn handle(&mut self, request: &Request, now: Instant) -> Step {
+        if let Some(late) = self.troubles.lateness(&mut self.rng) {
+            return Step::Late(late);
+        }
+        let reply = self.carry_out(request, now);
+        self.troubles.answer(reply, &mut self.rng)
+    }
+
+    /// Carries a request out now.
+    pub fn carry_out(&mut self, request: &Request, now: Instant) -> Reply {
+        self.poll(now);
+        if self.troubles.outage {
+            return Reply::error(503, "trouble");
+        }
+        if !self.bucket.take(1.0, now) {
+            return Reply::error(429, "too many requests");
+        }
+        let Ok((path, query)) = query(&request.path) else { return Reply::error(400, "malformed path") };
+        match (request.method.as_str(), path.as_str()) {
+            ("GET", "/machine_types") => {
+                Reply::new(200, &MachineTypes { types: self.prices.current(&self.settings.types) })
+            }
+            ("POST", "/machines") => match wire::decode(&request.body) {
+                Ok(rental) => self.rent(rental, now),
+                Err(_) => Reply::error(400, "not a rental request"),
+            },
+            ("POST", "/machines/release") => match wire::decode::<MachineNames>(&request.body) {
+                Ok(names) if names.machines.len() <= RELEASE_MAX => {
+                    names.machines.iter().for_each(|name| self.delete(name, now));
+                    Reply::new(200, &MachineNames { machines: names.machines })
+                }
+                _ => Reply::error(400, "not a list of up to 100 names"),
+            },
+            ("GET", "/machines") => {
+                let value = |name: &str| query.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str());
+                let page = value("page").map_or(Ok(PAGE_MAX), str::parse);
+                match page {
+                    Ok(page) if (1..=PAGE_MAX).contains(&page) => {
+                        Reply::new(200, &self.list(value("after").unwrap_or_default(), page, now))
+                    }
+                    _ => Reply::error(400, "page must be 1 to 500"),
+                }
+            }
+            _ => Reply::error(404, "no such path"),
+        }
+    }
+
+    fn rent(&mut self, r: RentRequest, now: Instant) -> Reply {
+        if let Some(machines) = self.hires.get(&r.request) {
+            return Reply::new(200, &MachineNames { machines: machines.clone() });
+        }
+        let Some(kind) = self.settings.types.iter().find(|t| t.name == r.machine_type).cloned() else {
+            return Reply::error(400, "no such shape");
+        };
+        if !kind.zones.contains(&r.zone) || !(1..=RENT_MAX).contains(&r.count) || r.request.is_empty() {
+            return Reply::error(400, "malformed rental request");
+        }
+        let all = self.settings.capacity.get(&(r.machine_type.clone(), r.zone.clone()));
+        let all = all.map_or(0, |(ordinary, spot)| if r.spot { *spot } else { *ordinary });
+        let same =
+            |i: &&MachineInfo| i.machine_type.name == r.machine_type && i.zone == r.zone && i.spot == r.spot;
+        let free = all.saturating_sub(self.live().filter(same).count() as u32);
+        let mut names = Vec::new();
+        for _ in 0..free.min(r.count) {
+            let name = format!("host-{:06}", self.next);
+            let Some(addr) = (self.addresses)(&name) else { break };
+            self.next += 1;
+            let (zone, machine_type) = (r.zone.clone(), kind.clone());
+            let info = MachineInfo { name: name.clone(), addr, machine_type, zone, spot: r.spot };
+            let machine = Machine::new(info, &self.settings, now, &mut self.rng);
+            self.machines.insert(name.clone(), machine);
+            names.push(name);
+        }
+        if names.is_empty() {
+            return Reply::error(503, "no capacity");
+        }
+        self.hires.insert(r.request, names.clone());
+        Reply::new(200, &MachineNames { machines: names })
+    }
+
+    fn delete(&mut self, name: &str, now: Instant) {
+        let Some(m) = self.machines.get_mut(name) else { return };
+        match m.end {
+            Some((_, End::Failed)) => m.end = Some((now, End::Deleted)),
+            Some(_) => {}
+            None => {
+                self.prices.charge(&m.info, m.charged, now);
+                self.prices.charge_least(&m.info, now.saturating_duration_since(m.rented));
+                m.end = Some((now, End::Deleted));
+                self.events.push(Event::Gone(name.to_owned()));
+            }
+        }
+    }
+
+    /// A machine stops on its own, or is taken back.
+    fn lose(&mut self, name: &str, how: End, now: Instant) {
+        let Some(m) = self.machines.get_mut(name).filter(|m| m.end.is_none()) else { return };
+        self.prices.charge(&m.info, m.charged, now);
+        m.end = Some((now, how));
+        self.events.push(Event::Gone(name.to_owned()));
+    }
+
+    /// A machine dies now.
+    pub fn kill(&mut self, name: &str, now: Instant) {
+        self.lose(name, End::Failed, now);
+    }
+
+    /// A spot machine gets its notice now, or is taken at once if `notice` is None.
+    pub fn reclaim(&mut self, name: &str, notice: Option<Duration>, now: Instant) {
+        match notice {
+            None => self.lose(name, End::Taken, now),
+            Some(notice) => {
+                if let Some(m) = self.machines.get_mut(name).filter(|m| m.info.spot && m.end.is_none()) {
+                    m.noticed = true;
+                    m.taken = Some(now + notice);
+                    self.events.push(Event::Notice(name.to_owned(), now + notice));
+                }
+            }
+        }
+    }
+
+    /// A notice's length: half to one and a half times the nominal one.
+    pub fn draw_notice(&mut self) -> Option<Duration> {
+        let without = self.rng.random_bool(self.settings.no_notice.clamp(0.0, 1.0));
+        (!without).then(|| self.settings.notice.mul_f64(self.rng.random_range(0.5..1.5)))
+    }
+
+    /// Lets time pass; what has happened to machines since the last call.
+    pub fn poll(&mut self, now: Instant) {
+        if self.prices.due(now) {
+            self.charge(now);
+            self.prices.step(now, &mut self.rng);
+        }
+        let due = |at: Option<Instant>| at.is_some_and(|at| at <= now);
+        let names: Vec<String> =
+            self.machines.iter().filter(|(_, m)| m.end.is_none()).map(|(n, _)| n.clone()).collect();
+        for name in names {
+            let Some(m) = self.machines.get_mut(&name) else { continue };
+            if !m.told_up && due(m.up) {
+                m.told_up = true;
+                self.events.push(Event::Up(name.clone()));
+            }
+            if due(m.taken) {
+                self.lose(&name, End::Taken, now);
+            } else if due(m.dies) {
+                self.lose(&name, End::Failed, now);
+            } else if !m.noticed && due(m.reclaimed) {
+                m.noticed = true;
+                let notice = self.draw_notice();
+                self.reclaim(&name, notice, now);
+            }
+        }
+        // What is gone is listed for a while yet.
+        let listed = self.settings.list_lag * 2 + Duration::from_secs(5);
+        self.machines
+            .retain(|_, m| !matches!(m.end, Some((at, End::Deleted | End::Taken)) if at + listed <= now));
+    }
+
+    pub fn take_events(&mut self) -> Vec<Event> {
+        std::mem::take(&mut self.events)
+    }
+
+    fn list(&mut self, after: &str, page: usize, now: Instant) -> MachineList {
+        if now >= self.lag.1 {
+            // Now and then up to twice the usual lag, so that a list may be older than the last.
+            let times = if self.rng.random_bool(0.1) { 1.0..2.0 } else { 0.3..1.0 };
+            self.lag = (self.settings.list_lag.mul_f64(self.rng.random_range(times)), now + LAG_LASTS);
+        }
+        let lag = self.lag.0;
+        let range = (std::ops::Bound::Excluded(after), std::ops::Bound::Unbounded);
+        let mut machines = Vec::new();
+        for (_, m) in self.machines.range_mut::<str, _>(range) {
+            let Some(listed) = m.listed(lag, now) else { continue };
+            if machines.len() == page {
+                return MachineList { machines, more: true };
+            }
+            machines.push(listed);
+        }
+        MachineList { machines, more: false }
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/cloud/prices.rs
@@ -0,0 +1,64 @@
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use rand::RngExt;
+use rand::rngs::StdRng;
+use wire::MachineType;
+
+use crate::worker::MachineInfo;
+
+/// Spot prices, which move around the nominal ones, and what was spent.
+pub struct Prices {
+    /// Today's spot price as a multiple of the nominal one, by type.
+    factors: BTreeMap<String, f64>,
+    next: Instant,
+    pub spent: f64,
+}
+
+/// How often spot prices move, and how far from the nominal one they may be.
+const MOVES: Duration = Duration::from_secs(30);
+const FARTHEST: f64 = 1.0 / 3.0;
+/// A machine that is deleted costs at least this time.
+const LEAST: Duration = Duration::from_secs(60);
+
+impl Prices {
+    pub fn new(types: &[MachineType], now: Instant) -> Self {
+        let factors = types.iter().map(|t| (t.name.clone(), 1.0)).collect();
+        Self { factors, next: now + MOVES, spent: 0.0 }
+    }
+
+    pub fn due(&self, now: Instant) -> bool {
+        now >= self.next
+    }
+
+    pub fn step(&mut self, now: Instant, rng: &mut StdRng) {
+        for factor in self.factors.values_mut() {
+            *factor = (*factor + rng.random_range(-0.08..0.08)).clamp(1.0 - FARTHEST, 1.0 + FARTHEST);
+        }
+        self.next = now + MOVES;
+    }
+
+    fn spot_price(&self, t: &MachineType) -> f64 {
+        t.spot_price * self.factors.get(&t.name).copied().unwrap_or(1.0)
+    }
+
+    /// The types with the prices of now.
+    pub fn current(&self, types: &[MachineType]) -> Vec<MachineType> {
+        types.iter().map(|t| MachineType { spot_price: self.spot_price(t), ..t.clone() }).collect()
+    }
+
+    fn add(&mut self, machine: &MachineInfo, time: Duration) {
+        let t = &machine.machine_type;
+        let an_hour = if machine.spot { self.spot_price(t) } else { t.price };
+        self.spent += an_hour * time.as_secs_f64() / 3600.0;
+    }
+
+    pub fn charge(&mut self, machine: &MachineInfo, from: Instant, to: Instant) {
+        self.add(machine, to.saturating_duration_since(from));
+    }
+
+    /// What is missing to the least that a machine costs that is deleted at this age.
+    pub fn charge_least(&mut self, machine: &MachineInfo, age: Duration) {
+        self.add(machine, LEAST.saturating_sub(age));
+    }
+}
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -3,8 +3,22 @@
 //! code runs on a test's clock without sockets and behind HTTP on loopback.
 
 mod bucket;
+mod cloud;
+mod gang;
+mod images;
+mod jobs;
 mod journal;
+mod site;
 mod state;
+mod troubles;
+mod worker;
 
+pub use cloud::{Addresses, Cloud, CloudSettings, Event};
+pub use gang::{Gang, GangRules, Part};
+pub use images::Images;
+pub use jobs::{Job, Jobs};
 pub use journal::{Journal, JournalError};
-pub use state::{Data, StateLimits, StateService, Step, Troubles, Watch};
+pub use site::{Sending, Site, SiteSettings};
+pub use state::{Data, Outcome, StateLimits, StateService, Watch};
+pub use troubles::{Step, Troubles};
+pub use worker::{ANSWER_WAIT, Faults, Heard, MachineInfo, Ticket, Worker, WorkerRules};
--- a/crates/emulator/src/state/mod.rs
+++ b/crates/emulator/src/state/mod.rs
@@ -2,11 +2,12 @@
 
 mod data;
 mod requests;
+pub(crate) use requests::query;
 mod service;
 
 pub use data::Data;
 pub(crate) use data::{Change, Write};
-pub use service::{StateLimits, StateService, Step, Troubles, Watch};
+pub use service::{Outcome, StateLimits, StateService, Watch};
 
 use serde::Serialize;
 
--- a/crates/emulator/src/state/service.rs
+++ b/crates/emulator/src/state/service.rs
@@ -1,6 +1,6 @@
 //! The state service as its callers see it: limits, leases, watches and troubles.
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::BTreeMap;
 use std::path::Path;
 use std::time::{Duration, Instant};
 
@@ -15,6 +15,7 @@
 use super::{Change, Data, Write, json_len};
 use crate::bucket::Bucket;
 use crate::journal::{Journal, JournalError};
+use crate::troubles::{Step, Troubles};
 
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct StateLimits {
@@ -25,36 +26,6 @@
     pub txn_ops: usize,
 }
 
-/// What goes wrong. Shares are of all requests, from 0 to 1.
-#[derive(Debug, Clone, Default)]
-pub struct Troubles {
-    /// Everybody is refused, and no lease runs out.
-    pub outage: bool,
-    /// These callers are refused; their leases run out.
-    pub refused: HashSet<usize>,
-    /// Answers that take up to `slow` instead of a few milliseconds.
-    pub slow_share: f64,
-    pub slow: Duration,
-    /// Requests that are carried out up to `late` after they came, and not answered.
-    pub late_share: f64,
-    pub late: Duration,
-    /// Requests that are carried out at once and not answered.
-    pub lost_share: f64,
-}
-
-/// What becomes of a request.
-#[derive(Debug)]
-pub enum Step {
-    /// It is answered after so long.
-    Answer(Reply, Duration),
-    /// It is answered once `check` has an answer.
-    Wait(Watch),
-    /// It was carried out; nobody hears of it.
-    Lost,
-    /// It is to be handed to `carry_out` after so long; nobody hears of it.
-    Late(Duration),
-}
-
 #[derive(Debug, Clone)]
 pub struct Watch {
     caller: usize,
@@ -74,8 +45,6 @@
 const LEASE_LATE: Duration = Duration::from_millis(100);
 const TXN_BYTES: usize = 64 * 1024;
 const PAGE_BYTES: usize = 512 * 1024;
-/// What an answer usually takes.
-const QUICK_MS: std::ops::Range<u64> = 1..8;
 
 /// The service. Time is passed in and must not go back.
 pub struct StateService {
@@ -92,11 +61,14 @@
     rng: StdRng,
 }
 
-/// Stands for no answer: the file failed, so that nobody knows what was carried out.
-const UNKNOWN: u16 = 0;
-
-fn unknown() -> Reply {
-    fail(UNKNOWN, "")
+/// What carrying a request out leads to.
+#[derive(Debug)]
+pub enum Outcome {
+    Reply(Reply),
+    /// It is answered once `check` has an answer.
+    Wait(Watch),
+    /// The file failed: nobody knows whether it was carried out.
+    Unknown,
 }
 
 fn fail(status: u16, why: &str) -> Reply {
@@ -182,15 +154,16 @@
         }
     }
 
-    /// Writes a change down and then makes it; false if the file failed.
-    fn commit(&mut self, change: Change) -> bool {
+    /// Writes a change down and then makes it. If the file fails, the service is broken
+    /// and answers nobody any more.
+    fn commit(&mut self, change: Change) {
         if let Some(journal) = &mut self.journal
             && let Err(e) = journal.append(&wire::encode(&change))
         {
             // Whether the disk has it nobody knows, so there is no true answer any more.
             error!(error = %e, "the state service stops: its file cannot be written");
             self.broken = true;
-            return false;
+            return;
         }
         self.data.apply(change);
         if let Some(journal) = &mut self.journal
@@ -202,7 +175,6 @@
                 self.broken = true;
             }
         }
-        true
     }
 
     fn refuses(&self, caller: usize) -> bool {
@@ -211,32 +183,24 @@
 
     /// Takes a request. Callers are told apart by numbers of the site's choice.
     pub fn handle(&mut self, caller: usize, request: &Request, now: Instant) -> Step {
-        let (late, lost, slow) =
-            (self.troubles.late_share, self.troubles.lost_share, self.troubles.slow_share);
-        if late > 0.0 && self.rng.random_bool(late.min(1.0)) {
-            return Step::Late(self.troubles.late.mul_f64(self.rng.random_range(0.0..1.0)));
+        if let Some(late) = self.troubles.lateness(&mut self.rng) {
+            return Step::Late(late);
         }
-        let step = self.carry_out(caller, request, now);
-        if lost > 0.0 && self.rng.random_bool(lost.min(1.0)) {
-            return Step::Lost;
-        }
-        match step {
-            Step::Answer(reply, _) if slow > 0.0 && self.rng.random_bool(slow.min(1.0)) => {
-                Step::Answer(reply, self.troubles.slow.mul_f64(self.rng.random_range(0.1..1.0)))
-            }
-            step => step,
+        match self.carry_out(caller, request, now) {
+            Outcome::Reply(reply) => self.troubles.answer(reply, &mut self.rng),
+            Outcome::Wait(watch) => Step::Wait(watch),
+            Outcome::Unknown => Step::Lost,
         }
     }
 
     /// Carries a request out now.
-    pub fn carry_out(&mut self, caller: usize, request: &Request, now: Instant) -> Step {
+    pub fn carry_out(&mut self, caller: usize, request: &Request, now: Instant) -> Outcome {
         self.poll(now);
-        let delay = Duration::from_millis(self.rng.random_range(QUICK_MS));
         if self.refuses(caller) {
-            return Step::Answer(fail(503, "unavailable"), delay);
+            return Outcome::Reply(fail(503, "unavailable"));
         }
         if !self.requests.take(1.0, now) {
-            return Step::Answer(fail(429, "too many requests"), delay);
+            return Outcome::Reply(fail(429, "too many requests"));
         }
         let reply = match requests::read(request) {
             Err((status, why)) => fail(status, why),
@@ -253,15 +217,12 @@
                 let until = now + Duration::from_millis(hold_ms);
                 let watch = Watch { caller, prefix, after, until };
                 return match self.check(&watch, now) {
-                    Some(reply) => Step::Answer(reply, delay),
-                    None => Step::Wait(watch),
+                    Some(reply) => Outcome::Reply(reply),
+                    None => Outcome::Wait(watch),
                 };
             }
         };
-        if self.broken && reply.status == UNKNOWN {
-            return Step::Lost;
-        }
-        Step::Answer(reply, delay)
+        if self.broken { Outcome::Unknown } else { Outcome::Reply(reply) }
     }
 
     /// The answer to a watch, once there is one.
@@ -323,18 +284,14 @@
                 Op::Put { put, value, lease } => Write { key: put, value: Some(value), lease },
                 Op::Delete { delete } => Write { key: delete, value: None, lease: None },
             });
-            if !self.commit(Change::Writes(writes.collect())) {
-                return unknown();
-            }
+            self.commit(Change::Writes(writes.collect()));
         }
         Reply::new(200, &TxnAnswer { failed: Vec::new(), revision: self.data.revision })
     }
 
     fn grant(&mut self, ttl_ms: u64, now: Instant) -> Reply {
         let lease = self.data.next_lease();
-        if !self.commit(Change::Granted { lease, ttl_ms }) {
-            return unknown();
-        }
+        self.commit(Change::Granted { lease, ttl_ms });
         self.renew(lease, now);
         Reply::new(200, &Lease { lease })
     }
@@ -351,9 +308,7 @@
         if !self.data.leases.contains_key(&lease) {
             return fail(404, "no such lease");
         }
-        if !self.commit(Change::Ended { lease }) {
-            return unknown();
-        }
+        self.commit(Change::Ended { lease });
         self.ends.remove(&lease);
         Reply::new(200, &Lease { lease })
     }
--- /dev/null
+++ b/crates/emulator/src/troubles.rs
@@ -0,0 +1,65 @@
+use std::collections::HashSet;
+use std::time::Duration;
+
+use net::Reply;
+use rand::RngExt;
+use rand::rngs::StdRng;
+
+use crate::state::Watch;
+
+/// What goes wrong with the requests to a service. Shares are of all requests, from 0
+/// to 1.
+#[derive(Debug, Clone, Default)]
+pub struct Troubles {
+    /// Everybody is refused; of the state service's leases none runs out.
+    pub outage: bool,
+    /// The state service refuses these callers; their leases run out.
+    pub refused: HashSet<usize>,
+    /// Answers that take up to `slow` instead of a few milliseconds.
+    pub slow_share: f64,
+    pub slow: Duration,
+    /// Requests that are carried out up to `late` after they came, and not answered.
+    pub late_share: f64,
+    pub late: Duration,
+    /// Requests that are carried out at once and not answered.
+    pub lost_share: f64,
+}
+
+/// What becomes of a request.
+#[derive(Debug)]
+pub enum Step {
+    /// It is answered after so long.
+    Answer(Reply, Duration),
+    /// It is answered once the state service's `check` has an answer.
+    Wait(Watch),
+    /// It was carried out; nobody hears of it.
+    Lost,
+    /// It is to be handed to `carry_out` after so long; nobody hears of it.
+    Late(Duration),
+}
+
+/// What an answer usually takes.
+const QUICK_MS: std::ops::Range<u64> = 1..8;
+
+fn happens(share: f64, rng: &mut StdRng) -> bool {
+    share > 0.0 && rng.random_bool(share.min(1.0))
+}
+
+impl Troubles {
+    /// How long after it came a request is carried out, if it is late.
+    pub(crate) fn lateness(&self, rng: &mut StdRng) -> Option<Duration> {
+        happens(self.late_share, rng).then(|| self.late.mul_f64(rng.random_range(0.0..1.0)))
+    }
+
+    /// What becomes of the answer.
+    pub(crate) fn answer(&self, reply: Reply, rng: &mut StdRng) -> Step {
+        if happens(self.lost_share, rng) {
+            return Step::Lost;
+        }
+        let delay = match happens(self.slow_share, rng) {
+            true => self.slow.mul_f64(rng.random_range(0.1..1.0)),
+            false => Duration::from_millis(rng.random_range(QUICK_MS)),
+        };
+        Step::Answer(reply, delay)
+    }
+}
