sageloom try and emulate: an emulated site on loopback

The README's serve needs what no reader has. try runs three controllers and all stand-ins in one process, each controller on a thread of its own; emulate runs the stand-ins alone and writes the settings for controllers started by hand. Sites are HCL files; a mistake names file, line and field before anything is opened, an address in use is named with its field. Users come in by a load balancer or a controller's door, where submissions are read along in place of the upload that workers fetch descriptions from.

--- /dev/null
+++ b/crates/daemon/src/emulated.rs
@@ -0,0 +1,165 @@
+//! `sageloom try` and `sageloom emulate`: the service on an emulated site.
+
+use std::path::{Path, PathBuf};
+use std::sync::Mutex;
+use std::thread::JoinHandle;
+use std::time::Instant;
+
+use emulator::{Emulation, SiteFile};
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+
+use crate::settings::{Operators, Settings};
+use crate::{Failure, log_level, run, runtime, stopped_by_signal};
+
+/// What `sageloom try` runs without a file.
+const SITE: (&str, &str) = ("examples/site.hcl", include_str!("../../../examples/site.hcl"));
+
+#[derive(clap::Args)]
+pub struct TryArgs {
+    /// The emulated site (HCL); by default a small one that is built in.
+    #[arg(long, value_name = "FILE")]
+    site: Option<PathBuf>,
+    /// A folder for the controllers' logs, one file each. Without it, and without
+    /// LOG_LEVEL, only errors are shown.
+    #[arg(long, value_name = "FOLDER")]
+    logs: Option<PathBuf>,
+}
+
+#[derive(clap::Args)]
+pub struct EmulateArgs {
+    /// The emulated site (HCL).
+    #[arg(long, value_name = "FILE")]
+    site: PathBuf,
+    /// The folder that the controllers' settings files are written to.
+    #[arg(long, value_name = "FOLDER", default_value = "emulated")]
+    settings: PathBuf,
+}
+
+#[derive(Debug, thiserror::Error)]
+pub enum EmulatedError {
+    #[error(transparent)]
+    Site(#[from] emulator::SiteError),
+    #[error(transparent)]
+    Live(#[from] emulator::LiveError),
+    #[error("the settings cannot be written as TOML: {0}")]
+    Settings(#[from] toml::ser::Error),
+    #[error("{0}: {1}")]
+    Write(String, std::io::Error),
+    #[error("the controllers ended")]
+    Ended,
+}
+
+fn failed(path: &Path) -> impl FnOnce(std::io::Error) -> EmulatedError {
+    let file = path.display().to_string();
+    |e| EmulatedError::Write(file, e)
+}
+
+/// Three controllers, or as many as the file has, on an emulated site in one process.
+pub fn try_out(args: &TryArgs) -> Result<(), Failure> {
+    let begun = Instant::now();
+    let site = match &args.site {
+        Some(file) => SiteFile::load(file).map_err(EmulatedError::from)?,
+        None => SiteFile::parse(SITE.0, SITE.1).map_err(EmulatedError::from)?,
+    };
+    let level = match std::env::var("LOG_LEVEL") {
+        Err(_) if args.logs.is_none() => tracing::Level::ERROR,
+        _ => log_level()?,
+    };
+    if let Some(folder) = &args.logs {
+        std::fs::create_dir_all(folder).map_err(failed(folder))?;
+    }
+    let _quiet = tracing::dispatcher::set_default(&subscriber(level, None));
+    runtime()?.block_on(async {
+        let emulation = Emulation::start(&site).await.map_err(EmulatedError::from)?;
+        let stop = CancellationToken::new();
+        let (ends, mut ended) = mpsc::unbounded_channel();
+        let mut threads = Vec::new();
+        for (name, text) in site.settings(&emulation).map_err(EmulatedError::from)? {
+            let settings = Settings::parse(&name, &text)?;
+            let log = args.logs.as_ref().map(|folder| folder.join(format!("{name}.log")));
+            threads.push(controller(settings, level, log, stop.clone(), ends.clone())?);
+        }
+        let outcome = tokio::select! {
+            () = stopped_by_signal() => Ok(()),
+            () = async {
+                emulation.all_healthy().await;
+                tell(&emulation, begun);
+                std::future::pending().await
+            } => Ok(()),
+            end = ended.recv() => end.unwrap_or(Err(EmulatedError::Ended.into())),
+        };
+        stop.cancel();
+        // They leave the state service on their own; it has to be there for that.
+        let _ = tokio::task::spawn_blocking(|| threads.into_iter().for_each(|t| drop(t.join()))).await;
+        let (machines, spent) = emulation.summary();
+        emulation.stop().await;
+        if outcome.is_ok() {
+            println!("stopped: {machines} machines were up, {spent:.4} spent (simulated)");
+        }
+        outcome
+    })
+}
+
+/// A controller on a thread and a runtime of its own, as it would be in a process.
+fn controller(
+    settings: Settings,
+    level: tracing::Level,
+    log: Option<PathBuf>,
+    stop: CancellationToken,
+    ends: mpsc::UnboundedSender<Result<(), Failure>>,
+) -> Result<JoinHandle<()>, Failure> {
+    let file = match &log {
+        Some(path) => Some(std::fs::File::create(path).map_err(failed(path))?),
+        None => None,
+    };
+    let name = settings.node_name.clone();
+    let body = move || {
+        let _log = tracing::dispatcher::set_default(&subscriber(level, file));
+        let stopped = async move { stop.cancelled().await };
+        let end = runtime().and_then(|r| r.block_on(run(settings, Operators::default(), stopped)));
+        let _ = ends.send(end);
+    };
+    std::thread::Builder::new().name(name).spawn(body).map_err(Failure::Runtime)
+}
+
+fn subscriber(level: tracing::Level, file: Option<std::fs::File>) -> tracing::Dispatch {
+    let fmt = tracing_subscriber::fmt().with_max_level(level).with_ansi(false).without_time();
+    match file {
+        Some(file) => fmt.with_target(false).with_writer(Mutex::new(file)).finish().into(),
+        None => fmt.with_target(false).with_writer(std::io::stderr).finish().into(),
+    }
+}
+
+fn tell(emulation: &Emulation, begun: Instant) {
+    println!("users (load balancer)  {}", emulation.users);
+    for c in &emulation.controllers {
+        println!("controller {:<12}{}  zone {}", c.name, c.door, c.file.zone);
+    }
+    println!("cloud                  {}", emulation.cloud);
+    println!("ready after {:.2} s; Ctrl-C ends it", begun.elapsed().as_secs_f64());
+}
+
+/// The stand-ins alone, for controllers that are started by hand.
+pub fn emulate(args: &EmulateArgs) -> Result<(), Failure> {
+    let site = SiteFile::load(&args.site).map_err(EmulatedError::from)?;
+    crate::init_log()?;
+    runtime()?.block_on(async {
+        let emulation = Emulation::start(&site).await.map_err(EmulatedError::from)?;
+        let folder = &args.settings;
+        std::fs::create_dir_all(folder).map_err(failed(folder))?;
+        println!("users (load balancer)  {}", emulation.users);
+        println!("cloud                  {}", emulation.cloud);
+        for (name, text) in site.settings(&emulation).map_err(EmulatedError::from)? {
+            let path = folder.join(format!("{name}.toml"));
+            std::fs::write(&path, text).map_err(failed(&path))?;
+            println!("sageloom serve --config {}", path.display());
+        }
+        for c in &emulation.controllers {
+            println!("users reach {} at {}", c.name, c.door);
+        }
+        stopped_by_signal().await;
+        emulation.stop().await;
+        Ok(())
+    })
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,6 +1,7 @@
 //! The duties of one controller, and the command line that starts them.
 
 mod client;
+mod emulated;
 mod engine;
 mod fleet_duty;
 mod front;
@@ -54,6 +55,10 @@
     Check(Files),
     /// Submit, look at and withdraw jobs.
     Job(client::JobArgs),
+    /// Try the service: controllers on an emulated site, until Ctrl-C.
+    Try(emulated::TryArgs),
+    /// Run an emulated site for controllers that are started by hand, until Ctrl-C.
+    Emulate(emulated::EmulateArgs),
 }
 
 #[derive(clap::Args)]
@@ -66,8 +71,9 @@
     operators: Option<PathBuf>,
 }
 
+/// Why the program ends with an error: one line that names what is to be changed.
 #[derive(Debug, thiserror::Error)]
-enum Failure {
+pub enum Failure {
     #[error(transparent)]
     Settings(#[from] settings::SettingsError),
     #[error("LOG_LEVEL: \"{0}\" is none of error, warn, info, debug")]
@@ -76,6 +82,8 @@
     Listen { field: &'static str, addr: String, source: std::io::Error },
     #[error(transparent)]
     Client(#[from] client::ClientError),
+    #[error(transparent)]
+    Emulated(#[from] emulated::EmulatedError),
     #[error("the runtime cannot start: {0}")]
     Runtime(std::io::Error),
 }
@@ -86,6 +94,8 @@
     let outcome = match cli.command {
         Verb::Serve(files) => serve(&files),
         Verb::Job(args) => runtime().and_then(|r| Ok(r.block_on(client::run(args))?)),
+        Verb::Try(args) => emulated::try_out(&args),
+        Verb::Emulate(args) => emulated::emulate(&args),
         Verb::Check(files) => load(&files).map(|_| println!("the settings are valid")),
     };
     match outcome {
@@ -103,19 +113,20 @@
     Ok((settings, operators))
 }
 
+fn log_level() -> Result<tracing::Level, Failure> {
+    let text = std::env::var("LOG_LEVEL").unwrap_or_default();
+    match text.as_str() {
+        "" | "info" => Ok(tracing::Level::INFO),
+        "error" => Ok(tracing::Level::ERROR),
+        "warn" => Ok(tracing::Level::WARN),
+        "debug" => Ok(tracing::Level::DEBUG),
+        _ => Err(Failure::LogLevel(text)),
+    }
+}
+
 fn init_log() -> Result<(), Failure> {
-    let level = match std::env::var("LOG_LEVEL") {
-        Err(_) => tracing::Level::INFO,
-        Ok(text) => match text.as_str() {
-            "" | "info" => tracing::Level::INFO,
-            "error" => tracing::Level::ERROR,
-            "warn" => tracing::Level::WARN,
-            "debug" => tracing::Level::DEBUG,
-            _ => return Err(Failure::LogLevel(text)),
-        },
-    };
     tracing_subscriber::fmt()
-        .with_max_level(level)
+        .with_max_level(log_level()?)
         .with_writer(std::io::stderr)
         .with_ansi(false)
         .without_time()
@@ -127,7 +138,7 @@
 fn serve(files: &Files) -> Result<(), Failure> {
     let (settings, operators) = load(files)?;
     init_log()?;
-    runtime()?.block_on(run(settings, operators))
+    runtime()?.block_on(run(settings, operators, stopped_by_signal()))
 }
 
 fn runtime() -> Result<tokio::runtime::Runtime, Failure> {
@@ -138,7 +149,18 @@
     TcpListener::bind(addr).await.map_err(|source| Failure::Listen { field, addr: addr.to_owned(), source })
 }
 
-async fn run(settings: Settings, operators: Operators) -> Result<(), Failure> {
+/// Runs a controller until `stop` is there. `file` is the name that mistakes in the
+/// settings (TOML) are told with. Of the tokio runtime it needs time and I/O.
+pub async fn controller(file: &str, settings: &str, stop: impl Future<Output = ()>) -> Result<(), Failure> {
+    run(Settings::parse(file, settings)?, Operators::default(), stop).await
+}
+
+/// Runs a controller until `stop` is there, and leaves the others in good order.
+async fn run(
+    settings: Settings,
+    operators: Operators,
+    stop: impl Future<Output = ()>,
+) -> Result<(), Failure> {
     let front_listener = listen("front", &settings.front).await?;
     let peer_listener = listen("internal_addr", &settings.internal_addr).await?;
     // Also part of names that must never be used again, hence drawn anew.
@@ -178,7 +200,7 @@
         node.stop.clone(),
         node.tasks.clone(),
     ));
-    asked_to_stop().await;
+    stop.await;
     info!("stopping");
     node.stop.cancel();
     node.tasks.close();
@@ -192,7 +214,7 @@
 }
 
 /// Waits for a termination signal, where the platform has them.
-async fn asked_to_stop() {
+async fn stopped_by_signal() {
     use tokio::signal::unix::{SignalKind, signal};
     let wait = async |kind| match signal(kind) {
         Ok(mut s) => {
--- /dev/null
+++ b/crates/emulator/src/config/hcl_file.rs
@@ -0,0 +1,92 @@
+//! Reading HCL so that every mistake is one line with the file, the line and the field.
+
+use std::path::Path;
+
+use hcl_edit::Span;
+use hcl_edit::structure::{Body, Structure};
+
+use super::SiteFile;
+
+#[derive(Debug, thiserror::Error)]
+pub enum SiteError {
+    #[error("{0}: {1}")]
+    Read(String, std::io::Error),
+    #[error("{file}: line {line}: {why}")]
+    Syntax { file: String, line: usize, why: String },
+    #[error("{file}: line {line}: {field}: {why}")]
+    Field { file: String, line: usize, field: String, why: String },
+}
+
+fn one_line(text: &str) -> String {
+    text.split_whitespace().collect::<Vec<_>>().join(" ")
+}
+
+fn line_of(text: &str, at: usize) -> usize {
+    text.get(..at).map_or(1, |before| before.matches('\n').count() + 1)
+}
+
+/// Where the field is, or, if it is missing, the block that it should be in.
+fn locate(body: &Body, path: &[String]) -> Option<usize> {
+    let (first, rest) = path.split_first()?;
+    for structure in body {
+        match structure {
+            Structure::Attribute(a) if a.has_key(first) => return a.span().map(|s| s.start),
+            Structure::Block(b) if b.has_ident(first) => {
+                let labels: Vec<&str> = b.labels.iter().map(|l| l.as_str()).collect();
+                let same = rest.iter().zip(&labels).all(|(p, l)| p == l);
+                if same {
+                    let inner = rest.get(labels.len()..).unwrap_or_default();
+                    return locate(&b.body, inner).or_else(|| b.span().map(|s| s.start));
+                }
+            }
+            _ => {}
+        }
+    }
+    None
+}
+
+/// The field that serde's message names, if it names one that is not in the path.
+fn named(message: &str) -> Option<String> {
+    let rest = message.strip_prefix("unknown field `").or(message.strip_prefix("missing field `"))?;
+    rest.split('`').next().map(str::to_owned)
+}
+
+impl SiteFile {
+    pub fn load(path: &Path) -> Result<Self, SiteError> {
+        let file = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|e| SiteError::Read(file.clone(), e))?;
+        Self::parse(&file, &text)
+    }
+
+    /// Reads and checks a description; `file` is only for what is said of mistakes.
+    pub fn parse(file: &str, text: &str) -> Result<Self, SiteError> {
+        let body = hcl_edit::parser::parse_body(text).map_err(|e| {
+            let line = e.location().line();
+            SiteError::Syntax { file: file.to_owned(), line, why: one_line(e.message()) }
+        })?;
+        let field = |path: Vec<String>, why: String| {
+            let line = locate(&body, &path).map_or(1, |at| line_of(text, at));
+            SiteError::Field { file: file.to_owned(), line, field: path.join("."), why }
+        };
+        let value: serde_json::Value =
+            hcl::from_str(text).map_err(|e| field(vec!["this file".to_owned()], one_line(&e.to_string())))?;
+        let site: Self = serde_path_to_error::deserialize(&value).map_err(|e| {
+            let mut path: Vec<String> =
+                e.path().iter().map(ToString::to_string).filter(|segment| segment != "?").collect();
+            let message = e.inner().to_string();
+            if let Some(name) = named(&message)
+                && path.last() != Some(&name)
+            {
+                path.push(name);
+            }
+            if path.is_empty() {
+                path.push("this file".to_owned());
+            }
+            field(path, one_line(&message))
+        })?;
+        match site.mistake() {
+            Some((path, why)) => Err(field(path, why)),
+            None => Ok(site),
+        }
+    }
+}
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -2,22 +2,28 @@
 //! protocols alone. They are state machines that time is passed into, so that the same
 //! code runs on a test's clock without sockets and behind HTTP on loopback.
 
+mod balancer;
 mod bucket;
 mod cloud;
+mod config;
 mod gang;
 mod images;
 mod jobs;
 mod journal;
+mod live;
 mod site;
 mod state;
 mod troubles;
 mod worker;
 
+pub use balancer::Balancer;
 pub use cloud::{Addresses, Cloud, CloudSettings, Event};
+pub use config::{SiteError, SiteFile};
 pub use gang::{Gang, GangRules, Part};
 pub use images::Images;
 pub use jobs::{Job, Jobs};
 pub use journal::{Journal, JournalError};
+pub use live::{Controller, Emulation, LiveError};
 pub use site::{Sending, Site, SiteSettings};
 pub use state::{Data, Outcome, StateLimits, StateService, Watch};
 pub use troubles::{Step, Troubles};
--- /dev/null
+++ b/crates/emulator/src/live/mod.rs
@@ -0,0 +1,201 @@
+//! The stand-ins in real time, behind HTTP on loopback.
+
+mod relay;
+mod services;
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use net::{Client, Connections};
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::balancer::Balancer;
+use crate::config::{ControllerFile, SiteFile};
+use crate::journal::JournalError;
+use crate::site::Site;
+use crate::state::StateService;
+
+#[derive(Debug, thiserror::Error)]
+pub enum LiveError {
+    #[error("{what}: cannot listen on {addr}: {source}")]
+    Listen { what: String, addr: String, source: std::io::Error },
+    #[error(transparent)]
+    Journal(#[from] JournalError),
+    #[error("{0}: {1}")]
+    Folder(String, std::io::Error),
+}
+
+/// A mutex whose holder cannot have panicked half-way, as nothing here panics.
+#[derive(Debug, Default)]
+struct Locked<T>(Mutex<T>);
+
+impl<T> Locked<T> {
+    fn new(value: T) -> Self {
+        Self(Mutex::new(value))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, T> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// How often time passes for the site and for leases.
+const TICK: Duration = Duration::from_millis(20);
+
+type Listeners = Arc<Locked<HashMap<String, std::net::TcpListener>>>;
+
+pub(crate) struct Live {
+    site: Locked<Site>,
+    state: Locked<StateService>,
+    balancer: Locked<Balancer>,
+    /// Where the controllers listen for users and workers.
+    fronts: Vec<String>,
+    /// The users' connections to each controller end with it.
+    resets: Vec<Locked<CancellationToken>>,
+    probes: Client,
+    /// Something in the state service may have changed.
+    changed: Notify,
+    /// A probe was answered.
+    health: Notify,
+    stop: CancellationToken,
+    tasks: TaskTracker,
+}
+
+impl Live {
+    fn reset(&self, node: usize) {
+        if let Some(reset) = self.resets.get(node) {
+            std::mem::take(&mut *reset.lock()).cancel();
+        }
+    }
+}
+
+/// Where one controller of the emulated site is to be found and finds the others.
+#[derive(Debug, Clone)]
+pub struct Controller {
+    pub name: String,
+    pub file: ControllerFile,
+    /// What users use in the place of its own address.
+    pub door: String,
+    /// Where it, and it alone, reaches the state service.
+    pub state: String,
+}
+
+/// A site that runs until it is stopped.
+pub struct Emulation {
+    live: Arc<Live>,
+    pub controllers: Vec<Controller>,
+    /// The load balancer.
+    pub users: String,
+    pub cloud: String,
+}
+
+async fn listen(what: &str, addr: &str) -> Result<(TcpListener, String), LiveError> {
+    let failed = |source| LiveError::Listen { what: what.to_owned(), addr: addr.to_owned(), source };
+    let listener = TcpListener::bind(addr).await.map_err(failed)?;
+    let local = listener.local_addr().map_err(failed)?.to_string();
+    Ok((listener, local))
+}
+
+/// Any port of the address's host, for a machine; None if there is none left.
+fn machine_port(listeners: &Listeners, host: &str, machine: &str) -> Option<String> {
+    let listener = std::net::TcpListener::bind((host, 0)).ok()?;
+    listener.set_nonblocking(true).ok()?;
+    let addr = listener.local_addr().ok()?.to_string();
+    listeners.lock().insert(machine.to_owned(), listener);
+    Some(addr)
+}
+
+fn state_service(site: &SiteFile, now: Instant) -> Result<StateService, LiveError> {
+    let limits = site.state_limits();
+    let Some(folder) = &site.data else { return Ok(StateService::new(limits, site.seed, now)) };
+    std::fs::create_dir_all(folder).map_err(|e| LiveError::Folder(folder.display().to_string(), e))?;
+    Ok(StateService::open(limits, site.seed, &folder.join("state"), now)?)
+}
+
+impl Emulation {
+    /// Opens everything and begins. Of the tokio runtime it needs time and I/O.
+    pub async fn start(site: &SiteFile) -> Result<Self, LiveError> {
+        let now = Instant::now();
+        let (balancer, users) = listen("listen.users", &site.listen.users).await?;
+        let (cloud_listener, cloud) = listen("listen.cloud", &site.listen.cloud).await?;
+        let host = site.host();
+        let (mut controllers, mut doors, mut states) = (Vec::new(), Vec::new(), Vec::new());
+        for (name, file) in &site.controller {
+            let of = |field: &str| format!("controller.{name}.{field}");
+            let (door_listener, door) = listen(&of("door"), &file.door).await?;
+            let (state_listener, state) = listen(&of("state"), &file.state).await?;
+            doors.push((door_listener, file.front.clone()));
+            states.push(state_listener);
+            controllers.push(Controller { name: name.clone(), file: file.clone(), door, state });
+        }
+        let state = state_service(site, now)?;
+        let listeners = Listeners::default();
+        let l = listeners.clone();
+        let addresses = Box::new(move |machine: &str| machine_port(&l, &host, machine));
+        let fronts: Vec<String> = site.controller.values().map(|c| c.front.clone()).collect();
+        let live = Arc::new(Live {
+            site: Locked::new(Site::new(site.site_settings(), addresses, now)),
+            state: Locked::new(state),
+            balancer: Locked::new(Balancer::new(fronts.len(), site.seed)),
+            resets: fronts.iter().map(|_| Locked::default()).collect(),
+            probes: Client::new(fronts.len()),
+            changed: Notify::new(),
+            health: Notify::new(),
+            stop: CancellationToken::new(),
+            tasks: TaskTracker::new(),
+            fronts,
+        });
+        let tasks = &live.tasks;
+        for (caller, listener) in states.into_iter().enumerate() {
+            tasks.spawn(services::state(live.clone(), listener, caller));
+        }
+        for (listener, front) in doors {
+            tasks.spawn(relay::door(live.clone(), listener, front));
+        }
+        for node in 0..live.fronts.len() {
+            tasks.spawn(relay::probes(live.clone(), node));
+        }
+        tasks.spawn(services::cloud(live.clone(), cloud_listener));
+        tasks.spawn(services::clock(live.clone(), listeners));
+        tasks.spawn(relay::balancer(live.clone(), balancer));
+        Ok(Self { live, controllers, users, cloud })
+    }
+
+    /// Waits until the load balancer takes every controller for healthy.
+    pub async fn all_healthy(&self) {
+        loop {
+            let next = self.live.health.notified();
+            if (0..self.live.fronts.len()).all(|n| self.live.balancer.lock().is_healthy(n)) {
+                return;
+            }
+            next.await;
+        }
+    }
+
+    /// How many machines are up, and the money spent.
+    pub fn summary(&self) -> (usize, f64) {
+        let mut site = self.live.site.lock();
+        (site.workers().count(), site.cloud.spent(Instant::now()))
+    }
+
+    /// What is on the machines, ended tasks that are still reported too.
+    pub fn tasks(&self) -> Vec<wire::TaskReport> {
+        self.live.site.lock().workers().flat_map(|w| w.tasks()).collect()
+    }
+
+    /// Closes everything.
+    pub async fn stop(self) {
+        self.live.stop.cancel();
+        self.live.tasks.close();
+        // Requests that are not answered on purpose need not be waited for.
+        let _ = tokio::time::timeout(Duration::from_millis(500), self.live.tasks.wait()).await;
+    }
+}
+
+fn connections() -> Arc<Connections> {
+    Arc::new(Connections::new(4096, &[], |_| 0))
+}
--- a/crates/emulator/src/worker/mod.rs
+++ b/crates/emulator/src/worker/mod.rs
@@ -141,6 +141,11 @@
         self.session
     }
 
+    /// What is on it, as it would report it.
+    pub fn tasks(&self) -> Vec<wire::TaskReport> {
+        self.tasks.reports()
+    }
+
     pub fn set_notice(&mut self, gone_at: Instant) {
         self.notice = Some(gone_at);
     }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -2,7 +2,9 @@
 //! on everything, one request at a time on a connection.
 
 mod client;
+mod read_along;
 mod server;
 
 pub use client::{Answer, Client, NetError};
+pub use read_along::read_along;
 pub use server::{Connections, Reply, Request, serve};
