--- a/crates/daemon/src/emulated.rs
+++ b/crates/daemon/src/emulated.rs
@@ -92,11 +92,10 @@
         stop.cancel();
         // They leave the state service on their own; it has to be there for that.
         let _ = tokio::task::spawn_blocking(|| threads.into_iter().for_each(|t| drop(t.join()))).await;
-        let (machines, spent) = emulation.summary();
-        emulation.stop().await;
         if outcome.is_ok() {
-            println!("stopped: {machines} machines were up, {spent:.4} spent (simulated)");
+            tell_end(&emulation);
         }
+        emulation.stop().await;
         outcome
     })
 }
@@ -140,6 +139,29 @@
     println!("ready after {:.2} s; Ctrl-C ends it", begun.elapsed().as_secs_f64());
 }
 
+/// What came of it, all of it simulated.
+fn tell_end(emulation: &Emulation) {
+    let (machines, spent) = emulation.summary();
+    println!("stopped: {machines} machines were up, {spent:.4} spent (simulated)");
+    let t = emulation.tally();
+    if t.submitted > 0 {
+        println!(
+            "users: {} jobs submitted, {} accepted, {} done (longest {:.1} s), {} cancelled, {} refused, \
+             {} given up",
+            t.submitted,
+            t.accepted,
+            t.done,
+            t.longest.as_secs_f64(),
+            t.cancelled,
+            t.refused,
+            t.given_up
+        );
+    }
+    for (rule, job) in &t.broken {
+        println!("broken, as its user saw it: {rule} {job}");
+    }
+}
+
 /// The stand-ins alone, for controllers that are started by hand.
 pub fn emulate(args: &EmulateArgs) -> Result<(), Failure> {
     let site = SiteFile::load(&args.site).map_err(EmulatedError::from)?;
@@ -159,6 +181,7 @@
             println!("users reach {} at {}", c.name, c.door);
         }
         stopped_by_signal().await;
+        tell_end(&emulation);
         emulation.stop().await;
         Ok(())
     })
--- a/crates/emulator/src/config/check.rs
+++ b/crates/emulator/src/config/check.rs
@@ -14,7 +14,7 @@
 impl SiteFile {
     /// The first mistake: the field's path, and what is wrong with it.
     pub(super) fn mistake(&self) -> Option<Mistake> {
-        self.addresses().or_else(|| self.numbers()).or_else(|| self.names())
+        self.addresses().or_else(|| self.numbers()).or_else(|| self.names()).or_else(|| self.load_mistake())
     }
 
     fn addresses(&self) -> Option<Mistake> {
--- /dev/null
+++ b/crates/emulator/src/config/load.rs
@@ -0,0 +1,244 @@
+//! The blocks `load` and `trouble` of a site's file.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+use wire::{JobKind, JobSpec, Priority};
+
+use super::{SiteFile, seconds};
+use crate::schedule::{Kind, Trouble};
+use crate::users::Load;
+use crate::worker::Faults;
+
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum KindFile {
+    Array,
+    Gang,
+    Service,
+}
+
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum PriorityFile {
+    Low,
+    Normal,
+    High,
+    Production,
+}
+
+/// Jobs that come again and again.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LoadFile {
+    pub team: String,
+    pub kind: KindFile,
+    pub priority: PriorityFile,
+    pub per_minute: f64,
+    pub tasks: u32,
+    pub cpus: f64,
+    #[serde(default)]
+    pub gpus: f64,
+    pub memory_gb: f64,
+    pub image: String,
+    pub image_gb: f64,
+    #[serde(default)]
+    pub types: Option<Vec<String>>,
+    #[serde(default)]
+    pub zone: Option<String>,
+    #[serde(default)]
+    pub one_zone: bool,
+    #[serde(default)]
+    pub spread: bool,
+    #[serde(default)]
+    pub spot: bool,
+    #[serde(default)]
+    pub estimate_s: f64,
+    #[serde(default)]
+    pub checkpoint_s: f64,
+    #[serde(default)]
+    pub save_s: f64,
+    #[serde(default)]
+    pub deadline_s: Option<f64>,
+    /// How long a service runs before it is cancelled; of other jobs, `cancelled` are
+    /// cancelled within this time.
+    pub stays_s: f64,
+    #[serde(default)]
+    pub cancelled: f64,
+}
+
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TroubleKind {
+    StateOutage,
+    StateRefuses,
+    StateSlow,
+    StateLate,
+    StateLost,
+    CloudOutage,
+    CloudSlow,
+    CloudLate,
+    CloudLost,
+    Hang,
+    Deaf,
+    Mute,
+    Faulty,
+    Death,
+    Reclaim,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TroubleFile {
+    pub kind: TroubleKind,
+    /// From the beginning of the site.
+    pub at_s: f64,
+    #[serde(default)]
+    pub for_s: f64,
+    /// Of the requests or machines.
+    #[serde(default)]
+    pub share: Option<f64>,
+    /// For `state_refuses`.
+    #[serde(default)]
+    pub controller: Option<String>,
+    /// How slow or late at most.
+    #[serde(default)]
+    pub delay_s: f64,
+}
+
+impl SiteFile {
+    /// The class of a load's jobs is its name.
+    pub fn loads(&self) -> Vec<Load> {
+        let load = |(name, l): (&String, &LoadFile)| Load {
+            job: l.job(name),
+            per_minute: l.per_minute,
+            stays: seconds(l.stays_s),
+            cancelled: l.cancelled,
+        };
+        self.load.iter().map(load).collect()
+    }
+
+    pub fn troubles(&self) -> Vec<Trouble> {
+        let trouble = |(name, t): (&String, &TroubleFile)| {
+            let (share, by) = (t.share.unwrap_or(1.0), seconds(t.delay_s));
+            let named = |n: &String| t.controller.as_ref() == Some(n);
+            let caller = self.controller.keys().position(named).unwrap_or(usize::MAX);
+            let machines = |faults| Kind::Machines(share, faults);
+            let fine = Faults::default();
+            let kind = match t.kind {
+                TroubleKind::StateOutage => Kind::StateOutage,
+                TroubleKind::StateRefuses => Kind::StateRefuses(caller),
+                TroubleKind::StateSlow => Kind::StateSlow(share, by),
+                TroubleKind::StateLate => Kind::StateLate(share, by),
+                TroubleKind::StateLost => Kind::StateLost(share),
+                TroubleKind::CloudOutage => Kind::CloudOutage,
+                TroubleKind::CloudSlow => Kind::CloudSlow(share, by),
+                TroubleKind::CloudLate => Kind::CloudLate(share, by),
+                TroubleKind::CloudLost => Kind::CloudLost(share),
+                TroubleKind::Hang => machines(Faults { hangs: true, ..fine }),
+                TroubleKind::Deaf => machines(Faults { deaf: true, ..fine }),
+                TroubleKind::Mute => machines(Faults { mute: true, ..fine }),
+                TroubleKind::Faulty => machines(Faults { faulty: true, ..fine }),
+                TroubleKind::Death => Kind::Deaths(share),
+                TroubleKind::Reclaim => Kind::Reclaims(share),
+            };
+            let (at, lasts) = (seconds(t.at_s), seconds(t.for_s).max(Duration::from_millis(1)));
+            Trouble { name: name.clone(), kind, at, lasts }
+        };
+        self.trouble.iter().map(trouble).collect()
+    }
+
+    pub(super) fn load_mistake(&self) -> Option<(Vec<String>, String)> {
+        let path =
+            |block: &str, name: &String, field: &str| vec![block.to_owned(), name.clone(), field.to_owned()];
+        for (name, l) in &self.load {
+            let of = |field: &str| path("load", name, field);
+            if !self.team.contains_key(&l.team) {
+                return Some((of("team"), "is none of the teams".into()));
+            }
+            if !l.per_minute.is_finite() || !(1e-3..=6000.0).contains(&l.per_minute) {
+                return Some((of("per_minute"), "must be a number from 0.001 to 6000".into()));
+            }
+            if !l.stays_s.is_finite() || !(0.0..=1e9).contains(&l.stays_s) {
+                return Some((of("stays_s"), "must be a number of 0 or more".into()));
+            }
+            if !(0.0..=1.0).contains(&l.cancelled) {
+                return Some((of("cancelled"), "must be a share from 0 to 1".into()));
+            }
+            if let Some(field) = l.job(name).invalid_field() {
+                return Some((of(in_file(field)), "is not valid for a job".into()));
+            }
+        }
+        for (name, t) in &self.trouble {
+            let of = |field: &str| path("trouble", name, field);
+            for (field, value) in [("at_s", t.at_s), ("for_s", t.for_s), ("delay_s", t.delay_s)] {
+                if !value.is_finite() || !(0.0..=1e9).contains(&value) {
+                    return Some((of(field), "must be a number of 0 or more".into()));
+                }
+            }
+            if t.share.is_some_and(|s| !(0.0..=1.0).contains(&s)) {
+                return Some((of("share"), "must be a share from 0 to 1".into()));
+            }
+            let known = t.controller.as_ref().is_some_and(|c| self.controller.contains_key(c));
+            if !known && (t.controller.is_some() || matches!(t.kind, TroubleKind::StateRefuses)) {
+                return Some((of("controller"), "must be one of the controllers".into()));
+            }
+        }
+        None
+    }
+}
+
+/// A job's field as it is called in the file.
+fn in_file(field: &'static str) -> &'static str {
+    match field {
+        "threads" => "tasks",
+        "mem_gb" => "memory_gb",
+        "bundle" => "image",
+        "size_gb" => "image_gb",
+        "shapes" => "types",
+        "bay" => "zone",
+        "guess_s" => "estimate_s",
+        "knot_s" => "checkpoint_s",
+        "tie_s" => "save_s",
+        "due_s" => "deadline_s",
+        "owner" => "team",
+        other => other,
+    }
+}
+
+impl LoadFile {
+    fn job(&self, class: &str) -> JobSpec {
+        JobSpec {
+            id: "j-0".into(),
+            class: class.to_owned(),
+            team: self.team.clone(),
+            kind: match self.kind {
+                KindFile::Array => JobKind::Array,
+                KindFile::Gang => JobKind::Gang,
+                KindFile::Service => JobKind::Service,
+            },
+            priority: match self.priority {
+                PriorityFile::Low => Priority::Low,
+                PriorityFile::Normal => Priority::Normal,
+                PriorityFile::High => Priority::High,
+                PriorityFile::Production => Priority::Production,
+            },
+            tasks: self.tasks,
+            cpus: self.cpus,
+            gpus: self.gpus,
+            memory_gb: self.memory_gb,
+            image: self.image.clone(),
+            image_gb: self.image_gb,
+            types: self.types.clone(),
+            zone: self.zone.clone(),
+            one_zone: self.one_zone,
+            spread: self.spread,
+            spot: self.spot,
+            estimate_s: self.estimate_s,
+            checkpoint_s: self.checkpoint_s,
+            save_s: self.save_s,
+            deadline_s: self.deadline_s,
+            needs: None,
+        }
+    }
+}
--- a/crates/emulator/src/config/mod.rs
+++ b/crates/emulator/src/config/mod.rs
@@ -3,6 +3,7 @@
 
 mod check;
 mod hcl_file;
+mod load;
 mod settings;
 
 use std::collections::BTreeMap;
@@ -36,6 +37,11 @@
     pub state: StateFile,
     pub cloud: CloudFile,
     pub limits: LimitsFile,
+    /// Jobs of the emulated users.
+    #[serde(default)]
+    pub load: BTreeMap<String, load::LoadFile>,
+    #[serde(default)]
+    pub trouble: BTreeMap<String, load::TroubleFile>,
 }
 
 fn one() -> u64 {
--- a/crates/emulator/src/live/mod.rs
+++ b/crates/emulator/src/live/mod.rs
@@ -1,5 +1,6 @@
 //! The stand-ins in real time, behind HTTP on loopback.
 
+mod people;
 mod relay;
 mod services;
 
@@ -16,8 +17,10 @@
 use crate::balancer::Balancer;
 use crate::config::{ControllerFile, SiteFile};
 use crate::journal::JournalError;
+use crate::schedule::Schedule;
 use crate::site::Site;
 use crate::state::StateService;
+use crate::users::{Tally, Users};
 
 #[derive(Debug, thiserror::Error)]
 pub enum LiveError {
@@ -52,6 +55,8 @@
     site: Locked<Site>,
     state: Locked<StateService>,
     balancer: Locked<Balancer>,
+    schedule: Locked<Schedule>,
+    users: Locked<Users>,
     /// Where the controllers listen for users and workers.
     fronts: Vec<String>,
     /// The users' connections to each controller end with it.
@@ -141,6 +146,8 @@
             site: Locked::new(Site::new(site.site_settings(), addresses, now)),
             state: Locked::new(state),
             balancer: Locked::new(Balancer::new(fronts.len(), site.seed)),
+            schedule: Locked::new(Schedule::new(site.troubles(), site.seed, now)),
+            users: Locked::new(Users::new(site.loads(), unix_s(), site.seed, now)),
             resets: fronts.iter().map(|_| Locked::default()).collect(),
             probes: Client::new(fronts.len()),
             changed: Notify::new(),
@@ -160,6 +167,7 @@
             tasks.spawn(relay::probes(live.clone(), node));
         }
         tasks.spawn(services::cloud(live.clone(), cloud_listener));
+        tasks.spawn(people::users(live.clone(), users.clone()));
         tasks.spawn(services::clock(live.clone(), listeners));
         tasks.spawn(relay::balancer(live.clone(), balancer));
         Ok(Self { live, controllers, users, cloud })
@@ -182,6 +190,11 @@
         (site.workers().count(), site.cloud.spent(Instant::now()))
     }
 
+    /// What has become of the emulated users' jobs.
+    pub fn tally(&self) -> Tally {
+        self.live.users.lock().tally().clone()
+    }
+
     /// What is on the machines, ended tasks that are still reported too.
     pub fn tasks(&self) -> Vec<wire::TaskReport> {
         self.live.site.lock().workers().flat_map(|w| w.tasks()).collect()
@@ -196,6 +209,12 @@
     }
 }
 
+/// What names begin with that must not come back in a later run.
+fn unix_s() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.map_or(1, |d| d.as_secs())
+}
+
 fn connections() -> Arc<Connections> {
     Arc::new(Connections::new(4096, &[], |_| 0))
 }
--- a/crates/emulator/src/live/services.rs
+++ b/crates/emulator/src/live/services.rs
@@ -106,7 +106,11 @@
         let revision = |live: &Live| live.state.lock().data().revision;
         let before = revision(&live);
         live.state.lock().poll(now);
-        if revision(&live) != before {
+        let troubled = {
+            let (mut site, mut state) = (live.site.lock(), live.state.lock());
+            live.schedule.lock().poll(&mut site, &mut state, now)
+        };
+        if troubled || revision(&live) != before {
             live.changed.notify_waiters();
         }
         let (sendings, changes) = {
