--- /dev/null
+++ b/crates/emulator/src/state/service.rs
@@ -0,0 +1,315 @@
+//! The state service as its callers see it: limits, leases, watches and troubles.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use net::{Reply, Request};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use rmpv::Value;
+use tracing::error;
+use wire::{Changes, Items, Lease, NoKey, Op, StoredKey, Txn, TxnAnswer};
+
+use super::requests::{self, Ask};
+use super::{Change, Data, Write, json_len};
+use crate::bucket::Bucket;
+use crate::journal::{Journal, JournalError};
+use crate::troubles::{Step, Troubles};
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct StateLimits {
+    pub rps: f64,
+    pub write_rps: f64,
+    /// KiB of a value, written as JSON.
+    pub value_kb: f64,
+    pub txn_ops: usize,
+}
+
+#[derive(Debug, Clone)]
+pub struct Watch {
+    caller: usize,
+    prefix: String,
+    after: u64,
+    until: Instant,
+}
+
+impl Watch {
+    /// When it has waited long enough.
+    pub fn until(&self) -> Instant {
+        self.until
+    }
+}
+
+/// A lease may end so much later than it should, never earlier.
+const LEASE_LATE: Duration = Duration::from_millis(100);
+const TXN_BYTES: usize = 64 * 1024;
+const PAGE_BYTES: usize = 512 * 1024;
+
+/// The service. Time is passed in and must not go back.
+pub struct StateService {
+    data: Data,
+    limits: StateLimits,
+    requests: Bucket,
+    writes: Bucket,
+    /// When each lease ends.
+    ends: BTreeMap<u64, Instant>,
+    troubles: Troubles,
+    journal: Option<Journal>,
+    /// The file could not be written: nothing is acknowledged any more.
+    broken: bool,
+    rng: StdRng,
+}
+
+/// What carrying a request out leads to.
+#[derive(Debug)]
+pub enum Outcome {
+    Reply(Reply),
+    /// It is answered once `check` has an answer.
+    Wait(Watch),
+    /// The file failed: nobody knows whether it was carried out.
+    Unknown,
+}
+
+fn fail(status: u16, why: &str) -> Reply {
+    Reply::error(status, why)
+}
+
+impl StateService {
+    /// An empty service that keeps nothing when it ends.
+    pub fn new(limits: StateLimits, seed: u64, now: Instant) -> Self {
+        Self {
+            data: Data::default(),
+            limits,
+            requests: Bucket::new(limits.rps, 1.0, now),
+            writes: Bucket::new(limits.write_rps, 1.0, now),
+            ends: BTreeMap::new(),
+            troubles: Troubles::default(),
+            journal: None,
+            broken: false,
+            rng: StdRng::seed_from_u64(seed),
+        }
+    }
+
+    /// A service that keeps its data in a file. What it acknowledged before is there
+    /// again, and every lease has its full time.
+    pub fn open(limits: StateLimits, seed: u64, path: &Path, now: Instant) -> Result<Self, JournalError> {
+        let (journal, entries) = Journal::open(path)?;
+        let mut service = Self { journal: Some(journal), ..Self::new(limits, seed, now) };
+        for entry in entries {
+            let change = wire::decode(&entry)
+                .map_err(|_| JournalError::Foreign { file: path.display().to_string() })?;
+            service.data.apply(change);
+        }
+        service.renew_all(now);
+        Ok(service)
+    }
+
+    pub fn data(&self) -> &Data {
+        &self.data
+    }
+
+    pub fn troubles(&self) -> &Troubles {
+        &self.troubles
+    }
+
+    /// From now on this goes wrong and nothing else. After an outage every lease has
+    /// its full time again.
+    pub fn set_troubles(&mut self, troubles: Troubles, now: Instant) {
+        self.poll(now);
+        if self.troubles.outage && !troubles.outage {
+            self.renew_all(now);
+        }
+        self.troubles = troubles;
+    }
+
+    fn renew_all(&mut self, now: Instant) {
+        let all: Vec<u64> = self.data.leases.keys().copied().collect();
+        for lease in all {
+            self.renew(lease, now);
+        }
+    }
+
+    fn renew(&mut self, lease: u64, now: Instant) {
+        if let Some((ttl_ms, _)) = self.data.leases.get(&lease) {
+            let late = Duration::from_micros(self.rng.random_range(0..LEASE_LATE.as_micros() as u64));
+            self.ends.insert(lease, now + Duration::from_millis(*ttl_ms) + late);
+        }
+    }
+
+    /// When the next lease ends, for whoever waits for changes.
+    pub fn next_end(&self) -> Option<Instant> {
+        if self.troubles.outage { None } else { self.ends.values().min().copied() }
+    }
+
+    /// Ends the leases whose time is over.
+    pub fn poll(&mut self, now: Instant) {
+        if self.troubles.outage || self.broken {
+            return;
+        }
+        let over: Vec<u64> = self.ends.iter().filter(|(_, end)| **end <= now).map(|(l, _)| *l).collect();
+        for lease in over {
+            self.commit(Change::Ended { lease });
+            self.ends.remove(&lease);
+        }
+    }
+
+    /// Writes a change down and then makes it. If the file fails, the service is broken
+    /// and answers nobody any more.
+    fn commit(&mut self, change: Change) {
+        if let Some(journal) = &mut self.journal
+            && let Err(e) = journal.append(&wire::encode(&change))
+        {
+            // Whether the disk has it nobody knows, so there is no true answer any more.
+            error!(error = %e, "the state service stops: its file cannot be written");
+            self.broken = true;
+            return;
+        }
+        self.data.apply(change);
+        if let Some(journal) = &mut self.journal
+            && journal.wants_snapshot()
+        {
+            let entries: Vec<Vec<u8>> = self.data.snapshot().iter().map(wire::encode).collect();
+            if let Err(e) = journal.replace(&entries) {
+                error!(error = %e, "the state service stops: its file cannot be replaced");
+                self.broken = true;
+            }
+        }
+    }
+
+    fn refuses(&self, caller: usize) -> bool {
+        self.broken || self.troubles.outage || self.troubles.refused.contains(&caller)
+    }
+
+    /// Takes a request. Callers are told apart by numbers of the site's choice.
+    pub fn handle(&mut self, caller: usize, request: &Request, now: Instant) -> Step {
+        if let Some(late) = self.troubles.lateness(&mut self.rng) {
+            return Step::Late(late);
+        }
+        match self.carry_out(caller, request, now) {
+            Outcome::Reply(reply) => self.troubles.answer(reply, &mut self.rng),
+            Outcome::Wait(watch) => Step::Wait(watch),
+            Outcome::Unknown => Step::Lost,
+        }
+    }
+
+    /// Carries a request out now.
+    pub fn carry_out(&mut self, caller: usize, request: &Request, now: Instant) -> Outcome {
+        self.poll(now);
+        if self.refuses(caller) {
+            return Outcome::Reply(fail(503, "unavailable"));
+        }
+        if !self.requests.take(1.0, now) {
+            return Outcome::Reply(fail(429, "too many requests"));
+        }
+        let reply = match requests::read(request) {
+            Err((status, why)) => fail(status, why),
+            Ok(Ask::Key(key)) => self.key(key),
+            Ok(Ask::List { prefix, after, page }) => {
+                let (items, more) = self.data.page(&prefix, &after, page, PAGE_BYTES);
+                Reply::new(200, &Items { items, more, revision: self.data.revision })
+            }
+            Ok(Ask::Txn(txn)) => self.txn(txn, now),
+            Ok(Ask::Grant { ttl_ms }) => self.grant(ttl_ms, now),
+            Ok(Ask::Touch(lease)) => self.touch(lease, now),
+            Ok(Ask::End(lease)) => self.end(lease),
+            Ok(Ask::Follow { prefix, after, hold_ms }) => {
+                let until = now + Duration::from_millis(hold_ms);
+                let watch = Watch { caller, prefix, after, until };
+                return match self.check(&watch, now) {
+                    Some(reply) => Outcome::Reply(reply),
+                    None => Outcome::Wait(watch),
+                };
+            }
+        };
+        if self.broken { Outcome::Unknown } else { Outcome::Reply(reply) }
+    }
+
+    /// The answer to a watch, once there is one.
+    pub fn check(&mut self, watch: &Watch, now: Instant) -> Option<Reply> {
+        self.poll(now);
+        // It waits as long as its caller is refused, and longer than it asked for.
+        if self.refuses(watch.caller) {
+            return None;
+        }
+        let Some(events) = self.data.changes(&watch.prefix, watch.after) else {
+            return Some(fail(410, "changes are no longer kept that far back"));
+        };
+        let ready = !events.is_empty() || now >= watch.until;
+        ready.then(|| Reply::new(200, &Changes { revision: self.data.revision, events }))
+    }
+
+    fn key(&self, key: String) -> Reply {
+        match self.data.keys.get(&key) {
+            Some(e) => {
+                let value = e.value.clone();
+                Reply::new(200, &StoredKey { key, value, version: e.version, lease: e.lease })
+            }
+            None => Reply::new(404, &NoKey { revision: self.data.revision }),
+        }
+    }
+
+    fn txn(&mut self, txn: Txn<Value>, now: Instant) -> Reply {
+        let limits = self.limits;
+        if txn.ops.len() > limits.txn_ops || txn.conditions.len() > 4 * limits.txn_ops {
+            return fail(400, "too many changes or conditions");
+        }
+        if json_len(&txn) > TXN_BYTES {
+            return fail(400, "the transaction is too large");
+        }
+        let values = txn.ops.iter().filter_map(|op| match op {
+            Op::Put { value, .. } => Some(json_len(value)),
+            Op::Delete { .. } => None,
+        });
+        if values.max().is_some_and(|len| len as f64 > limits.value_kb * 1024.0) {
+            return fail(400, "a value is too large");
+        }
+        // Also when the conditions fail.
+        if !self.writes.take(txn.ops.len() as f64, now) {
+            return fail(429, "too many changes");
+        }
+        let lease = |op: &Op<Value>| match op {
+            Op::Put { lease, .. } => *lease,
+            Op::Delete { .. } => None,
+        };
+        if txn.ops.iter().filter_map(lease).any(|l| !self.data.leases.contains_key(&l)) {
+            return fail(400, "no such lease");
+        }
+        let failed = self.data.failed(&txn.conditions);
+        if !failed.is_empty() {
+            return Reply::new(409, &TxnAnswer { failed, revision: self.data.revision });
+        }
+        if !txn.ops.is_empty() {
+            let writes = txn.ops.into_iter().map(|op| match op {
+                Op::Put { put, value, lease } => Write { key: put, value: Some(value), lease },
+                Op::Delete { delete } => Write { key: delete, value: None, lease: None },
+            });
+            self.commit(Change::Writes(writes.collect()));
+        }
+        Reply::new(200, &TxnAnswer { failed: Vec::new(), revision: self.data.revision })
+    }
+
+    fn grant(&mut self, ttl_ms: u64, now: Instant) -> Reply {
+        let lease = self.data.next_lease();
+        self.commit(Change::Granted { lease, ttl_ms });
+        self.renew(lease, now);
+        Reply::new(200, &Lease { lease })
+    }
+
+    fn touch(&mut self, lease: u64, now: Instant) -> Reply {
+        if !self.data.leases.contains_key(&lease) {
+            return fail(404, "no such lease");
+        }
+        self.renew(lease, now);
+        Reply::new(200, &Lease { lease })
+    }
+
+    fn end(&mut self, lease: u64) -> Reply {
+        if !self.data.leases.contains_key(&lease) {
+            return fail(404, "no such lease");
+        }
+        self.commit(Change::Ended { lease });
+        self.ends.remove(&lease);
+        Reply::new(200, &Lease { lease })
+    }
+}
