Tests of meetings on the machines' side

Late and held reports at a new leader, another or a new process of the same name; leases that others may have renewed; deaf machines and a new leader; launches held up while the job is cancelled and the machine hangs or hears nothing; a team at its limit with a cancelled job cut off and a new leader; a zone cut off with its controller; ends proven under an earlier map; one-zone arrays that lose machines; a small array across changes of leader; saving tasks cancelled; machines just up as the leader ends.

--- a/crates/daemon/tests/unit/meetings_machines.rs
+++ b/crates/daemon/tests/unit/meetings_machines.rs
@@ -115,6 +115,14 @@
         ]);
     }
 
+    /// A controller ends, and another process begins under its name. It knows nothing.
+    fn restart(&mut self, n: usize) {
+        let settings = self.nodes[n].settings.clone();
+        let incarnation = self.nodes[n].me.incarnation + 1000;
+        self.nodes[n] = Node::new(settings, Operators::default(), incarnation);
+        self.seen[n] = 0;
+    }
+
     /// A controller reads all changes.
     fn read(&mut self, n: usize) {
         let mut core = self.nodes[n].core();
@@ -165,6 +173,11 @@
         }
     }
 
+    /// The attempt of a job's first task that is on record.
+    fn attempt(&self, id: &str) -> Option<u64> {
+        self.job(id).run.first().map(|a| a.attempt)
+    }
+
     /// Some controller cancels a job.
     fn cancel(&mut self, id: &str) {
         let mut job = self.job(id);
@@ -295,6 +308,14 @@
                     let start = (TaskState::Running, None);
                     self.tasks.entry((task.clone(), *attempt)).or_insert(start);
                 }
+                Command::Stop { task, attempt, grace_s } if *grace_s > 0.0 => {
+                    let saving = (TaskState::Running, None);
+                    if let Some(state) =
+                        self.tasks.get_mut(&(task.clone(), *attempt)).filter(|s| **s == saving)
+                    {
+                        state.0 = TaskState::Saving;
+                    }
+                }
                 Command::Stop { task, attempt, .. } => self.end(task, *attempt, Cause::Stopped),
                 Command::Forget { task, attempt } => {
                     let exited = |s: &(TaskState, Option<Cause>)| s.0 == TaskState::Exited;
@@ -463,10 +484,10 @@
             site.report(0, &copy);
         }
         site.round(0);
-        assert_eq!(site.job("j-1").run.len(), 1, "it runs");
+        assert_eq!(site.attempt("j-1"), Some(1), "it runs");
         site.meet(0, &mut host);
         site.round(0);
-        assert_eq!(site.job("j-1").run.len(), 1, "it still runs");
+        assert_eq!(site.attempt("j-1"), Some(1), "it still runs");
         host.end("j-1/0", 1, Cause::Error);
         site.meet(0, &mut host);
         site.round(0);
@@ -543,3 +564,447 @@
     host.hear(sent, held);
     assert!(!host.runs("j-1/0"));
 }
+
+/// Copies of all reports that a worker has sent so far, and one that is held back, come to
+/// a new leader: before it hears the worker itself, after its report, and after it answered
+/// a request, and after it heard an answer; also to a new process of the same controller, and as its job is cancelled.
+/// They end nothing, and what they lack or show is not launched or stopped by them.
+#[test]
+fn reports_from_before_change_nothing_for_a_new_leader() {
+    for case in 0..16 {
+        let (same_name, cancelled, moment) = (case % 2 == 0, case / 2 % 2 == 0, case / 4);
+        let mut site = Site::new(2, &[("host-1", "a")]);
+        site.map(&[0]);
+        site.read(0);
+        let mut host = Host::new("host-1", "a", site.now);
+        let mut copies = vec![host.report()];
+        site.meet(0, &mut host);
+        copies.push(host.report());
+        // An attempt that failed, which was cleared, and one that runs.
+        host.tasks.insert(("j-1/0".into(), 1), (TaskState::Exited, Some(Cause::Error)));
+        host.tasks.insert(("j-1/1".into(), 1), (TaskState::Exited, Some(Cause::Stopped)));
+        copies.push(host.report());
+        host.tasks.clear();
+        copies.push(host.report());
+        site.assign(spec("j-1", JobKind::Array), &[(0, 2, "host-1")]);
+        site.read(0);
+        site.meet(0, &mut host);
+        assert!(host.runs("j-1/0"));
+        let held = host.report();
+        let new = usize::from(!same_name);
+        if same_name {
+            site.restart(0);
+        }
+        site.map(&[new]);
+        if cancelled {
+            site.cancel("j-1");
+        }
+        site.read(new);
+        site.round(new);
+        if moment > 0 {
+            // Its answer is lost.
+            site.report(new, &host.report());
+        }
+        if moment > 1 {
+            site.wait(1.0);
+            site.ask(new, &mut host);
+        }
+        if moment > 2 && !cancelled {
+            site.meet(new, &mut host);
+            site.meet(new, &mut host);
+        }
+        let mut sent = Vec::new();
+        for copy in copies.iter().chain([&held]).chain(copies.iter().rev()) {
+            site.report(new, copy);
+            site.wait(0.5);
+            site.read(new);
+            sent.extend(site.round(new));
+            assert_eq!(site.attempt("j-1"), Some(2), "case {case}: it runs");
+        }
+        for (machine, commands) in sent {
+            let report = host.execute(&commands, site.now);
+            site.answered(new, &machine, &commands, Some(report));
+        }
+        site.meet(new, &mut host);
+        site.command(new, &mut [&mut host]);
+        assert_eq!(host.runs("j-1/0"), !cancelled, "case {case}: {:?}", host.tasks);
+        assert_eq!(host.tasks.len(), 1, "case {case}: {:?}", host.tasks);
+        site.meet(new, &mut host);
+        site.round(new);
+        assert_eq!(site.attempt("j-1"), (!cancelled).then_some(2));
+    }
+}
+
+/// A leader ends. The machine cannot be reached, but some other controller renewed its lease
+/// for the new epoch; the new leader's answer, before, was lost. It must not reckon with its
+/// own: the task runs on, and nothing is started elsewhere until the worker was heard.
+#[test]
+fn a_lease_that_others_may_have_renewed_proves_nothing() {
+    let (mut site, mut host) = running(3);
+    site.record("host-2", "a");
+    site.map(&[1, 2]);
+    let owner = owner(&site);
+    let other = 3 - owner;
+    site.map(&[owner, other]);
+    site.read(owner);
+    let lost = site.report(owner, &host.report());
+    assert!(lost.is_some());
+    site.wait(20.0);
+    site.read(other);
+    site.meet(other, &mut host);
+    for _ in 0..40 {
+        site.wait(0.5);
+        site.read(owner);
+        site.round(owner);
+        host.live(site.now);
+        assert!(!host.runs("j-1/0") || site.attempt("j-1") == Some(1), "it runs");
+    }
+    assert!(host.runs("j-1/0"), "for as long as its lease lasts");
+}
+
+/// A machine hears nothing, though its reports arrive: its task is killed with its lease.
+/// Meanwhile the leader changes. Nothing is proven by what shows no token of the new epoch,
+/// and the task starts elsewhere only once it is.
+#[test]
+fn what_a_deaf_machine_reports_proves_nothing_to_a_new_leader() {
+    let (mut site, mut host) = running(2);
+    site.map(&[1]);
+    let killed_at = host.renewed + LEASE;
+    for step in 0..20 {
+        site.wait(3.0);
+        site.read(1);
+        host.live(site.now);
+        site.report(1, &host.report());
+        for (machine, commands) in site.round(1) {
+            site.answered(1, &machine, &commands, None);
+        }
+        assert_eq!(site.attempt("j-1"), Some(1), "step {step}");
+    }
+    assert!(site.now > killed_at && !host.runs("j-1/0"));
+    // It hears again.
+    let round = |site: &mut Site, host: &mut Host| {
+        site.wait(3.0);
+        site.read(1);
+        site.meet(1, host);
+        site.command(1, &mut [host]);
+    };
+    for _ in 0..4 {
+        round(&mut site, &mut host);
+    }
+    assert!(site.attempt("j-1").is_none_or(|a| a > 1), "proven over, and started anew");
+}
+
+/// A machine hangs when its task is to be launched, and the job is cancelled. Later it goes
+/// on, and carries out what was held up, in any order. Or only the launch is held up, while
+/// the machine reports and hears nothing. Whatever starts by that is known and stopped: the
+/// record keeps it, with its part of the team's limit, until it cannot start any more.
+#[test]
+fn a_launch_that_is_held_up_is_on_record_until_it_cannot_start() {
+    for (hangs, backwards, deaf) in [
+        (3.0, false, false),
+        (8.0, true, false),
+        (15.0, false, false),
+        (20.0, true, false),
+        (23.0, false, false),
+        (2.0, false, true),
+        (9.0, false, true),
+        (20.0, false, true),
+    ] {
+        let mut site = Site::new(1, &[("host-1", "a")]);
+        let mut host = Host::new("host-1", "a", site.now);
+        site.meet(0, &mut host);
+        site.assign(spec("j-1", JobKind::Array), &[(0, 1, "host-1")]);
+        let mut held: Vec<Commands> = Vec::new();
+        let mut unanswered: Vec<(Instant, Name, Commands)> = Vec::new();
+        let start = site.now;
+        let mut told = None;
+        let mut started = false;
+        for tick in 0..700 {
+            site.read(0);
+            if told.is_none() && site.now > start + secs(1.0) {
+                site.cancel("j-1");
+                site.read(0);
+                told = Some(site.now);
+            }
+            let hung = site.now < start + secs(hangs);
+            for (machine, commands) in site.round(0) {
+                if hung {
+                    if !deaf || held.is_empty() {
+                        held.push(commands.clone());
+                    }
+                    unanswered.push((site.now, machine, commands));
+                } else {
+                    let report = host.execute(&commands, site.now);
+                    site.answered(0, &machine, &commands, Some(report));
+                }
+            }
+            if !hung {
+                if backwards {
+                    held.reverse();
+                }
+                for commands in held.drain(..) {
+                    host.execute(&commands, site.now);
+                }
+            }
+            let late = |u: &mut (Instant, Name, Commands)| site.now >= u.0 + secs(2.5);
+            let over: Vec<_> = unanswered.extract_if(.., late).collect();
+            for (_, machine, commands) in over {
+                site.answered(0, &machine, &commands, None);
+            }
+            started |= host.runs("j-1/0");
+            assert!(!host.runs("j-1/0") || site.attempt("j-1") == Some(1), "it runs unknown");
+            if told.is_some_and(|t| site.now > t + CANCEL) {
+                assert!(!host.runs("j-1/0"), "hung for {hangs} s");
+            }
+            match (hung, deaf) {
+                (true, true) if tick % 5 == 0 => drop(site.report(0, &host.report())),
+                (false, _) if tick % 30 == 0 => site.meet(0, &mut host),
+                _ => {}
+            }
+            site.wait(0.1);
+        }
+        assert!(started != backwards, "the launch comes first, or not at all");
+        assert!(site.job("j-1").run.is_empty(), "its share is free");
+    }
+}
+
+/// A team at its limit: its job is cancelled, but the machine with its tasks is cut off, and
+/// the leader changes. What waits gets nothing until the tasks are proven over.
+#[test]
+fn a_cancelled_jobs_share_of_the_limit_is_free_only_once_it_is_proven_over() {
+    let mut site = Site::new(2, &[("host-1", "a"), ("host-2", "a")]);
+    let (mut cut, mut other) = (Host::new("host-1", "a", site.now), Host::new("host-2", "a", site.now));
+    let eight = |id: &str| JobSpec { tasks: 8, ..spec(id, JobKind::Array) };
+    let all: Vec<(u32, u64, &str)> = (0..8).map(|t| (t, 1, "host-1")).collect();
+    site.assign(eight("j-1"), &all);
+    site.put(vec![Put::new(key::job("j-2"), &JobRecord::new(eight("j-2"), None, 1000))]);
+    site.map(&[0]);
+    site.read(0);
+    for _ in 0..2 {
+        site.meet(0, &mut cut);
+        site.meet(0, &mut other);
+    }
+    let runs = |host: &Host, job: &str| (0..8).filter(|t| host.runs(&format!("{job}/{t}"))).count();
+    assert_eq!(runs(&cut, "j-1"), 8);
+    site.cancel("j-1");
+    site.map(&[1]);
+    for step in 0..60 {
+        site.wait(1.0);
+        site.read(1);
+        cut.live(site.now);
+        if step % 3 == 0 {
+            site.meet(1, &mut other);
+        }
+        // It is heard again at last.
+        if step > 40 && step % 3 == 0 {
+            site.meet(1, &mut cut);
+        }
+        match step > 40 {
+            true => site.command(1, &mut [&mut cut, &mut other]),
+            false => site.command(1, &mut [&mut other]),
+        };
+        let new = runs(&cut, "j-2") + runs(&other, "j-2");
+        assert!(runs(&cut, "j-1") + new <= 8, "step {step}");
+        assert!(step < 46 || new == 8, "it is proven, step {step}");
+        assert!(step > 40 || new == 0, "not proven, step {step}");
+    }
+}
+
+/// A controller is cut off with the workers of its zone from the state service and from the
+/// others, for longer than a lease. A job is cancelled through the next leader: its tasks
+/// are gone in time.
+#[test]
+fn a_zone_that_is_cut_off_with_its_controller_keeps_nothing_alive() {
+    let (mut site, mut host) = running(2);
+    let old = owner(&site);
+    site.map(&[1 - old]);
+    site.cancel("j-1");
+    let told = site.now;
+    let mut ran_for = Duration::ZERO;
+    while site.now < told + CANCEL + secs(40.0) {
+        host.live(site.now);
+        if host.runs("j-1/0") {
+            ran_for = site.now - told;
+        }
+        site.meet(old, &mut host);
+        site.command(old, &mut [&mut host]);
+        site.wait(3.0);
+    }
+    assert!(ran_for < CANCEL, "{ran_for:?}");
+    // It ran on inside, as no trouble should end it sooner than it has to.
+    assert!(ran_for > LEASE, "{ran_for:?}");
+}
+
+/// An owner that others have replaced by now reckons that its machine's lease is over, as
+/// it has not heard it. The next owner has renewed it: the end is not written.
+#[test]
+fn an_end_that_was_proven_under_an_earlier_map_is_not_written() {
+    let (mut site, mut host) = running(2);
+    let old = owner(&site);
+    let new = 1 - old;
+    site.map(&[new]);
+    for _ in 0..10 {
+        site.wait(3.0);
+        site.read(new);
+        site.meet(new, &mut host);
+        site.command(new, &mut [&mut host]);
+    }
+    assert!(host.runs("j-1/0"));
+    // It knows nothing of the new map.
+    site.nodes[old].core().fresh_at = Some(site.now);
+    let before = site.log.len();
+    site.round(old);
+    assert_eq!(site.log.len(), before);
+    // Nor does it hand such an end to another controller: this one knows the newer map.
+    let proof = peer::Proof { job: "j-1".into(), task: 0, attempt: 1, machine: "host-1".into(), end: 3 };
+    engine::take_proofs(&site.nodes[new], site.epoch - 1, vec![proof.clone()], site.now);
+    site.round(new);
+    assert_eq!(site.attempt("j-1"), Some(1), "it runs");
+    engine::take_proofs(&site.nodes[new], site.epoch, vec![proof], site.now);
+    site.round(new);
+    assert!(site.attempt("j-1").is_none_or(|a| a > 1), "of this map it would count");
+}
+
+/// An array bound to one zone loses a machine there. While a task of it may still be in
+/// that zone, reached or not, the others start in no other, whatever room is there.
+#[test]
+fn a_job_of_one_zone_waits_for_what_is_left_in_its_zone() {
+    let mut site = Site::new(1, &[("host-1", "a"), ("host-2", "a"), ("host-3", "b")]);
+    let mut there = Host::new("host-3", "b", site.now);
+    let two = JobSpec { tasks: 2, one_zone: true, ..spec("j-1", JobKind::Array) };
+    site.assign(two, &[(0, 1, "host-1"), (1, 1, "host-2")]);
+    let gone = |names: &[&str]| {
+        let gone = Some(names.iter().map(|n| (*n).into()).collect());
+        Put::new(key::FLEET.into(), &FleetRecord { rentals: Vec::new(), gone })
+    };
+    // One machine is given back, the other cannot be reached.
+    site.put(vec![gone(&["host-2"])]);
+    let steps = |site: &mut Site, there: &mut Host| {
+        for _ in 0..10 {
+            site.wait(1.0);
+            site.read(0);
+            site.meet(0, there);
+            site.command(0, &mut [there]);
+        }
+    };
+    steps(&mut site, &mut there);
+    let job = site.job("j-1");
+    assert!(job.run.len() == 1 && &*job.run[0].machine == "host-1", "{:?}", job.run);
+    assert!(there.tasks.is_empty());
+    // Now that one, too.
+    site.put(vec![gone(&["host-1", "host-2"])]);
+    steps(&mut site, &mut there);
+    assert!(there.runs("j-1/0") && there.runs("j-1/1"));
+}
+
+/// The tasks of a small array end far apart, and between them the leader changes. Late
+/// copies of what was reported of them come to the next one. The job is done when all are.
+#[test]
+fn an_array_is_done_once_each_task_is_whatever_comes_late() {
+    let mut site = Site::new(2, &[("host-1", "a")]);
+    let mut host = Host::new("host-1", "a", site.now);
+    let three = JobSpec { tasks: 3, ..spec("j-1", JobKind::Array) };
+    site.assign(three, &[(0, 1, "host-1"), (1, 1, "host-1"), (2, 1, "host-1")]);
+    let mut copies = Vec::new();
+    let mut done = 0;
+    for (step, (ends, cause)) in [
+        (Some("j-1/0"), Cause::Done),
+        (None, Cause::Done),
+        (Some("j-1/1"), Cause::Error),
+        (Some("j-1/1"), Cause::Done),
+        (None, Cause::Done),
+        (Some("j-1/2"), Cause::Done),
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        // Each leads in turn.
+        let n = step / 2 % 2;
+        site.map(&[n]);
+        for _ in 0..12 {
+            site.wait(1.0);
+            site.read(n);
+            site.meet(n, &mut host);
+            site.command(n, &mut [&mut host]);
+            copies.iter().for_each(|c| drop(site.report(n, c)));
+        }
+        if let Some(task) = ends {
+            let attempt = host.tasks.keys().filter(|k| k.0 == task).map(|k| k.1).max();
+            host.end(task, attempt.expect("it runs"), cause);
+            done += u32::from(cause == Cause::Done);
+            copies.push(host.report());
+        }
+        for _ in 0..3 {
+            site.wait(1.0);
+            site.read(n);
+            site.meet(n, &mut host);
+            copies.iter().for_each(|c| drop(site.report(n, c)));
+            site.command(n, &mut [&mut host]);
+            let job = site.job("j-1");
+            assert!(job.done.len() <= done && (job.phase == Phase::Done) == (job.done.len() == 3));
+        }
+        assert_eq!(site.job("j-1").done.len(), done, "step {step}");
+    }
+    assert_eq!(site.job("j-1").phase, Phase::Done);
+}
+
+/// A task is told to stop for other work, and saves. Then its job is cancelled, and its
+/// machine may get another owner, too. It need not be saved any more: the first answer
+/// ends it.
+#[test]
+fn a_task_that_saves_is_ended_when_its_job_is_cancelled() {
+    for changes in [false, true] {
+        let (mut site, mut host) = running(2);
+        let mut job = site.job("j-1");
+        job.run[0].want = Want::Stop;
+        site.put(vec![Put::new(key::job("j-1"), &job)]);
+        let old = owner(&site);
+        site.read(old);
+        site.command(old, &mut [&mut host]);
+        assert_eq!(host.tasks.values().next(), Some(&(TaskState::Saving, None)));
+        site.cancel("j-1");
+        site.wait(0.5);
+        let new = if changes { 1 - old } else { old };
+        site.map(&[new]);
+        site.read(new);
+        site.meet(new, &mut host);
+        assert!(!host.runs("j-1/0"));
+        site.meet(new, &mut host);
+        site.round(new);
+        assert!(site.job("j-1").run.is_empty());
+    }
+}
+
+/// A machine is up within a second. Its record, and its first task, are still to be written
+/// when the leader ends. Nothing is launched before both are, and the old leader, who does not
+/// know yet, places nothing any more.
+#[test]
+fn a_new_machine_gets_only_work_that_is_on_record() {
+    let mut site = Site::new(2, &[]);
+    let mut host = Host::new("host-1", "a", site.now);
+    let job = JobRecord::new(spec("j-1", JobKind::Array), None, 1000);
+    site.map(&[0]);
+    site.put(vec![Put::new(key::job("j-1"), &job)]);
+    site.read(0);
+    let adopted = take_report(&site.nodes[0], &host.report(), false, site.now);
+    assert!(matches!(adopted, Disposal::Adopt(epoch) if epoch == site.epoch));
+    assert!(site.command(0, &mut [&mut host]).is_empty());
+    site.record("host-1", "a");
+    site.read(0);
+    site.meet(0, &mut host);
+    site.meet(0, &mut host);
+    site.map(&[1]);
+    let before = site.log.len();
+    assert!(site.command(0, &mut [&mut host]).iter().all(|c| !matches!(c, Command::Start { .. })));
+    assert_eq!(site.log.len(), before, "it places nothing by the old map");
+    site.read(1);
+    for _ in 0..4 {
+        site.wait(1.0);
+        site.read(1);
+        site.meet(1, &mut host);
+        site.command(1, &mut [&mut host]);
+        let on_record = site.job("j-1").run.len();
+        assert!(host.tasks.len() <= on_record);
+    }
+    assert!(host.runs("j-1/0"));
+}
