Requests that launch nothing do not keep assignments on record

Cause: every unanswered request raised the token that a worker has to show before absence proves anything, also those that only ask for that. Where requests to a machine are lost and only answers reach it, the token to be shown was always the next one: a cancelled launch stayed on record, and in its team's limit, for as long as that lasted. Change: only unanswered launches have to be ruled out; no other command can start a task. Tests of the worker: requests in them are said to launch, as they were meant to; nothing else in them changed.

--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -274,7 +274,7 @@
         let due = only_clears && worker.clear_due(now);
         if (urgent || due) && worker.may_send(now) {
             let session = worker.session;
-            let token = worker.begin(now);
+            let token = worker.begin(&plan.commands, now);
             let commands = Commands { token, session, commands: plan.commands };
             round.sends.push((id.clone(), worker.addr.clone(), commands));
         }
--- a/crates/daemon/src/worker.rs
+++ b/crates/daemon/src/worker.rs
@@ -35,8 +35,8 @@
     proof_token: u64,
     /// The epoch since when this controller has owned the machine.
     owned_epoch: u64,
-    /// The token of the request that is not answered yet.
-    in_flight: Option<u64>,
+    /// The token of the request that is not answered yet, and whether it launches anything.
+    in_flight: Option<(u64, bool)>,
     /// The token of a report's answer that launches went out with. Until the next report
     /// comes, or the worker shows a later token, they may still be executed.
     offered: Option<u64>,
@@ -396,9 +396,9 @@
     }
 
     /// Starts a request: its token is above all before.
-    pub fn begin(&mut self, now: Instant) -> u64 {
+    pub fn begin(&mut self, commands: &[Command], now: Instant) -> u64 {
         self.token += 1;
-        self.in_flight = Some(self.token);
+        self.in_flight = Some((self.token, commands.iter().any(is_launch)));
         self.sent = Some(now);
         self.token
     }
@@ -412,10 +412,7 @@
     /// before the last change of owner is not waited for any more, and must not
     /// end the wait for the one that is.
     pub fn finish(&mut self, token: u64, answered: bool, now: Instant) {
-        if self.in_flight != Some(token) {
-            return;
-        }
-        self.in_flight = None;
+        let Some((_, launches)) = self.in_flight.take_if(|r| r.0 == token) else { return };
         self.look_again();
         if answered {
             self.failures = 0;
@@ -424,10 +421,13 @@
         }
         self.failures += 1;
         self.retry_at = Some(now + Duration::from_millis(400) * self.failures.min(6));
-        // What was sent may arrive minutes late, but not after the worker has
-        // seen a later token.
+        // What was sent may arrive minutes late, but not after the worker has seen a later
+        // token. Only launches have to be ruled out: where requests are lost again and
+        // again, the token to be seen would else always be the next.
         self.token += 1;
-        self.proof_token = self.token;
+        if launches {
+            self.proof_token = self.token;
+        }
     }
 
     fn note_end(&mut self, job: &str, end: End) {
@@ -483,7 +483,7 @@
         let mut commands = stops;
         commands.extend(rest.into_iter().filter(|c| !commands.contains(c)).collect::<Vec<_>>());
         commands.retain(|c| !matches!(c, Command::Forget { .. }));
-        if commands.iter().any(|c| matches!(c, Command::Start { .. })) {
+        if commands.iter().any(is_launch) {
             self.offered = Some(self.token);
         }
         // The ends that it found are for the next round.
@@ -505,6 +505,10 @@
     tasks.iter().filter(cancelled).map(stop).collect()
 }
 
+fn is_launch(command: &Command) -> bool {
+    matches!(command, Command::Start { .. })
+}
+
 fn end_of(cause: Option<Cause>) -> End {
     match cause {
         Some(Cause::Done) => End::Done,
--- a/crates/daemon/tests/unit/meetings_machines.rs
+++ b/crates/daemon/tests/unit/meetings_machines.rs
@@ -1008,3 +1008,38 @@
     }
     assert!(host.runs("j-1/0"));
 }
+
+/// Requests never reach a machine, only answers do: a launch is not answered, and its job is
+/// cancelled. The answers show the worker later tokens, which rules the launch out, though
+/// there is always a request on its way: none of those launches anything.
+#[test]
+fn requests_that_launch_nothing_keep_nothing_on_record() {
+    let mut site = Site::new(1, &[("host-1", "a")]);
+    let mut host = Host::new("host-1", "a", site.now);
+    site.meet(0, &mut host);
+    site.assign(spec("j-1", JobKind::Array), &[(0, 1, "host-1")]);
+    site.read(0);
+    let start = site.now;
+    let mut waits: Option<(Instant, Commands)> = None;
+    let mut reported = start;
+    while !site.job("j-1").run.is_empty() {
+        assert!(site.now < start + secs(30.0), "it stays on record");
+        site.read(0);
+        for (_, commands) in site.round(0) {
+            waits = Some((site.now, commands));
+            if site.job("j-1").phase == Phase::Active {
+                site.cancel("j-1");
+            }
+        }
+        if let Some((_, commands)) = waits.take_if(|(at, _)| site.now >= *at + secs(2.5)) {
+            site.answered(0, "host-1", &commands, None);
+        }
+        // The worst moments: as soon as a request is on its way.
+        if waits.is_some() && site.now >= reported + secs(2.5) {
+            site.meet(0, &mut host);
+            reported = site.now;
+        }
+        site.wait(0.1);
+    }
+    assert!(host.tasks.is_empty());
+}
--- a/crates/daemon/tests/unit/worker.rs
+++ b/crates/daemon/tests/unit/worker.rs
@@ -73,6 +73,10 @@
     }
 }
 
+fn launch() -> [Command; 1] {
+    [Command::Start { task: "j-1/0".into(), attempt: 1 }]
+}
+
 fn limits(now: Instant) -> Limits {
     Limits { gang_peer: Duration::from_secs(5), lease: Duration::from_secs(11), fresh_at: Some(now) }
 }
@@ -143,7 +147,7 @@
     let w = world(assigned(Want::Run), Phase::Active);
     let plan = worker.reconcile("host-1", &w, &limits(now), now);
     assert!(matches!(plan.commands[..], [Command::Start { .. }]));
-    let sent = worker.begin(now);
+    let sent = worker.begin(&launch(), now);
     // Cancelled while the launch is on its way.
     let w = world(assigned(Want::Run), Phase::Cancelled);
     worker.ingest(report(2, sent, &[]), true, now);
@@ -160,10 +164,10 @@
     let now = Instant::now();
     let mut worker = Worker::new("a".into(), 5, now);
     worker.ingest(report(1, first_token(5), &[]), true, now);
-    let old = worker.begin(now);
+    let old = worker.begin(&launch(), now);
     worker.enter_epoch(6);
     worker.ingest(report(2, first_token(6), &[]), true, now);
-    worker.begin(now);
+    worker.begin(&launch(), now);
     worker.finish(old, true, now);
     let w = world(assigned(Want::Stop), Phase::Active);
     assert!(worker.reconcile("host-1", &w, &limits(now), now).ends.is_empty());
@@ -220,7 +224,7 @@
     worker.renew(start);
     worker.ingest(report(2, first_token(5), &[]), true, at(1));
     assert!(worker.hears());
-    worker.begin(at(1));
+    worker.begin(&launch(), at(1));
     worker.finish(first_token(5) + 1, false, at(4));
     worker.renew(at(4));
     worker.ingest(report(3, first_token(5), &[]), true, at(8));
@@ -263,7 +267,7 @@
     // an older token, however late it comes.
     let mut worker = Worker::new("a".into(), 6, now);
     worker.ingest(report(1, first_token(6), &[]), true, now);
-    let sent = worker.begin(now);
+    let sent = worker.begin(&launch(), now);
     worker.finish(sent, false, now);
     worker.ingest(report(2, first_token(6), &[]), true, now);
     let w = world(assigned(Want::Run), Phase::Cancelled);
