Tests of meetings on the users' side, with a stand-in for the state service

Cause: users, lost and late answers, changes of leaders and refusals were tested one at a time. Change: a stand-in for the state service with leases and with a door for each controller (refused, unanswered, late, deaf watches), and ten tests that bring the meetings about: questions at all nodes within milliseconds, what needs a job just cancelled while its placer changes, lost answers, all transactions sent again late, ten leaders, the end of the last task, refusals of one and then of all, minutes of small jobs. All pass with the sources as they are.

Each was seen red with its mechanism taken away: the fresh check before an answer; the look after a submission's or a cancellation's conflict; the conditions of submissions, cancellations, rounds, members, the leader and the map; taking over what stands under an own name; the cancellation of what needs a cancelled job; the leader in place of a part that is gone; an end that leaves a cancelled job cancelled; the final records' and the pipelines' clearing.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,6 +7,9 @@
 mod gossip;
 mod limits;
 mod load;
+#[cfg(test)]
+#[path = "../tests/unit/meetings_front.rs"]
+mod meetings_front;
 mod node;
 #[cfg(test)]
 #[path = "../tests/unit/pipelines.rs"]
@@ -22,6 +25,9 @@
 #[cfg(test)]
 #[path = "../tests/unit/sim.rs"]
 mod sim;
+#[cfg(test)]
+#[path = "../tests/unit/stand_in.rs"]
+mod stand_in;
 mod state_duty;
 mod wide;
 mod worker;
--- /dev/null
+++ b/crates/daemon/tests/unit/meetings_front.rs
@@ -0,0 +1,571 @@
+//! Where two troubles meet, on the users' side: answers, the state service, membership.
+//! docs/meetings.md tells what holds the rules in each of these meetings.
+
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use sched::records::*;
+use sched::world::Change;
+use store::{Put, key};
+use tokio::time::sleep;
+use wire::{JobKind, JobSpec, JobState};
+
+use crate::node::Node;
+use crate::stand_in::*;
+use crate::worker::tests::spec;
+use crate::{engine, state_duty};
+
+/// One round that gives a job's only task to a machine.
+async fn place(node: &Node, id: &str, machine: &str) {
+    let mut round = engine::Round::default();
+    let Some(mut job) = node.core().world.jobs.get(id).map(|j| j.value.clone()) else { return };
+    job.attempt += 1;
+    job.run = vec![Assignment { task: 0, attempt: job.attempt, machine: machine.into(), want: Want::Run }];
+    round.jobs.insert(id.into(), job);
+    round.placing.insert(id.into());
+    engine::commit(node, round).await;
+}
+
+/// Small numbers without a pattern, the same on every run.
+struct Dice(u64);
+
+impl Dice {
+    fn below(&mut self, n: usize) -> usize {
+        self.0 = self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (self.0 >> 33) as usize % n
+    }
+}
+
+/// How far a user has been told that a job is.
+fn rank(state: JobState) -> u32 {
+    match state {
+        JobState::Queued | JobState::Running => 1,
+        JobState::Done | JobState::Cancelled => 2,
+    }
+}
+
+/// Users ask at all nodes within milliseconds, repeat the submission and cancel, right
+/// after a job was accepted, ended or cancelled, and the nodes hear of nothing unless they
+/// ask: no node answers something older than what was told before the question.
+#[tokio::test]
+async fn no_node_answers_something_older() {
+    let service = Service::with_types();
+    let mut nodes = Vec::new();
+    for n in 0..3 {
+        let (node, door) = service.follower(n, 3).await;
+        door.deaf.store(true, Ordering::Relaxed);
+        nodes.push(node);
+    }
+    service.elect(&nodes.iter().collect::<Vec<_>>(), 1);
+    let mut dice = Dice(16);
+    for n in 0..25 {
+        let id = format!("j-{n}");
+        // What users have been told of the job, at any node.
+        let told: Arc<Mutex<Option<JobState>>> = Arc::default();
+        let mut users = Vec::new();
+        for user in 0..12usize {
+            let (node, id, told) = (nodes[dice.below(3)].clone(), id.clone(), told.clone());
+            let (what, after) = (dice.below(8), Duration::from_millis(dice.below(60) as u64));
+            let service = service.clone();
+            users.push(tokio::spawn(async move {
+                if user > 0 {
+                    sleep(Duration::from_millis(20) + after).await;
+                }
+                let before = *told.lock().expect("no panic");
+                let (status, state) = match (user, what) {
+                    (0, _) | (_, 0 | 1) => submit_once(&node, &spec(&id, JobKind::Array)).await,
+                    (1, 2..=4) => cancel_once(&node, &id).await,
+                    (2, 2..=4) => {
+                        // Its last task ends, by the word of some controller.
+                        let mut store = service.store();
+                        let open = store.job(&id).filter(|j| j.phase == Phase::Active);
+                        if let Some(mut job) = open {
+                            job.phase = Phase::Done;
+                            job.shrink();
+                            store.put(Put::new(key::job(&id), &job));
+                        }
+                        return;
+                    }
+                    _ => state_once(&node, &id).await,
+                };
+                let mut told = told.lock().expect("no panic");
+                if let Some(before) = before {
+                    assert!(matches!(status, 200 | 503), "{id}: {status} after {before:?}");
+                    if let Some(state) = state {
+                        assert!(rank(state) >= rank(before), "{id}: {state:?} after {before:?}");
+                        assert!(rank(before) < 2 || state == before, "{id}: {state:?} after {before:?}");
+                    }
+                }
+                if let Some(state) = state.filter(|_| matches!(status, 200 | 201)) {
+                    assert!(told.is_none_or(|t| rank(t) < 2 || rank(state) < 2 || t == state), "{id}");
+                    if told.is_none_or(|t| rank(t) < rank(state)) {
+                        *told = Some(state);
+                    }
+                }
+            }));
+        }
+        for user in users {
+            user.await.expect("nothing older");
+        }
+        let last = service.store().job(&id).expect("accepted").state();
+        for node in &nodes {
+            assert_eq!(state(node, &id).await, (200, Some(last)));
+            assert_eq!(submit(node, &spec(&id, JobKind::Array)).await, (200, Some(last)));
+        }
+    }
+}
+
+fn step(id: &str, needs: &[&str]) -> JobSpec {
+    let needs = needs.iter().map(|n| (*n).to_owned()).collect();
+    JobSpec { needs: Some(needs), ..spec(id, JobKind::Array) }
+}
+
+/// A job that needs one just cancelled is told cancelled by every node from then on,
+/// though none has heard of it, and whoever was to place it is gone: the leader, when there
+/// is one again, writes it down.
+#[tokio::test]
+async fn what_needs_a_cancelled_job_is_cancelled_while_its_placer_changes() {
+    let service = Service::with_types();
+    let (a, _) = service.follower(0, 3).await;
+    let (b, door) = service.follower(1, 3).await;
+    let (gone, _) = service.controller(2, 3, 3).await;
+    service.elect(&[&gone, &a, &b], 1);
+    caught_up(&service, &a).await;
+    caught_up(&service, &b).await;
+    for spec in [step("j-1", &[]), step("j-2", &["j-1"]), step("j-3", &["j-2"])] {
+        assert_eq!(submit(&a, &spec).await.0, 201);
+        // Its part is the controller that is about to go.
+        let mut record = service.store().job(&spec.id).expect("accepted");
+        record.part = Some(gone.me.name.clone());
+        service.store().put(Put::new(key::job(&spec.id), &record));
+    }
+    caught_up(&service, &a).await;
+    caught_up(&service, &b).await;
+    door.deaf.store(true, Ordering::Relaxed);
+    assert_eq!(cancel(&a, "j-1").await, (200, Some(JobState::Cancelled)));
+    let all_told = async || {
+        for node in [&b, &a] {
+            for id in ["j-3", "j-2", "j-1"] {
+                assert_eq!(state(node, id).await, (200, Some(JobState::Cancelled)), "{id}");
+                assert_eq!(cancel(node, id).await, (200, Some(JobState::Cancelled)), "{id}");
+            }
+        }
+    };
+    all_told().await;
+    // Named by a submission in the same moment, at a node that has not heard of it.
+    let (c, door) = service.follower(2, 3).await;
+    assert_eq!(submit(&c, &step("j-5", &[])).await.0, 201);
+    assert!(soon(20, || c.core().fresh_at.is_some_and(|t| t.elapsed() < Duration::from_millis(300))).await);
+    door.deaf.store(true, Ordering::Relaxed);
+    assert_eq!(cancel(&a, "j-5").await.0, 200);
+    assert!(matches!(submit(&c, &step("j-6", &["j-5"])).await, (201, Some(_))));
+    for node in [&a, &b, &c] {
+        assert_eq!(state(node, "j-6").await, (200, Some(JobState::Cancelled)));
+    }
+    // The placer is gone, and its leadership with it: nobody is to write it down yet.
+    door.deaf.store(false, Ordering::Relaxed);
+    service.store().put(Put::delete(key::LEADER.into()));
+    let live = vec![a.me.clone(), b.me.clone()];
+    service.store().put(Put::new(key::MAP.into(), &MapRecord { epoch: 2, live }));
+    caught_up(&service, &a).await;
+    round(&a).await;
+    all_told().await;
+    assert_eq!(service.store().job("j-3").map(|j| j.phase), Some(Phase::Waiting));
+    service.store().put(Put::new(key::LEADER.into(), &a.me));
+    caught_up(&service, &a).await;
+    for _ in 0..4 {
+        round(&a).await;
+        all_told().await;
+    }
+    for id in ["j-2", "j-3", "j-6"] {
+        assert_eq!(service.store().job(id).map(|j| j.phase), Some(Phase::Cancelled), "{id}");
+    }
+    assert_eq!(a.core().world.pipelines.doomed().count(), 0);
+}
+
+/// Transactions are carried out at once and only their answers are lost, while another
+/// node reads what they wrote: nobody hears something older, nothing is done twice.
+#[tokio::test]
+async fn lost_answers_are_found_out_by_reading() {
+    let service = Service::with_types();
+    let (a, door) = service.controller(0, 2, 1).await;
+    let follows =
+        [tokio::spawn(state_duty::mirror(a.clone())), tokio::spawn(state_duty::verifier(a.clone()))];
+    let (b, _) = service.follower(1, 2).await;
+    service.elect(&[&a, &b], 1);
+    assert!(soon(20, || a.core().in_map(&a.me)).await);
+    assert_eq!(submit(&a, &spec("j-2", JobKind::Array)).await.0, 201);
+    assert_eq!(submit(&a, &spec("j-3", JobKind::Array)).await.0, 201);
+    door.set(Trouble::Unanswered);
+    // Nothing of it is heard here for as long as the answers take.
+    follows.iter().for_each(|f| f.abort());
+    let (one, two) = (spec("j-1", JobKind::Array), spec("j-3", JobKind::Array));
+    let asked = [
+        tokio::spawn({
+            let a = a.clone();
+            async move { submit_once(&a, &one).await }
+        }),
+        tokio::spawn({
+            let a = a.clone();
+            async move { cancel_once(&a, "j-2").await }
+        }),
+    ];
+    let placed = tokio::spawn({
+        let a = a.clone();
+        async move { place(&a, "j-3", "m-1").await }
+    });
+    sleep(Duration::from_millis(300)).await;
+    assert_eq!(state(&b, "j-1").await, (200, Some(JobState::Queued)));
+    assert_eq!(state(&b, "j-2").await, (200, Some(JobState::Cancelled)));
+    assert_eq!(state(&b, "j-3").await, (200, Some(JobState::Running)));
+    for ask in asked {
+        assert_eq!(ask.await.expect("an answer").0, 503, "not known");
+    }
+    placed.await.expect("ends");
+    door.set(Trouble::None);
+    // The same again, by a view from before: what it was decided from is no more.
+    place(&a, "j-3", "m-2").await;
+    let run = service.store().job("j-3").expect("a job").run;
+    assert_eq!(run.iter().map(|r| &*r.machine).collect::<Vec<_>>(), ["m-1"], "placed once");
+    follow(&a);
+    caught_up(&service, &a).await;
+    assert_eq!(submit(&a, &spec("j-1", JobKind::Array)).await, (200, Some(JobState::Queued)));
+    assert_eq!(cancel(&a, "j-2").await, (200, Some(JobState::Cancelled)));
+    assert_eq!(state(&a, "j-3").await, (200, Some(JobState::Running)));
+    assert_eq!(submit(&a, &two).await, (200, Some(JobState::Running)));
+}
+
+/// A controller joins, leads and writes the map although no transaction of it is answered.
+#[tokio::test]
+async fn membership_comes_about_without_a_single_answer() {
+    let service = Service::default();
+    let (node, door) = service.controller(0, 1, 7).await;
+    door.set(Trouble::Unanswered);
+    follow(&node);
+    node.spawn_duty(state_duty::membership(node.clone()));
+    assert!(soon(20, || node.core().leads(&node.me)).await);
+    assert_eq!(service.store().map().map(|m| m.epoch), Some(1), "one map, written once");
+}
+
+/// Every transaction of users, rounds and membership that is carried out late, after newer
+/// ones of the same controller or of another, changes nothing.
+#[tokio::test]
+async fn late_transactions_change_nothing() {
+    let service = Service::with_types();
+    let mut nodes = Vec::new();
+    for n in 0..2 {
+        let (node, _) = service.controller(n, 2, 1 + n as u64).await;
+        follow(&node);
+        node.spawn_duty(state_duty::membership(node.clone()));
+        assert!(soon(20, || node.core().in_map(&node.me)).await);
+        nodes.push(node);
+    }
+    let (a, b) = (&nodes[0], &nodes[1]);
+    assert!(soon(20, || service.store().map().is_some_and(|m| m.live.len() == 2)).await);
+    let late = |what: &str| {
+        let mut store = service.store();
+        let (sent, before) = (store.sent.clone(), store.revision);
+        for txn in sent.iter().chain(sent.iter().rev()) {
+            assert_ne!(store.txn(txn.clone()).status, 200, "{what}: {txn:?}");
+        }
+        assert_eq!(store.revision, before);
+    };
+    late("both are members");
+    for id in ["j-1", "j-2", "j-3"] {
+        assert_eq!(submit(a, &spec(id, JobKind::Array)).await.0, 201);
+    }
+    assert_eq!(submit(b, &step("j-4", &["j-1"])).await.0, 201);
+    late("jobs are accepted");
+    place(a, "j-1", "m-1").await;
+    assert_eq!(cancel(b, "j-1").await, (200, Some(JobState::Cancelled)));
+    assert_eq!(cancel(a, "j-2").await, (200, Some(JobState::Cancelled)));
+    late("some are cancelled");
+    caught_up(&service, a).await;
+    place(a, "j-3", "m-1").await;
+    let mut done = service.store().job("j-3").expect("placed");
+    let attempt = done.run[0].attempt;
+    done.end(0, attempt, End::Done, 5, 0);
+    service.store().put(Put::new(key::job("j-3"), &done));
+    caught_up(&service, a).await;
+    round(a).await;
+    round(b).await;
+    late("one is done");
+    // A process comes back with another incarnation while its predecessor is a member still,
+    // and its predecessor's requests are under way.
+    let leads = if a.core().leads(&a.me) { 0 } else { 1 };
+    nodes[leads].stop.cancel();
+    let (again, _) = service.controller(leads, 2, 9).await;
+    follow(&again);
+    again.spawn_duty(state_duty::membership(again.clone()));
+    assert!(soon(20, || again.core().leads(&again.me) && again.core().in_map(&again.me)).await);
+    late("the leader came back");
+    let map = service.store().map().expect("a map");
+    assert!(map.holds(&again.me.name, 9) && map.live.len() == 2, "{map:?}");
+    for (id, state_now) in
+        [("j-1", JobState::Cancelled), ("j-3", JobState::Done), ("j-4", JobState::Cancelled)]
+    {
+        assert_eq!(state(&again, id).await, (200, Some(state_now)));
+    }
+}
+
+/// A submission and a cancellation get no answer and are carried out seconds later, after
+/// the same user's newer ones at another node, and after the job's end.
+#[tokio::test]
+async fn late_requests_of_users_do_not_undo_newer_ones() {
+    let service = Service::with_types();
+    let (a, door) = service.follower(0, 2).await;
+    let (b, _) = service.follower(1, 2).await;
+    service.elect(&[&a, &b], 1);
+    caught_up(&service, &a).await;
+    assert_eq!(submit(&a, &spec("j-1", JobKind::Array)).await.0, 201);
+    caught_up(&service, &b).await;
+    door.set(Trouble::Late(Duration::from_millis(1200)));
+    let (one, two) = (a.clone(), a.clone());
+    let late = [
+        tokio::spawn(async move { cancel_once(&one, "j-1").await.0 }),
+        tokio::spawn(async move { submit_once(&two, &spec("j-2", JobKind::Array)).await.0 }),
+    ];
+    sleep(Duration::from_millis(200)).await;
+    door.set(Trouble::None);
+    let mut done = service.store().job("j-1").expect("accepted");
+    done.phase = Phase::Done;
+    done.shrink();
+    service.store().put(Put::new(key::job("j-1"), &done));
+    assert_eq!(submit(&b, &spec("j-2", JobKind::Array)).await.0, 201);
+    assert_eq!(cancel(&b, "j-2").await, (200, Some(JobState::Cancelled)));
+    for request in late {
+        assert_eq!(request.await.expect("an answer"), 503);
+    }
+    assert!(service.store().sent.len() >= 4);
+    for node in [&a, &b] {
+        assert_eq!(state(node, "j-1").await, (200, Some(JobState::Done)));
+        assert_eq!(cancel(node, "j-1").await, (200, Some(JobState::Done)));
+        assert_eq!(state(node, "j-2").await, (200, Some(JobState::Cancelled)));
+        assert_eq!(submit(node, &spec("j-2", JobKind::Array)).await, (200, Some(JobState::Cancelled)));
+    }
+}
+
+/// Leaders end ten times, one of them inside an outage, and come back with another
+/// incarnation within a fraction of a second: each time one leads, with a new epoch, and
+/// what users were told stands.
+#[tokio::test]
+async fn leaders_change_ten_times_and_nothing_told_is_taken_back() {
+    let service = Service::with_types();
+    let mut nodes = Vec::new();
+    for n in 0..3 {
+        nodes.push(join(&service, n, 1 + n as u64).await);
+    }
+    let leader = |nodes: &[(Node, Arc<Door>)]| {
+        nodes.iter().position(|(n, _)| n.core().leads(&n.me) && n.core().in_map(&n.me))
+    };
+    assert!(soon(20, || service.store().map().is_some_and(|m| m.live.len() == 3)).await);
+    assert!(soon(20, || leader(&nodes).is_some()).await);
+    let mut told: Vec<(String, JobState)> = Vec::new();
+    let mut epoch = 0;
+    for change in 0..10u64 {
+        let id = format!("j-{change}");
+        let at = change as usize % 3;
+        assert_eq!(submit(&nodes[at].0, &spec(&id, JobKind::Array)).await.0, 201);
+        let state_now = if change % 2 == 0 {
+            assert_eq!(cancel(&nodes[(at + 1) % 3].0, &id).await.0, 200);
+            JobState::Cancelled
+        } else {
+            JobState::Queued
+        };
+        told.push((id, state_now));
+        if change == 5 {
+            nodes.iter().for_each(|(_, door)| door.set(Trouble::Refused));
+        }
+        let Some(i) = leader(&nodes) else { unreachable!("somebody leads") };
+        let old = nodes[i].0.me.clone();
+        nodes[i].0.stop.cancel();
+        nodes[i] = join(&service, i, 100 + change).await;
+        if change == 5 {
+            nodes[i].1.set(Trouble::Refused);
+            sleep(Duration::from_millis(400)).await;
+            for (node, _) in &nodes {
+                assert_eq!(state_once(node, "j-1").await.0, 503, "nobody can tell");
+            }
+            nodes.iter().for_each(|(_, door)| door.set(Trouble::None));
+        }
+        let settled = || {
+            let store = service.store();
+            let map = store.map().unwrap_or_default();
+            map.epoch > epoch && nodes.iter().all(|(n, _)| map.holds(&n.me.name, n.me.incarnation))
+        };
+        assert!(soon(20, settled).await, "after change {change}: {:?}", service.store().map());
+        let revision = service.store().revision;
+        for (node, _) in &nodes {
+            assert!(node.reach(revision, Duration::from_secs(5)).await);
+        }
+        epoch = service.store().map().expect("a map").epoch;
+        let leading: Vec<_> = nodes.iter().filter(|(n, _)| n.core().leads(&n.me)).collect();
+        assert_eq!(leading.len(), 1, "one leads");
+        assert_ne!(leading[0].0.me, old);
+        for (node, _) in &nodes {
+            for (id, last) in &told {
+                assert_eq!(state(node, id).await, (200, Some(*last)), "{id}");
+            }
+        }
+    }
+}
+
+/// A controller that is live as soon as it can be.
+async fn join(service: &Service, n: usize, incarnation: u64) -> (Node, Arc<Door>) {
+    let (node, door) = service.controller(n, 3, incarnation).await;
+    follow(&node);
+    node.spawn_duty(state_duty::membership(node.clone()));
+    (node, door)
+}
+
+/// A cancellation and the end of a job's last task meet: whichever is committed first
+/// stands, and the other side hears of it.
+#[tokio::test]
+async fn the_end_of_the_last_task_and_a_cancellation_meet() {
+    let service = Service::with_types();
+    let (a, door) = service.follower(0, 2).await;
+    let (b, _) = service.follower(1, 2).await;
+    service.elect(&[&a, &b], 1);
+    for id in ["j-1", "j-2"] {
+        caught_up(&service, &a).await;
+        assert_eq!(submit(&a, &spec(id, JobKind::Array)).await.0, 201);
+        place(&a, id, "m-1").await;
+    }
+    caught_up(&service, &b).await;
+    door.deaf.store(true, Ordering::Relaxed);
+    // Done first, which this controller has not heard of.
+    let done = |mut job: JobRecord| {
+        let attempt = job.run[0].attempt;
+        job.end(0, attempt, End::Done, 5, 0);
+        job
+    };
+    let record = done(service.store().job("j-1").expect("placed"));
+    service.store().put(Put::new(key::job("j-1"), &record));
+    assert_eq!(cancel(&a, "j-1").await, (200, Some(JobState::Done)));
+    assert_eq!(submit(&a, &spec("j-1", JobKind::Array)).await, (200, Some(JobState::Done)));
+    // Cancelled first, while the other writes that it is done.
+    let view = b.core().world.jobs["j-2"].value.clone();
+    assert_eq!(cancel(&a, "j-2").await, (200, Some(JobState::Cancelled)));
+    let mut late = engine::Round::default();
+    late.jobs.insert("j-2".into(), Box::new(done(*view)));
+    engine::commit(&b, late).await;
+    // And once more by who has heard of it: its only task is done all the same.
+    caught_up(&service, &b).await;
+    let record = b.core().world.jobs["j-2"].value.clone();
+    assert_eq!((record.phase, record.run.len()), (Phase::Cancelled, 1));
+    let mut after = engine::Round::default();
+    after.jobs.insert("j-2".into(), Box::new(done(*record)));
+    engine::commit(&b, after).await;
+    assert!(service.store().job("j-2").is_some_and(|j| j.run.is_empty()));
+    for node in [&a, &b] {
+        assert_eq!(state(node, "j-2").await, (200, Some(JobState::Cancelled)));
+        assert_eq!(cancel(node, "j-2").await, (200, Some(JobState::Cancelled)));
+    }
+}
+
+/// The state service refuses one controller, then everybody for long, while users cancel
+/// and ask: nothing is answered that may be older, at once, and all of it once it can be.
+#[tokio::test]
+async fn refused_alone_and_then_everybody_while_users_cancel_and_ask() {
+    let service = Service::with_types();
+    let (a, door_a) = service.follower(0, 2).await;
+    let (b, door_b) = service.follower(1, 2).await;
+    service.elect(&[&a, &b], 1);
+    caught_up(&service, &a).await;
+    for id in ["j-1", "j-2", "j-3"] {
+        assert_eq!(submit(&a, &spec(id, JobKind::Array)).await.0, 201);
+    }
+    assert_eq!(cancel(&a, "j-3").await.0, 200);
+    door_a.set(Trouble::Refused);
+    assert_eq!(cancel(&b, "j-1").await, (200, Some(JobState::Cancelled)));
+    let asked = Instant::now();
+    for id in ["j-1", "j-2", "j-9"] {
+        assert_eq!(state_once(&a, id).await.0, 503, "{id}: it may have changed");
+        assert_eq!(submit_once(&a, &spec(id, JobKind::Array)).await.0, 503, "{id}");
+        assert_eq!(cancel_once(&a, id).await.0, 503, "{id}");
+    }
+    assert_eq!(state(&a, "j-3").await, (200, Some(JobState::Cancelled)), "what is final stays");
+    assert!(asked.elapsed() < Duration::from_secs(5), "told at once: {:?}", asked.elapsed());
+    door_b.set(Trouble::Refused);
+    sleep(Duration::from_millis(600)).await;
+    assert_eq!(state(&b, "j-1").await, (200, Some(JobState::Cancelled)));
+    assert_eq!(state_once(&b, "j-2").await.0, 503);
+    assert_eq!(cancel_once(&b, "j-2").await.0, 503);
+    assert_eq!(submit_once(&b, &spec("j-4", JobKind::Array)).await.0, 503);
+    door_a.set(Trouble::None);
+    door_b.set(Trouble::None);
+    for node in [&a, &b] {
+        let since = Instant::now();
+        while state_once(node, "j-2").await.0 == 503 {
+            assert!(since.elapsed() < Duration::from_secs(3), "answers soon again");
+            sleep(Duration::from_millis(50)).await;
+        }
+        assert_eq!(state(node, "j-1").await, (200, Some(JobState::Cancelled)));
+        assert_eq!(state(node, "j-2").await, (200, Some(JobState::Queued)));
+        assert_eq!(state(node, "j-4").await.0, 404, "it was never accepted");
+    }
+}
+
+/// One-task jobs four a second for minutes, a quarter of them cancelled, some with others
+/// that need them, all of them over in the end: what is kept beside the jobs' final states
+/// does not grow.
+#[tokio::test]
+async fn minutes_of_small_jobs_leave_nothing_but_their_final_states() {
+    let service = Service::with_types();
+    let (node, _) = service.follower(0, 1).await;
+    service.elect(&[&node], 1);
+    caught_up(&service, &node).await;
+    let mut version = service.store().revision;
+    let mut apply = |id: &str, record: &JobRecord| {
+        version += 1;
+        node.core().world.apply(Change::Job(id.into(), Some(Box::new(record.clone()))), version);
+    };
+    for n in 0..2400u32 {
+        let id = format!("j-{n}");
+        let mut record = match n % 6 {
+            5 => JobRecord::waiting(
+                spec(&id, JobKind::Array),
+                None,
+                0,
+                vec![format!("j-{}", n - 1).as_str().into()],
+            ),
+            _ => JobRecord::new(spec(&id, JobKind::Array), None, 0),
+        };
+        apply(&id, &record);
+        if n % 6 != 5 {
+            let machine = format!("m-{}", n % 40).as_str().into();
+            record.run = vec![Assignment { task: 0, attempt: 1, machine, want: Want::Run }];
+            apply(&id, &record);
+        }
+        if n >= 40 {
+            let old = format!("j-{}", n - 40);
+            let record = node.core().world.jobs[&old].value.clone();
+            let mut record = *record;
+            if (n - 40) % 4 == 0 {
+                record.phase = Phase::Cancelled;
+            }
+            record.phase =
+                if node.core().world.pipelines.is_doomed(&old) { Phase::Cancelled } else { record.phase };
+            if record.phase == Phase::Active && record.run.is_empty() {
+                record.done = Ranges::all(1);
+                record.phase = Phase::Done;
+            }
+            record.end(0, 1, End::Done, 9, 0);
+            record.shrink();
+            apply(&old, &record);
+        }
+    }
+    let core = node.core();
+    let w = &core.world;
+    assert_eq!(w.jobs.len(), 2400);
+    assert!(w.open.len() <= 41 && w.on_machine.len() <= 40 && w.machine_use.len() <= 40, "{}", w.open.len());
+    assert!(w.pipelines.waiting().count() <= 8 && w.pipelines.doomed().count() <= 8);
+    let cpus = w.team_use.get("t").map_or(0.0, |u| u.cpus);
+    assert!((0.0..=41.0).contains(&cpus), "{cpus}");
+    let kept = w.jobs.values().filter(|j| j.value.spec.is_some()).count();
+    assert!(kept <= 41, "{kept} with a description");
+    for n in 0..2340 {
+        assert!(w.state_of(&format!("j-{n}")).is_some_and(|s| s.is_final()), "j-{n}");
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/unit/stand_in.rs
@@ -0,0 +1,376 @@
+//! A stand-in for the state service for several controllers, each with a door of its
+//! own to it and troubles of its own: refusals, answers that are lost, and
+//! transactions that are carried out late.
+
+use std::collections::{BTreeMap, HashMap};
+use std::future::pending;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use net::{Reply, Request};
+use rmpv::Value;
+use sched::records::*;
+use store::{Put, key};
+use tokio::net::TcpListener;
+use tokio::time::{sleep, timeout};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+use wire::{Changes, Event, Item, Items, JobSpec, JobState, JobStatus, Lease, LeaseRequest, Op, Txn};
+
+use crate::node::Node;
+use crate::settings::tests::EXAMPLE;
+use crate::settings::{Operators, Peer, Settings};
+use crate::{engine, front, state_duty};
+
+/// What a controller meets at the state service.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub enum Trouble {
+    #[default]
+    None,
+    Refused,
+    /// Transactions are carried out at once, and their answers are lost.
+    Unanswered,
+    /// Transactions get no answer and are carried out so much later.
+    Late(Duration),
+}
+
+#[derive(Default)]
+pub struct Door {
+    trouble: Mutex<Trouble>,
+    /// Watches tell nothing: only what is asked for is known.
+    pub deaf: AtomicBool,
+}
+
+impl Door {
+    pub fn set(&self, trouble: Trouble) {
+        *self.trouble.lock().unwrap_or_else(PoisonError::into_inner) = trouble;
+    }
+
+    fn trouble(&self) -> Trouble {
+        *self.trouble.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+#[derive(Default)]
+pub struct Store {
+    pub keys: BTreeMap<String, (Value, u64, Option<u64>)>,
+    log: Vec<Event<Value>>,
+    pub revision: u64,
+    leases: HashMap<u64, (Duration, Instant)>,
+    last_lease: u64,
+    /// All transactions that were asked for, in this order.
+    pub sent: Vec<Txn<Value>>,
+}
+
+impl Store {
+    fn change(&mut self, key: String, value: Option<Value>, lease: Option<u64>, version: u64) {
+        self.revision = version;
+        self.log.push(Event {
+            put: value.is_some().then(|| key.clone()),
+            delete: value.is_none().then(|| key.clone()),
+            value: value.clone(),
+            version,
+        });
+        match value {
+            Some(v) => self.keys.insert(key, (v, version, lease)),
+            None => self.keys.remove(&key),
+        };
+    }
+
+    pub fn put(&mut self, put: Put) {
+        self.change(put.key, put.value, put.lease, self.revision + 1);
+    }
+
+    fn end_leases(&mut self) {
+        let now = Instant::now();
+        self.leases.retain(|_, (_, until)| now < *until);
+        let over: Vec<String> = self
+            .keys
+            .iter()
+            .filter(|(_, (_, _, lease))| lease.is_some_and(|l| !self.leases.contains_key(&l)))
+            .map(|(k, _)| k.clone())
+            .collect();
+        for key in over {
+            self.change(key, None, None, self.revision + 1);
+        }
+    }
+
+    pub fn txn(&mut self, txn: Txn<Value>) -> Reply {
+        self.end_leases();
+        let version = |k: &str| self.keys.get(k).map_or(0, |e| e.1);
+        let failed: Vec<&String> =
+            txn.conditions.iter().filter(|c| version(&c.key) != c.version).map(|c| &c.key).collect();
+        if !failed.is_empty() {
+            return Reply::new(409, &serde_json::json!({"failed": failed, "epoch": self.revision}));
+        }
+        let ended =
+            |op: &Op<Value>| matches!(op, Op::Put { lease: Some(l), .. } if !self.leases.contains_key(l));
+        if txn.ops.iter().any(ended) {
+            return Reply::error(400, "no such lease");
+        }
+        let revision = self.revision + 1;
+        for op in txn.ops {
+            match op {
+                Op::Put { put, value, lease } => self.change(put, Some(value), lease, revision),
+                Op::Delete { delete } => self.change(delete, None, None, revision),
+            }
+        }
+        Reply::new(200, &serde_json::json!({"epoch": self.revision}))
+    }
+
+    /// A job's record as it stands.
+    pub fn job(&self, id: &str) -> Option<JobRecord> {
+        let (value, ..) = self.keys.get(&key::job(id))?;
+        match store::decode_change(&key::job(id), Some(value.clone())) {
+            (sched::world::Change::Job(_, record), false) => record.map(|r| *r),
+            _ => None,
+        }
+    }
+
+    /// The map as it stands.
+    pub fn map(&self) -> Option<MapRecord> {
+        let (value, ..) = self.keys.get(key::MAP)?;
+        match store::decode_change(key::MAP, Some(value.clone())) {
+            (sched::world::Change::Map(map), false) => map,
+            _ => None,
+        }
+    }
+}
+
+#[derive(Clone, Default)]
+pub struct Service(Arc<Mutex<Store>>);
+
+impl Service {
+    pub fn store(&self) -> MutexGuard<'_, Store> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn come_in(self, door: Arc<Door>, request: Request) -> Reply {
+        let txn = request.path == "/txn";
+        if txn {
+            let sent = wire::decode(&request.body).expect("a transaction");
+            self.store().sent.push(sent);
+        }
+        match door.trouble() {
+            Trouble::Refused => return Reply::error(503, "outage"),
+            Trouble::Unanswered if txn => {
+                self.answer(&door, request).await;
+                return pending().await;
+            }
+            Trouble::Late(by) if txn => {
+                tokio::spawn(async move {
+                    sleep(by).await;
+                    self.answer(&door, request).await;
+                });
+                return pending().await;
+            }
+            _ => {}
+        }
+        self.answer(&door, request).await
+    }
+
+    async fn answer(&self, door: &Door, request: Request) -> Reply {
+        let (path, query) = request.path.split_once('?').unwrap_or((&request.path, ""));
+        let field = |name: &str| {
+            query.split('&').find_map(|f| f.strip_prefix(name)?.strip_prefix('=')).map(str::to_owned)
+        };
+        let number = |name: &str| field(name).and_then(|n| n.parse().ok()).unwrap_or(0u64);
+        if path == "/txn" {
+            return self.store().txn(wire::decode(&request.body).expect("a transaction"));
+        }
+        if path == "/follow" {
+            let (after, hold) = (number("after"), number("hold_ms"));
+            let until = Instant::now() + Duration::from_millis(hold);
+            let waits = || {
+                let mut store = self.store();
+                store.end_leases();
+                store.revision <= after || hold > 0 && door.deaf.load(Ordering::Relaxed)
+            };
+            while waits() && Instant::now() < until {
+                sleep(Duration::from_millis(5)).await;
+            }
+            let store = self.store();
+            let events = store.log.iter().filter(|e| e.version > after).cloned().collect();
+            return Reply::new(200, &Changes { revision: store.revision, events });
+        }
+        let mut store = self.store();
+        store.end_leases();
+        if let Some(rest) = path.strip_prefix("/leases") {
+            let id: u64 = rest.split('/').find_map(|n| n.parse().ok()).unwrap_or(0);
+            if rest.is_empty() {
+                let asked: LeaseRequest = wire::decode(&request.body).expect("a lease request");
+                let ttl = Duration::from_millis(asked.ttl_ms);
+                store.last_lease += 1;
+                let lease = store.last_lease;
+                store.leases.insert(lease, (ttl, Instant::now() + ttl));
+                return Reply::new(200, &Lease { lease });
+            }
+            if request.method == "DELETE" {
+                store.leases.remove(&id);
+                store.end_leases();
+                return Reply::new(200, &"ended");
+            }
+            let Some((ttl, until)) = store.leases.get_mut(&id) else { return Reply::error(404, "no lease") };
+            *until = Instant::now() + *ttl;
+            return Reply::new(200, &"kept");
+        }
+        let after = field("after").unwrap_or_default();
+        let items: Vec<Item<Value>> = store
+            .keys
+            .iter()
+            .filter(|(k, _)| **k > after)
+            .take(400)
+            .map(|(k, (v, at, _))| Item { key: k.clone(), value: v.clone(), version: *at })
+            .collect();
+        let more = items.last().is_some_and(|i| store.keys.keys().next_back() != Some(&i.key));
+        Reply::new(200, &Items { items, more, revision: store.revision })
+    }
+
+    /// A way to the state service for one controller.
+    pub async fn door(&self) -> (Arc<Door>, String) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let addr = listener.local_addr().expect("an address").to_string();
+        let door = Arc::new(Door::default());
+        let (this, of) = (self.clone(), door.clone());
+        let connections = Arc::new(net::Connections::new(256, &[], |_| 0));
+        let serve = move |request| this.clone().come_in(of.clone(), request);
+        let (stop, tasks) = (CancellationToken::new(), TaskTracker::new());
+        tokio::spawn(net::serve(listener, connections, 1 << 20, serve, stop, tasks));
+        (door, addr)
+    }
+
+    /// One of `size` controllers, without any duty yet.
+    pub async fn controller(&self, n: usize, size: usize, incarnation: u64) -> (Node, Arc<Door>) {
+        let (door, addr) = self.door().await;
+        let mut settings = Settings::parse("example", EXAMPLE).expect("valid");
+        settings.node_name = format!("n-{n}");
+        settings.external.state = addr;
+        // So that checks follow each other closely.
+        settings.facts.state.rps = 2000.0;
+        let others = (0..size).filter(|p| *p != n);
+        settings.peers =
+            others.map(|p| Peer { node_name: format!("n-{p}"), address: "127.0.0.1:1".into() }).collect();
+        (settings.facts.teams[0].cpus, settings.facts.teams[0].cpus_max) = (1e4, 1e4);
+        (Node::new(settings, Operators::default(), incarnation), door)
+    }
+
+    /// One that follows the records, and knows them.
+    pub async fn follower(&self, n: usize, size: usize) -> (Node, Arc<Door>) {
+        let (node, door) = self.controller(n, size, 1 + n as u64).await;
+        follow(&node);
+        assert!(soon(20, || node.core().ready).await);
+        (node, door)
+    }
+
+    /// These controllers are live, the first of them leads.
+    pub fn elect(&self, nodes: &[&Node], epoch: u64) {
+        let mut store = self.store();
+        let live = nodes.iter().map(|n| n.me.clone()).collect();
+        store.put(Put::new(key::MAP.into(), &MapRecord { epoch, live }));
+        store.put(Put::new(key::LEADER.into(), &nodes[0].me));
+        for node in nodes {
+            store.put(Put::new(key::member(&node.me.name), &node.me));
+            store.put(Put::new(key::upgraded(&node.me.name), &Upgraded { form: FORM }));
+        }
+    }
+
+    pub fn with_types() -> Self {
+        let service = Self::default();
+        let kind = wire::MachineType {
+            name: "m".into(),
+            cpus: 40.0,
+            gpus: 0.0,
+            memory_gb: 90.0,
+            cache_gb: 9.0,
+            fetch_gb_per_s: 1.0,
+            price: 1.0,
+            spot_price: 1.0,
+            boot_s: 1.0,
+            zones: vec!["a".into()],
+        };
+        service.store().put(Put::new(key::TYPES.into(), &TypesRecord { types: vec![kind] }));
+        service
+    }
+}
+
+/// Starts the duties that keep the mirror.
+pub fn follow(node: &Node) {
+    node.spawn_duty(state_duty::mirror(node.clone()));
+    node.spawn_duty(state_duty::verifier(node.clone()));
+}
+
+/// Whether something comes about within so many seconds.
+pub async fn soon(seconds: u64, mut so: impl FnMut() -> bool) -> bool {
+    timeout(Duration::from_secs(seconds), async {
+        while !so() {
+            sleep(Duration::from_millis(5)).await;
+        }
+    })
+    .await
+    .is_ok()
+}
+
+/// The mirror has all that there is, and by itself.
+pub async fn caught_up(service: &Service, node: &Node) {
+    let revision = service.store().revision;
+    assert!(node.reach(revision, Duration::from_secs(20)).await);
+}
+
+pub async fn ask(node: &Node, method: &str, path: &str, body: Vec<u8>) -> (u16, Option<JobStatus>) {
+    let request = Request { method: method.into(), path: path.into(), body: body.into() };
+    let reply = front::serve(node.clone(), request).await;
+    (reply.status, wire::decode(&reply.body).ok())
+}
+
+pub async fn submit_once(node: &Node, spec: &JobSpec) -> (u16, Option<JobState>) {
+    let (status, job) = ask(node, "POST", "/v1/jobs", wire::encode(spec)).await;
+    (status, job.map(|j| j.state))
+}
+
+pub async fn state_once(node: &Node, id: &str) -> (u16, Option<JobState>) {
+    let (status, job) = ask(node, "GET", &format!("/v1/jobs/{id}"), Vec::new()).await;
+    (status, job.map(|j| j.state))
+}
+
+pub async fn cancel_once(node: &Node, id: &str) -> (u16, Option<JobState>) {
+    let (status, job) = ask(node, "POST", &format!("/v1/jobs/{id}/withdraw"), Vec::new()).await;
+    (status, job.map(|j| j.state))
+}
+
+/// As users do: a 503 is no answer, and they ask again. On a busy machine there may be
+/// one at any time.
+pub async fn again(ask: impl AsyncFn() -> (u16, Option<JobState>)) -> (u16, Option<JobState>) {
+    let since = Instant::now();
+    loop {
+        let answer = ask().await;
+        if answer.0 != 503 || since.elapsed() > Duration::from_secs(20) {
+            return answer;
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
+pub async fn submit(node: &Node, spec: &JobSpec) -> (u16, Option<JobState>) {
+    again(async || submit_once(node, spec).await).await
+}
+
+pub async fn state(node: &Node, id: &str) -> (u16, Option<JobState>) {
+    again(async || state_once(node, id).await).await
+}
+
+pub async fn cancel(node: &Node, id: &str) -> (u16, Option<JobState>) {
+    again(async || cancel_once(node, id).await).await
+}
+
+/// One round of a controller, committed.
+pub async fn round(node: &Node) {
+    let decided = {
+        let mut core = node.core();
+        let ops = node.plan().txn_ops;
+        engine::decide(node, &mut core, false, ops, Instant::now(), crate::node::wall_ms())
+    };
+    if let Some(round) = decided {
+        engine::commit(node, round).await;
+    }
+}
