Bad input is refused in every state, and never a repetition of an accepted job

Change: the body is read in one place (JobSpec::read), which keeps the id of a bad one; refusals by the body or the settings alone ask the records first, if they can be, and are told all the same if not; what is known here and cannot be confirmed is answered 503. Beyond the team's limit is told before the types.

The test was seen red without each of: the look at the records, the refusal without them, the 503 for what is known, the check for a map, the words, the order.

--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -144,23 +144,41 @@
     chosen.map(|c| c.1)
 }
 
-/// Why a job can never run; Err if that cannot be told now.
+/// The refusal of a submission by what it says itself, or by the settings, which takes
+/// no records: it is told whatever state this controller is in. But a job that was
+/// accepted is never refused, whatever else a repetition of its submission says, so the
+/// records are asked first, if they can be.
+async fn refuse(node: &Node, id: Option<&str>, status: u16, why: &str) -> Reply {
+    let refused = Reply::error(status, why);
+    let Some(id) = id else { return refused };
+    let listed = || look(node, id).is_some() || node.core().world.unreadable.contains(id);
+    match known(node, id).await {
+        Ok(Some(s)) => Reply::new(200, &s),
+        Ok(None) => refused,
+        Err(reply) if listed() => reply,
+        Err(_) => refused,
+    }
+}
+
+/// Why a job can never run, as far as the settings and its own words tell.
+fn never_runs(node: &Node, spec: &JobSpec, needs: &[Name]) -> Option<&'static str> {
+    let Some(team) = node.team(&spec.team) else { return Some("unknown team") };
+    if !fleet::within_limit(spec, team) {
+        return Some("beyond the team's limit");
+    }
+    needs.iter().any(|n| **n == *spec.id).then_some("awaits: the job itself")
+}
+
+/// Why a job can never run by the records; Err if that cannot be told now.
 fn refusal(node: &Node, spec: &JobSpec, needs: &[Name]) -> Result<Option<&'static str>, Reply> {
     let core = node.core();
-    let Some(team) = node.team(&spec.team) else { return Ok(Some("unknown team")) };
     if core.world.types.is_empty() {
         return Err(Reply::busy("the machine types are not known yet", 1));
     }
     if !fleet::possible(spec, &core.world.types) {
         return Ok(Some("no allowed machine type can hold a task"));
     }
-    if !fleet::within_limit(spec, team) {
-        return Ok(Some("beyond the team's limit"));
-    }
     for need in needs {
-        if **need == *spec.id {
-            return Ok(Some("awaits: the job itself"));
-        }
         if core.world.unreadable.contains(&**need) {
             return Err(Reply::busy("the record of a job that it awaits cannot be read", 5));
         }
@@ -203,13 +221,10 @@
 const NEEDS_FRESH: Duration = Duration::from_millis(1500);
 
 async fn submit(node: &Node, body: &[u8]) -> Reply {
-    let mut spec: JobSpec = match wire::decode(body) {
+    let mut spec = match JobSpec::read(body) {
         Ok(spec) => spec,
-        Err(e) => return Reply::error(400, &e.to_string()),
+        Err(bad) => return refuse(node, bad.id.as_deref(), 400, &bad.why).await,
     };
-    if let Some(field) = spec.invalid_field() {
-        return Reply::error(400, &format!("invalid field: {field}"));
-    }
     let mut needs: Vec<Name> =
         spec.needs.take().unwrap_or_default().iter().map(|n| n.as_str().into()).collect();
     needs.sort_unstable();
@@ -223,6 +238,9 @@
             Err(reply) => reply,
         };
     }
+    if let Some(why) = never_runs(node, &spec, &needs) {
+        return refuse(node, Some(&id), 422, why).await;
+    }
     if !node.core().ready {
         return Reply::busy("not ready", 1);
     }
--- a/crates/daemon/tests/unit/meetings_front.rs
+++ b/crates/daemon/tests/unit/meetings_front.rs
@@ -16,6 +16,126 @@
 use crate::worker::tests::spec;
 use crate::{engine, state_duty};
 
+/// A description without one of its fields, or with another value in it.
+fn odd(id: &str, field: &str, value: Option<serde_json::Value>) -> Vec<u8> {
+    let mut map: serde_json::Value =
+        wire::decode(&wire::encode(&spec(id, JobKind::Array))).expect("a description");
+    match value {
+        Some(v) => map[field] = v,
+        None => drop(map.as_object_mut().expect("a map").remove(field)),
+    }
+    wire::encode(&map)
+}
+
+/// Bad input is told by the body and the settings alone, whatever state the controller is
+/// in; what takes the records is not told without them; and a repetition of an accepted
+/// job has its 200 whatever else is wrong with it.
+#[tokio::test]
+async fn bad_input_is_refused_in_every_state_and_what_was_accepted_never() {
+    use serde_json::json;
+    let bad = |id: &str| {
+        vec![
+            odd(id, "cpus", None),
+            odd(id, "owner", None),
+            odd(id, "threads", Some(json!(0))),
+            odd(id, "threads", Some(json!(1.5))),
+            odd(id, "mem_gb", Some(json!(-1.0))),
+            odd(id, "guess_s", Some(json!(null))),
+            odd(id, "due_s", Some(json!(1e300))),
+            odd(id, "rank", Some(json!("urgent"))),
+            odd(id, "rank", Some(json!(1))),
+            odd(id, "weave", Some(json!({"array": null}))),
+            odd(id, "awaits", Some(json!(["x"]))),
+        ]
+    };
+    let not_a_job = [
+        odd("x-1", "cpus", None),
+        odd("j-1", "id", None),
+        b"\xc1".to_vec(),
+        Vec::new(),
+        wire::encode(&"text"),
+        // The fields' values in their order, without their names.
+        as_list(&spec("j-7", JobKind::Array)),
+    ];
+    let never = |id: &str| {
+        let unknown = JobSpec { team: "nobody".into(), ..spec(id, JobKind::Array) };
+        let too_large = JobSpec { cpus: 30.0, tasks: 400, ..spec(id, JobKind::Gang) };
+        [unknown, too_large].map(|s| wire::encode(&s))
+    };
+    let fits_nowhere = wire::encode(&JobSpec { cpus: 41.0, ..spec("j-6", JobKind::Array) });
+    let post = async |node: &Node, body: &[u8]| ask(node, "POST", "/v1/jobs", body.to_vec()).await;
+
+    let service = Service::default();
+    let (node, door) = service.controller(0, 1, 1).await;
+    let (other, _) = service.follower(1, 2).await;
+    let all_refused = async |state: &str| {
+        for body in bad("j-5").iter().chain(&not_a_job) {
+            assert_eq!(post(&node, body).await.0, 400, "{state}");
+        }
+        for body in never("j-5") {
+            assert_eq!(post(&node, &body).await.0, 422, "{state}");
+        }
+    };
+    all_refused("no records read, nothing running").await;
+    assert_eq!(post(&node, &fits_nowhere).await.0, 503);
+    door.set(Trouble::Refused);
+    follow(&node);
+    all_refused("refused by the state service from the start").await;
+    assert_eq!(post(&node, &fits_nowhere).await.0, 503);
+    door.set(Trouble::None);
+    assert!(soon(20, || node.core().ready).await);
+    all_refused("no machine types").await;
+    assert_eq!(post(&node, &fits_nowhere).await.0, 503, "nobody knows yet");
+    let (key, (types, ..)) = Service::with_types().store().keys.pop_first().expect("the types");
+    service.store().put(Put { key, value: Some(types), lease: None });
+    caught_up(&service, &node).await;
+    all_refused("all is well").await;
+    assert_eq!(again(async || (post(&node, &fits_nowhere).await.0, None)).await.0, 422);
+
+    // Accepted by another controller, and this one has not heard of it yet.
+    door.deaf.store(true, Ordering::Relaxed);
+    caught_up(&service, &other).await;
+    assert_eq!(submit(&other, &spec("j-1", JobKind::Array)).await.0, 201);
+    assert_eq!(submit(&other, &spec("j-2", JobKind::Array)).await.0, 201);
+    assert_eq!(cancel(&other, "j-2").await.0, 200);
+    for (id, state) in [("j-1", JobState::Queued), ("j-2", JobState::Cancelled)] {
+        for body in bad(id).iter().chain(&never(id)) {
+            let told = again(async || {
+                let (status, job) = post(&node, body).await;
+                (status, job.map(|j| j.state))
+            });
+            assert_eq!(told.await, (200, Some(state)), "{id}");
+        }
+    }
+    door.set(Trouble::Refused);
+    for body in bad("j-1").iter().chain(&never("j-1")) {
+        assert_eq!(post(&node, body).await.0, 503, "accepted, and may be over by now");
+    }
+    for body in bad("j-2").iter().chain(&never("j-2")) {
+        assert_eq!(post(&node, body).await.0, 200, "what is final is known");
+    }
+    all_refused("refused by the state service").await;
+    assert_eq!(post(&node, &fits_nowhere).await.0, 503);
+    assert!(service.store().keys.keys().filter(|k| k.starts_with("sageloom/jobs/")).count() == 2);
+}
+
+/// A message's values in their order, as MessagePack without names has them.
+fn as_list(spec: &JobSpec) -> Vec<u8> {
+    // All of them are there.
+    let spec = JobSpec {
+        types: Some(vec!["m".into()]),
+        zone: Some("a".into()),
+        deadline_s: Some(9.0),
+        needs: Some(Vec::new()),
+        ..spec.clone()
+    };
+    let map: rmpv::Value = wire::decode(&wire::encode(&spec)).expect("a map");
+    let values = map.as_map().expect("a map").iter().map(|(_, v)| v.clone()).collect();
+    let mut out = Vec::new();
+    rmpv::encode::write_value(&mut out, &rmpv::Value::Array(values)).expect("encodes");
+    out
+}
+
 /// One round that gives a job's only task to a machine.
 async fn place(node: &Node, id: &str, machine: &str) {
     let mut round = engine::Round::default();
--- a/crates/wire/src/jobs.rs
+++ b/crates/wire/src/jobs.rs
@@ -32,9 +32,9 @@
     pub class: String,
     #[serde(rename = "owner")]
     pub team: String,
-    #[serde(rename = "weave")]
+    #[serde(rename = "weave", deserialize_with = "crate::by_name")]
     pub kind: JobKind,
-    #[serde(rename = "rank")]
+    #[serde(rename = "rank", deserialize_with = "crate::by_name")]
     pub priority: Priority,
     #[serde(rename = "threads")]
     pub tasks: u32,
@@ -75,7 +75,40 @@
         .is_some_and(|d| (1..=18).contains(&d.len()) && d.bytes().all(|b| b.is_ascii_digit()))
 }
 
+/// A submission that describes no job.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("{why}")]
+pub struct BadJob {
+    /// The id that it names all the same, if it is one: it may repeat a job that was
+    /// accepted.
+    pub id: Option<String>,
+    pub why: String,
+}
+
+/// What of a submission tells whether it is a repetition.
+#[derive(Deserialize)]
+struct Named {
+    id: String,
+}
+
 impl JobSpec {
+    /// Reads a submission's body.
+    pub fn read(body: &[u8]) -> Result<Self, BadJob> {
+        // A list of the fields' values would be read as well, and is none of the protocol's.
+        if !crate::is_map(body) {
+            return Err(BadJob { id: None, why: "not a map".into() });
+        }
+        let why = match crate::decode::<Self>(body) {
+            Ok(spec) => match spec.invalid_field() {
+                None => return Ok(spec),
+                Some(field) => format!("invalid field: {field}"),
+            },
+            Err(e) => e.to_string(),
+        };
+        let id = crate::decode::<Named>(body).ok().map(|n| n.id).filter(|id| is_job_id(id));
+        Err(BadJob { id, why })
+    }
+
     /// Names the first invalid field, if there is one.
     pub fn invalid_field(&self) -> Option<&'static str> {
         let amount = |v: f64| v.is_finite() && (0.0..=1e9).contains(&v);
