--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -13,6 +13,9 @@
 mod limits;
 mod load;
 #[cfg(test)]
+#[path = "../tests/unit/meetings_front.rs"]
+mod meetings_front;
+#[cfg(test)]
 #[path = "../tests/unit/meetings_machines.rs"]
 mod meetings_machines;
 mod node;
@@ -31,6 +34,9 @@
 #[cfg(test)]
 #[path = "../tests/unit/sim/mod.rs"]
 mod sim;
+#[cfg(test)]
+#[path = "../tests/unit/stand_in.rs"]
+mod stand_in;
 mod state_duty;
 mod wide;
 mod worker;
