What makes way has no claim before what it made way for

Cause: a gang waiting at its team's limit claims its share against all arrays of the team. Change: claims hold only against work of no higher priority.

--- a/crates/daemon/src/placer.rs
+++ b/crates/daemon/src/placer.rs
@@ -8,7 +8,7 @@
 use sched::preempt;
 use sched::records::*;
 use sched::world::{Amount, Team, World};
-use wire::{JobKind, JobSpec};
+use wire::{JobKind, JobSpec, Priority};
 
 use crate::engine::{Event, Round, edit};
 use crate::node::{Core, Node};
@@ -96,15 +96,21 @@
     // The share of its team's limit that a service or a gang waits for is not for
     // arrays: their small tasks would take it piece by piece, for as long as one
     // of them lasts.
-    // A gang's claim ends for an array whose own deadline comes near.
-    let mut claims: BTreeMap<(String, bool), Amount> = BTreeMap::new();
+    // A gang's claim ends for an array whose own deadline comes near. No claim holds
+    // against work of a higher priority: what an array has stopped to make room for itself
+    // would claim that room at once, be placed there and be stopped again, without end.
+    let mut claims: Vec<Claim> = Vec::new();
     for id in &core.world.open {
         let Some(job) = core.world.jobs.get(id).map(|j| &j.value) else { continue };
         let Some(spec) = job.spec.as_deref().filter(|s| s.kind != JobKind::Array) else { continue };
         let waiting = placement::pending_count(round.jobs.get(id).unwrap_or(job));
         if waiting > 0 {
-            let claim = claims.entry((spec.team.clone(), spec.kind == JobKind::Gang)).or_default();
-            *claim = claim.plus(Amount::of_task(spec), f64::from(waiting));
+            claims.push(Claim {
+                team: spec.team.clone(),
+                gang: spec.kind == JobKind::Gang,
+                priority: job.priority().unwrap_or(spec.priority),
+                amount: Amount::default().plus(Amount::of_task(spec), f64::from(waiting)),
+            });
         }
     }
     let leads = core.leads(me);
@@ -154,11 +160,14 @@
             gang_wait_s: node.settings.facts.workers.gang_wait_s,
             now_ms,
         };
-        let claim = if spec.kind == JobKind::Array {
-            let of = |gangs| claims.get(&(spec.team.clone(), gangs)).copied().unwrap_or_default();
-            if placement::pressed(&job, now_ms) { of(false) } else { of(false).plus(of(true), 1.0) }
-        } else {
-            Amount::default()
+        let claim = match spec.kind {
+            JobKind::Array => {
+                let pressed = placement::pressed(&job, now_ms);
+                let holds =
+                    |c: &&Claim| c.team == spec.team && c.priority >= priority && !(c.gang && pressed);
+                claims.iter().filter(holds).fold(Amount::default(), |a, c| a.plus(c.amount, 1.0))
+            }
+            _ => Amount::default(),
         };
         claim_share(&mut board, &spec.team, claim, 1.0);
         // What the leader collects room for comes first.
@@ -356,6 +365,14 @@
     })
 }
 
+/// A share of its team's limit that a service or a gang waits for.
+struct Claim {
+    team: String,
+    gang: bool,
+    priority: Priority,
+    amount: Amount,
+}
+
 /// Counts a part of a team's limit as used, or gives it back.
 fn claim_share(board: &mut Board, team: &str, amount: Amount, sign: f64) {
     if amount != Amount::default() {
