--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,6 +9,9 @@
 mod limits;
 mod load;
 #[cfg(test)]
+#[path = "../tests/unit/meetings/mod.rs"]
+mod meetings;
+#[cfg(test)]
 #[path = "../tests/unit/meetings_machines.rs"]
 mod meetings_machines;
 mod node;
