--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -13,6 +13,9 @@
 mod limits;
 mod load;
 #[cfg(test)]
+#[path = "../tests/unit/meetings/mod.rs"]
+mod meetings;
+#[cfg(test)]
 #[path = "../tests/unit/meetings_front.rs"]
 mod meetings_front;
 #[cfg(test)]
