Placement looks at machines that are alike together

Every round made a board of all machines by looking each up in five lists, and each job looked at every machine. The board now walks the lists side by side and keeps what is alike together. A random test compares every choice with that of a look at each machine; with the machines apart left in their runs it fails.

--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -6,7 +6,6 @@
 
 use peer::Proof;
 use sched::drain;
-use sched::placement::Board;
 use sched::preempt;
 use sched::records::*;
 use sched::rescheduler;
@@ -403,7 +402,7 @@
 fn reschedule(node: &Node, core: &Core, round: &mut Round, ops: usize, now: Instant, now_ms: u64) {
     let policy = &node.operators.rescheduler;
     let report = node.report_every();
-    let board = Board::new(&core.world, |m| core.usable(m, &node.me, report, now));
+    let board = core.board(&node.me, report, now);
     for e in rescheduler::scan(&core.world, &board, policy, now_ms) {
         if round.jobs.contains_key(&e.job) || round.puts() >= ops {
             continue;
--- a/crates/daemon/src/fleet_duty/returns.rs
+++ b/crates/daemon/src/fleet_duty/returns.rs
@@ -6,7 +6,7 @@
 use cloud::RELEASE_MAX;
 use sched::fleet::Offer;
 use sched::forecast;
-use sched::placement::{self, Board};
+use sched::placement;
 use sched::records::*;
 use sched::world::Amount;
 use store::{Put, key};
@@ -79,7 +79,7 @@
         let report = node.report_every();
         let for_services: HashSet<Name> = match forecast::services(&core.world, wall_ms()) {
             Some((spec, tasks)) => {
-                let board = Board::new(&core.world, |m| core.usable(m, &node.me, report, now));
+                let board = core.board(&node.me, report, now);
                 placement::room_for(&core.world, &board, &spec, tasks, wall_ms()).into_iter().collect()
             }
             None => HashSet::new(),
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -5,7 +5,7 @@
 
 use net::{Reply, Request};
 use sched::fleet;
-use sched::placement::{Board, Slot, fits_whole, gpu_loss};
+use sched::placement::{Slot, fits_whole, gpu_loss};
 use sched::records::*;
 use sched::world::Change;
 use store::{Outcome, Put, StoreError, key};
@@ -119,7 +119,7 @@
         Some(view) => view,
         None => {
             let report = node.report_every();
-            let board = Board::new(&core.world, |m| core.usable(m, &node.me, report, now));
+            let board = core.board(&node.me, report, now);
             let mut parts: BTreeMap<u64, Vec<Slot>> = BTreeMap::new();
             for s in board.slots {
                 parts.entry(s.owner).or_default().push(s);
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -8,7 +8,7 @@
 use cloud::CloudClient;
 use net::{Client, Connections};
 use peer::{MachineRow, Summary};
-use sched::placement::{self, Slot};
+use sched::placement::{self, Board, Slot};
 use sched::records::{End, MachineRecord, MapRecord, Member, Name};
 use sched::world::{Team, World};
 use store::{Budget, Reader, StateClient};
@@ -135,7 +135,7 @@
     pub workers: BTreeMap<Name, Worker>,
     pub peers: HashMap<String, PeerView>,
     /// What peers last said of their machines.
-    pub rows: HashMap<Name, MachineRow>,
+    pub rows: BTreeMap<Name, MachineRow>,
     /// When the last request was sent after which the mirror was known fresh.
     pub fresh_at: Option<Instant>,
     /// When this process was last seen to run, by a duty that does nothing else.
@@ -186,7 +186,7 @@
             ready: false,
             workers: BTreeMap::new(),
             peers: HashMap::new(),
-            rows: HashMap::new(),
+            rows: BTreeMap::new(),
             fresh_at: None,
             beat: now,
             asked: 0,
@@ -549,22 +549,44 @@
             })
     }
 
+    /// The machines that placement may use, by their owners' word.
+    pub fn board(&self, me: &Member, report: Duration, now: Instant) -> Board {
+        // All three lists are in the order of the machines' names: finding each machine
+        // in them anew cost more than all else that a round does.
+        let mut workers = self.workers.iter().peekable();
+        let mut rows = self.rows.iter().peekable();
+        Board::of_owned(&self.world, |machine, owner| {
+            if owner == me {
+                while workers.next_if(|(id, _)| *id < machine).is_some() {}
+                workers.next_if(|(id, _)| *id == machine).is_some_and(|(_, w)| takes_work(w, report, now))
+            } else {
+                while rows.next_if(|(id, _)| *id < machine).is_some() {}
+                rows.next_if(|(id, _)| *id == machine).is_none_or(|(_, r)| r.usable)
+            }
+        })
+    }
+
     /// Whether placement may use a machine, by its owner's word.
     pub fn usable(&self, machine: &str, me: &Member, report: Duration, now: Instant) -> bool {
         match self.world.owner_of(machine) {
-            Some(owner) if owner == me => self.workers.get(machine).is_some_and(|w| {
-                w.heard.is_some()
-                    && w.hears()
-                    && w.silent_for(now) < report * 5 / 2
-                    && w.notice_until.is_none()
-                    && !w.sick()
-            }),
+            Some(owner) if owner == me => {
+                self.workers.get(machine).is_some_and(|w| takes_work(w, report, now))
+            }
             Some(_) => self.rows.get(machine).is_none_or(|r| r.usable),
             None => false,
         }
     }
 }
 
+/// Whether an owner's worker may be given something.
+fn takes_work(w: &Worker, report: Duration, now: Instant) -> bool {
+    w.heard.is_some()
+        && w.hears()
+        && w.silent_for(now) < report * 5 / 2
+        && w.notice_until.is_none()
+        && !w.sick()
+}
+
 pub fn wall_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
 }
--- a/crates/daemon/src/placer.rs
+++ b/crates/daemon/src/placer.rs
@@ -63,7 +63,7 @@
     if queue.is_empty() {
         return;
     }
-    let mut board = Board::new(&core.world, |m| core.usable(m, me, report, now));
+    let mut board = core.board(me, report, now);
     // What this round has ended is free already.
     for (id, record) in &round.jobs {
         let Some(old) = core.world.jobs.get(id) else { continue };
@@ -176,8 +176,7 @@
         if placed.is_empty() && spec.kind == JobKind::Service && !in_part {
             let limits = placement::Limits { lossy: true, ..limits };
             if !held.is_empty() {
-                let here = |s: &placement::Slot| held.contains(&s.id);
-                placed = placement::place(world, &mut board, &mut job, team, here, limits);
+                placed = placement::place_at(world, &mut board, &mut job, team, &held, limits);
             } else if round.searches >= SEARCHES || {
                 round.searches += 1;
                 let running = running.get_or_insert_with(|| preempt::Running::new(world, &board));
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -1,11 +1,11 @@
 //! Which machine a task goes to.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, btree_set};
 
 use wire::{JobKind, JobSpec};
 
-use crate::records::{Assignment, JobRecord, Name, Phase, Want};
+use crate::records::{Assignment, JobRecord, Member, Name, Phase, Want};
 use crate::world::{Amount, Team, World};
 
 /// A machine as placement sees it within one round.
@@ -19,56 +19,175 @@
     pub spot: bool,
     pub whole: Amount,
     pub used: Amount,
+    /// What the machine costs, and how fast it fetches.
+    price: f64,
+    gb_per_s: f64,
+    /// All machines of the same owner, type, zone and purchase have one number.
+    kind: usize,
 }
 
 impl Slot {
+    fn alike(&self) -> Alike {
+        Alike {
+            kind: self.kind,
+            used: [self.used.cpus, self.used.gpus, self.used.memory_gb].map(f64::to_bits),
+        }
+    }
+
     pub fn free(&self) -> Amount {
         self.whole.plus(self.used, -1.0)
     }
 }
 
+/// What machines have in common that are alike for placement, but for their names and
+/// the images that they have.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Alike {
+    kind: usize,
+    used: [u64; 3],
+}
+
 /// The state of a round of decisions: machines and team use, with what the
 /// round has already given away.
 #[derive(Debug, Default)]
 pub struct Board {
+    /// In the order of their names. What is used is changed by [`Board::take`] only.
     pub slots: Vec<Slot>,
-    pub index: HashMap<Name, usize>,
     pub team_use: HashMap<String, Amount>,
+    /// The machines that are alike. Choosing looks at one of each: at every machine for
+    /// every job, a round cost millions of instructions on a site of a thousand.
+    alike: BTreeMap<Alike, BTreeSet<usize>>,
 }
 
 impl Board {
     /// All machines that `usable` admits, apart from those being given back.
     pub fn new(world: &World, usable: impl Fn(&str) -> bool) -> Self {
-        let slots: Vec<Slot> = world
-            .machines
-            .iter()
-            .filter(|(id, m)| !m.value.release && usable(id))
-            .filter_map(|(id, m)| {
-                let m = &m.value;
-                let whole = Amount::of_type(world.types.get(&*m.machine_type)?);
-                Some(Slot {
-                    id: id.clone(),
-                    owner: world.owner_of(id)?.incarnation,
-                    machine_type: m.machine_type.clone(),
-                    zone: m.zone.clone(),
-                    spot: m.spot,
-                    whole,
-                    used: world.machine_use.get(id).copied().unwrap_or_default(),
-                })
-            })
-            .collect();
-        let index = slots.iter().enumerate().map(|(i, s)| (s.id.clone(), i)).collect();
-        Self { slots, index, team_use: world.team_use.clone() }
+        Self::of_owned(world, |id, _| usable(id))
+    }
+
+    /// The same, by the machines' names and owners; `usable` is asked in the order of
+    /// the names.
+    pub fn of_owned(world: &World, mut usable: impl FnMut(&Name, &Member) -> bool) -> Self {
+        let mut slots: Vec<Slot> = Vec::with_capacity(world.machines.len());
+        let mut alike: BTreeMap<Alike, BTreeSet<usize>> = BTreeMap::new();
+        // The first machine of each kind.
+        let mut kinds: Vec<usize> = Vec::new();
+        let mut used = world.machine_use.iter().peekable();
+        for (id, m, owner) in world.owned_machines() {
+            let m = &m.value;
+            if m.release || !usable(id, owner) {
+                continue;
+            }
+            while used.next_if(|(other, _)| *other < id).is_some() {}
+            let used = used.next_if(|(other, _)| *other == id).map(|(_, u)| *u).unwrap_or_default();
+            let like = |s: &Slot| {
+                (s.owner, s.spot) == (owner.incarnation, m.spot)
+                    && s.machine_type == m.machine_type
+                    && s.zone == m.zone
+            };
+            let slot = match kinds.iter().map(|&i| &slots[i]).find(|s| like(s)) {
+                Some(s) => Slot { id: id.clone(), used, ..s.clone() },
+                None => {
+                    let Some(t) = world.types.get(&*m.machine_type) else { continue };
+                    kinds.push(slots.len());
+                    Slot {
+                        id: id.clone(),
+                        owner: owner.incarnation,
+                        machine_type: m.machine_type.clone(),
+                        zone: m.zone.clone(),
+                        spot: m.spot,
+                        whole: Amount::of_type(t),
+                        used,
+                        price: if m.spot { t.spot_price } else { t.price },
+                        gb_per_s: t.fetch_gb_per_s,
+                        kind: kinds.len(),
+                    }
+                }
+            };
+            alike.entry(slot.alike()).or_default().insert(slots.len());
+            slots.push(slot);
+        }
+        Self { slots, team_use: world.team_use.clone(), alike }
+    }
+
+    /// A machine's place among the slots.
+    pub fn find(&self, machine: &str) -> Option<usize> {
+        self.slots.binary_search_by(|s| (*s.id).cmp(machine)).ok()
+    }
+
+    /// Takes room on a machine, or gives it back.
+    fn take(&mut self, i: usize, size: Amount, sign: f64) {
+        let before = self.slots[i].alike();
+        self.slots[i].used = self.slots[i].used.plus(size, sign);
+        let after = self.slots[i].alike();
+        if before == after {
+            return;
+        }
+        if let Some(set) = self.alike.get_mut(&before) {
+            set.remove(&i);
+            if set.is_empty() {
+                self.alike.remove(&before);
+            }
+        }
+        self.alike.entry(after).or_default().insert(i);
     }
 
     /// Takes room on machines, or gives it back.
     pub fn reserve(&mut self, machines: &[Name], size: Amount, sign: f64) {
-        for i in machines.iter().filter_map(|m| self.index.get(m)) {
-            self.slots[*i].used = self.slots[*i].used.plus(size, sign);
+        for m in machines {
+            if let Some(i) = self.find(m) {
+                self.take(i, size, sign);
+            }
+        }
+    }
+
+    /// The machines that a job may go to by `may`, which must not tell machines apart
+    /// that are alike, and are not in `left`. Those with the job's image and those that
+    /// it avoids differ from others that are alike.
+    fn candidates(
+        &self,
+        world: &World,
+        job: &JobRecord,
+        spec: &JobSpec,
+        may: impl Fn(&Slot) -> bool,
+    ) -> Candidates<'_> {
+        let holders = world.holders(&spec.image).map(|m| &**m);
+        let avoided = job.avoid.iter().map(|(m, _)| m.as_str());
+        let left = job.left.iter().map(|m| &**m);
+        let mut apart: Vec<usize> = holders.chain(avoided).chain(left).filter_map(|m| self.find(m)).collect();
+        apart.sort_unstable();
+        apart.dedup();
+        let may_any = |set: &&BTreeSet<usize>| set.first().is_some_and(|i| may(&self.slots[*i]));
+        let may_one = |i: &usize| may(&self.slots[*i]) && !job.left.contains(&self.slots[*i].id);
+        Candidates {
+            alike: self.alike.values().filter(may_any).map(BTreeSet::iter).collect(),
+            each: apart.iter().copied().filter(may_one).collect(),
+            apart,
         }
     }
 }
 
+/// The machines that a job may go to.
+struct Candidates<'a> {
+    /// Those that differ in nothing but their names, in the order of these, but for
+    /// those in `apart`, which are sorted.
+    alike: Vec<btree_set::Iter<'a, usize>>,
+    apart: Vec<usize>,
+    each: Vec<usize>,
+}
+
+impl Candidates<'_> {
+    fn list(each: &[usize]) -> Self {
+        Self { alike: Vec::new(), apart: Vec::new(), each: each.to_vec() }
+    }
+
+    /// The next of those that are alike.
+    fn next(&mut self, run: usize) -> Option<usize> {
+        let Self { alike, apart, .. } = self;
+        alike.get_mut(run)?.copied().find(|i| apart.binary_search(i).is_err())
+    }
+}
+
 /// Whether the job may use this kind of machine at all.
 pub fn allowed(spec: &JobSpec, machine_type: &str, zone: &str, spot: bool) -> bool {
     spec.types.as_ref().is_none_or(|t| t.iter().any(|t| t == machine_type))
@@ -127,7 +246,8 @@
 }
 
 /// Places as many of the job's pending tasks as there is room for, all or none
-/// for a gang, at most `most`. The job and the board are changed to match.
+/// for a gang, at most `most`. The job and the board are changed to match. `within` must
+/// not tell machines apart of the same owner, type, zone and purchase with the same in use.
 pub fn place(
     world: &World,
     board: &mut Board,
@@ -135,6 +255,29 @@
     team: &Team,
     within: impl Fn(&Slot) -> bool,
     limits: Limits,
+) -> Vec<Assignment> {
+    place_on(world, board, job, team, (within, None), limits)
+}
+
+/// The same on machines of these names only.
+pub fn place_at(
+    world: &World,
+    board: &mut Board,
+    job: &mut JobRecord,
+    team: &Team,
+    machines: &[Name],
+    limits: Limits,
+) -> Vec<Assignment> {
+    place_on(world, board, job, team, (|_: &Slot| true, Some(machines)), limits)
+}
+
+fn place_on(
+    world: &World,
+    board: &mut Board,
+    job: &mut JobRecord,
+    team: &Team,
+    (within, only): (impl Fn(&Slot) -> bool, Option<&[Name]>),
+    limits: Limits,
 ) -> Vec<Assignment> {
     let Limits { most, window, now_ms, .. } = limits;
     let Some(spec) = job.spec.clone() else { return Vec::new() };
@@ -156,45 +299,50 @@
     if wanted.is_empty() || (gang && (wanted.len() as u32) < pending_count(job)) {
         return Vec::new();
     }
-    let candidates: Vec<usize> = (0..board.slots.len())
-        .filter(|&i| {
-            let s = &board.slots[i];
-            size.fits(s.free())
-                && allowed(&spec, &s.machine_type, &s.zone, s.spot)
-                && within(s)
-                && !job.left.contains(&s.id)
-        })
-        .collect();
-    // All tasks of a one-zone job share the zone of those that are still out.
-    let held_zone = spec.one_zone.then(|| zone_of(world, job)).flatten();
-    let zones: BTreeSet<Name> = match held_zone {
-        Some(z) => [z].into(),
-        None => candidates.iter().map(|&i| board.slots[i].zone.clone()).collect(),
-    };
+    let may = |s: &Slot| size.fits(s.free()) && allowed(&spec, &s.machine_type, &s.zone, s.spot) && within(s);
+    let apart = gang && spec.tasks > 1 && limits.gang_wait_s > 0.0 && job.run.is_empty();
+    // Only these are chosen by more than a machine's own rank.
+    let list: Option<Vec<usize>> = (spec.one_zone || apart || only.is_some()).then(|| {
+        let may = |i: &usize| may(&board.slots[*i]) && !job.left.contains(&board.slots[*i].id);
+        match only {
+            Some(machines) => {
+                let all: BTreeSet<usize> = machines.iter().filter_map(|m| board.find(m)).collect();
+                all.into_iter().filter(may).collect()
+            }
+            None => (0..board.slots.len()).filter(may).collect(),
+        }
+    });
     let attempt = match gang {
         true if job.run.is_empty() => job.attempt + 1,
         true => job.attempt,
         false => job.attempt.max(1),
     };
-    let whole = |candidates: &[usize]| {
+    let choose = |candidates| choose(world, board, job, &spec, candidates, &wanted, limits);
+    let whole = |list: &[usize]| {
         if !spec.one_zone {
-            return choose(world, board, job, &spec, candidates, &wanted, limits);
+            return choose(Candidates::list(list));
         }
+        // All tasks of a one-zone job share the zone of those that are still out.
+        let zones: BTreeSet<Name> = match zone_of(world, job) {
+            Some(z) => [z].into(),
+            None => list.iter().map(|&i| board.slots[i].zone.clone()).collect(),
+        };
         let tries = zones.iter().map(|z| {
-            let here: Vec<usize> =
-                candidates.iter().copied().filter(|&i| board.slots[i].zone == *z).collect();
-            choose(world, board, job, &spec, &here, &wanted, limits)
+            let here: Vec<usize> = list.iter().copied().filter(|&i| board.slots[i].zone == *z).collect();
+            choose(Candidates::list(&here))
         });
         tries.max_by_key(Vec::len).unwrap_or_default()
     };
-    let chosen = if gang && spec.tasks > 1 && limits.gang_wait_s > 0.0 && job.run.is_empty() {
-        let sets = ready_together(world, board, &spec, &candidates, limits.gang_wait_s);
-        let of_sets = sets.iter().map(|s| whole(s)).find(|c| c.len() == wanted.len());
-        // Better to try than to wait for ever.
-        let tries = waited_s(job, now_ms) >= TRY_ANYHOW_S;
-        of_sets.unwrap_or_else(|| if tries { whole(&candidates) } else { Vec::new() })
-    } else {
-        whole(&candidates)
+    let chosen = match &list {
+        None => choose(board.candidates(world, job, &spec, may)),
+        Some(list) if apart => {
+            let sets = ready_together(world, board, &spec, list, limits.gang_wait_s);
+            let of_sets = sets.iter().map(|s| whole(s)).find(|c| c.len() == wanted.len());
+            // Better to try than to wait for ever.
+            let tries = waited_s(job, now_ms) >= TRY_ANYHOW_S;
+            of_sets.unwrap_or_else(|| if tries { whole(list) } else { Vec::new() })
+        }
+        Some(list) => whole(list),
     };
     if chosen.is_empty() || (gang && chosen.len() < wanted.len()) {
         return Vec::new();
@@ -209,7 +357,7 @@
     let placed: Vec<Assignment> = chosen
         .into_iter()
         .map(|(task, i)| {
-            board.slots[i].used = board.slots[i].used.plus(size, 1.0);
+            board.take(i, size, 1.0);
             Assignment { task, attempt, machine: board.slots[i].id.clone(), want: Want::Run }
         })
         .collect();
@@ -247,9 +395,8 @@
         .iter()
         .map(|&i| {
             let s = &board.slots[i];
-            let rate = world.types.get(&*s.machine_type).map_or(0.0, |t| t.fetch_gb_per_s);
-            let (early, late) =
-                if world.has_image(&s.id, &spec.image) { (0.0, 0.0) } else { fetch_s(spec, rate) };
+            let there = world.has_image(&s.id, &spec.image);
+            let (early, late) = if there { (0.0, 0.0) } else { fetch_s(spec, s.gb_per_s) };
             (i, early, late)
         })
         .collect();
@@ -306,19 +453,23 @@
 
 /// The machines that would take so many tasks of a job that is yet to come.
 pub fn room_for(world: &World, board: &Board, spec: &JobSpec, tasks: u32, now_ms: u64) -> Vec<Name> {
-    let candidates: Vec<usize> = (0..board.slots.len())
-        .filter(|&i| allowed(spec, &board.slots[i].machine_type, &board.slots[i].zone, board.slots[i].spot))
-        .collect();
     let job = JobRecord::new(spec.clone(), None, 0);
+    let may = |s: &Slot| allowed(spec, &s.machine_type, &s.zone, s.spot);
+    let candidates = board.candidates(world, &job, spec, may);
     let wanted: Vec<u32> = (0..tasks).collect();
     let limits = Limits { most: wanted.len(), window: tasks, lossy: true, gang_wait_s: 0.0, now_ms };
-    let chosen = choose(world, board, &job, spec, &candidates, &wanted, limits);
+    let chosen = choose(world, board, &job, spec, candidates, &wanted, limits);
     chosen.into_iter().map(|(_, i)| board.slots[i].id.clone()).collect()
 }
 
 /// How many tasks of the usual GPU job a machine loses room for by one task
 /// that needs no GPU.
 pub fn gpu_loss(world: &World, spec: &JobSpec, slot: &Slot) -> u32 {
+    gpu_loss_at(world, spec, slot, slot.used)
+}
+
+/// The same if so much of the machine were in use.
+pub fn gpu_loss_at(world: &World, spec: &JobSpec, slot: &Slot, used: Amount) -> u32 {
     if spec.gpus > 0.0 || slot.whole.gpus <= 0.0 {
         return 0;
     }
@@ -329,7 +480,7 @@
         None if slot.spot => return 0,
         None => Amount { cpus: slot.whole.cpus / slot.whole.gpus, gpus: 1.0, memory_gb: 0.0 },
     };
-    let free = slot.free();
+    let free = slot.whole.plus(used, -1.0);
     need.times_in(free).saturating_sub(need.times_in(free.plus(Amount::of_task(spec), -1.0)))
 }
 
@@ -343,7 +494,7 @@
     board: &Board,
     job: &JobRecord,
     spec: &JobSpec,
-    candidates: &[usize],
+    mut candidates: Candidates,
     wanted: &[u32],
     limits: Limits,
 ) -> Vec<(u32, usize)> {
@@ -365,13 +516,11 @@
         if !size.fits(s.whole.plus(used, -1.0)) {
             return None;
         }
-        let loss = s.whole.gpus > 0.0 && gpu_loss(world, spec, &Slot { used, ..s.clone() }) > 0;
+        let loss = s.whole.gpus > 0.0 && gpu_loss_at(world, spec, s, used) > 0;
         if loss && !lossy {
             return None;
         }
-        let of_type = world.types.get(&*s.machine_type);
-        let price = of_type.map_or(0.0, |t| if s.spot { t.spot_price } else { t.price });
-        let price = price / s.whole.cpus.max(1.0);
+        let price = s.price / s.whole.cpus.max(1.0);
         let share = order_of(used.share_of(s.whole));
         Some(Rank {
             first: (
@@ -384,7 +533,7 @@
             then: (
                 match taken.contains_key(&i) || world.has_image(&s.id, &spec.image) {
                     true => 0,
-                    false => fetch_class(spec, of_type.map_or(0.0, |t| t.fetch_gb_per_s)),
+                    false => fetch_class(spec, s.gb_per_s),
                 },
                 // Machines with GPUs are filled one by one, so that the others
                 // stay whole for jobs that need the GPUs.
@@ -395,11 +544,18 @@
         })
     };
     // The best of each zone; how many tasks the zones have is compared last, as
-    // that changes for all of a zone at once.
-    let mut zones: BTreeMap<&str, BinaryHeap<Reverse<Rank>>> = BTreeMap::new();
-    for &i in candidates {
-        if let Some(rank) = rank(i, &HashMap::new()) {
-            zones.entry(&*board.slots[i].zone).or_default().push(Reverse(rank));
+    // that changes for all of a zone at once. Each comes with its run: those that are
+    // alike have the same rank but for their place, and follow one by one.
+    let mut zones: BTreeMap<&str, BinaryHeap<Reverse<Ranked>>> = BTreeMap::new();
+    let none = HashMap::new();
+    let each = std::mem::take(&mut candidates.each);
+    let heads: Vec<(usize, Option<usize>)> = (0..candidates.alike.len())
+        .filter_map(|run| Some((candidates.next(run)?, Some(run))))
+        .chain(each.into_iter().map(|i| (i, None)))
+        .collect();
+    for (i, run) in heads {
+        if let Some(rank) = rank(i, &none) {
+            zones.entry(&*board.slots[i].zone).or_default().push(Reverse((rank, run)));
         }
     }
     let mut taken: HashMap<usize, Amount> = HashMap::new();
@@ -409,18 +565,24 @@
             .iter()
             .filter(|(z, _)| in_zone.get(**z).copied().unwrap_or(0) < limit)
             .filter_map(|(z, heap)| {
-                let Reverse(top) = heap.peek()?;
+                let Reverse((top, _)) = heap.peek()?;
                 let zone = if spec.spread { in_zone.get(*z).copied().unwrap_or(0) } else { 0 };
                 Some(((top.first, zone, top.then), *z))
             })
             .min();
         let Some((_, zone)) = best else { break };
         let Some(heap) = zones.get_mut(zone) else { break };
-        let Some(Reverse(Rank { then: (.., slot), .. })) = heap.pop() else { break };
+        let Some(Reverse((top, run))) = heap.pop() else { break };
+        let slot = top.then.3;
+        if let Some(next) = run.and_then(|run| candidates.next(run)) {
+            let mut rank = top;
+            rank.then.3 = next;
+            heap.push(Reverse((rank, run)));
+        }
         let used = taken.get(&slot).copied().unwrap_or(board.slots[slot].used);
         taken.insert(slot, used.plus(size, 1.0));
         if let Some(rank) = rank(slot, &taken) {
-            heap.push(Reverse(rank));
+            heap.push(Reverse((rank, None)));
         }
         *in_zone.entry(zone).or_default() += 1;
         out.push((task, slot));
@@ -428,6 +590,9 @@
     out
 }
 
+/// A machine's rank, and its run.
+type Ranked = (Rank, Option<usize>);
+
 /// What makes one machine better than another: before and after zone spread.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Rank {
@@ -545,6 +710,10 @@
     }
 }
 
+#[cfg(test)]
+#[path = "../tests/unit/alike.rs"]
+mod alike;
+
 #[cfg(test)]
 pub(crate) mod tests {
     use super::*;
--- a/crates/sched/src/preempt.rs
+++ b/crates/sched/src/preempt.rs
@@ -134,8 +134,7 @@
         for a in &job.run {
             if !job.wants(a) {
                 free = free.plus(flat(Amount::of_task(other)), 1.0);
-            } else if rank < priority && other.kind == JobKind::Array && board.index.contains_key(&a.machine)
-            {
+            } else if rank < priority && other.kind == JobKind::Array && board.find(&a.machine).is_some() {
                 list.push((rank, id, a, flat(Amount::of_task(other))));
             }
         }
--- a/crates/sched/src/rescheduler.rs
+++ b/crates/sched/src/rescheduler.rs
@@ -6,7 +6,7 @@
 
 use wire::{JobKind, JobSpec};
 
-use crate::placement::{Board, Slot, allowed, gpu_loss};
+use crate::placement::{Board, allowed, gpu_loss_at};
 use crate::records::{AVOID_MAX, Assignment, JobRecord, Name, Want};
 use crate::world::{Amount, World};
 
@@ -48,7 +48,6 @@
 
 /// Finds at most one eviction for each service.
 pub fn scan(world: &World, board: &Board, policy: &Policy, now_ms: u64) -> Vec<Eviction> {
-    let index = &board.index;
     let mut board_use: Vec<Amount> = board.slots.iter().map(|s| s.used).collect();
     let mut out = Vec::new();
     // The least-used fitting machines, for every kind of task met so far.
@@ -65,8 +64,8 @@
         let size = Amount::of_task(spec);
         let mut in_zone: HashMap<&str, u32> = HashMap::new();
         for a in &job.run {
-            if let Some(i) = index.get(&a.machine) {
-                *in_zone.entry(&*board.slots[*i].zone).or_default() += 1;
+            if let Some(i) = board.find(&a.machine) {
+                *in_zone.entry(&*board.slots[i].zone).or_default() += 1;
             }
         }
         let misplaced = (spec.gpus == 0.0).then(|| {
@@ -80,7 +79,7 @@
         let rooms = least.iter().find(|(k, _)| *k == kind).map(|(_, rooms)| rooms);
         let found = misplaced.flatten().or_else(|| {
             job.run.iter().find_map(|a| {
-                let from = *index.get(&a.machine)?;
+                let from = board.find(&a.machine)?;
                 let here = &*board.slots[from].zone;
                 let mine = in_zone.get(here).copied().unwrap_or(0);
                 let share = board_use[from].share_of(board.slots[from].whole);
@@ -155,7 +154,7 @@
         let size = Amount::of_task(spec);
         let share = |i: usize| used[i].share_of(board.slots[i].whole);
         let on_gpus = job.run.iter().filter_map(|a| {
-            let from = *board.index.get(&a.machine)?;
+            let from = board.find(&a.machine)?;
             let only_services = || {
                 let kinds = world.assignments(&a.machine).filter_map(|(_, j, _)| j.spec.as_ref());
                 kinds.map(|s| s.kind).all(|k| k == JobKind::Service)
@@ -168,7 +167,7 @@
         let to = (0..board.slots.len()).find(|&i| {
             let s = &board.slots[i];
             let there = in_zone.get(&*s.zone).copied().unwrap_or(0);
-            let lossless = || gpu_loss(world, spec, &Slot { used: used[i], ..s.clone() }) == 0;
+            let lossless = || gpu_loss_at(world, spec, s, used[i]) == 0;
             i != from
                 && size.fits(s.whole.plus(used[i], -1.0))
                 && allowed(spec, &s.machine_type, &s.zone, s.spot)
--- a/crates/sched/src/world.rs
+++ b/crates/sched/src/world.rs
@@ -120,13 +120,15 @@
     pub unreadable: HashSet<String>,
     /// What each team's assignments take.
     pub team_use: HashMap<String, Amount>,
-    pub machine_use: HashMap<Name, Amount>,
+    pub machine_use: BTreeMap<Name, Amount>,
     /// The jobs with something on a machine, and which tasks.
     pub on_machine: HashMap<Name, BTreeMap<Name, Vec<u32>>>,
     /// Machines that hold assignments and have no record.
     pub orphaned: BTreeSet<Name>,
     /// Images used on each machine, the latest last. A guess at its cache.
-    pub images: HashMap<Name, VecDeque<(String, f64)>>,
+    images: HashMap<Name, VecDeque<(String, f64)>>,
+    /// The machines that have an image.
+    holders: HashMap<String, BTreeSet<Name>>,
     /// Each machine's owner by the map: hashing them all anew takes long.
     owners: BTreeMap<Name, Member>,
     /// Machines on which something has changed since [`World::take_touched`].
@@ -238,17 +240,36 @@
             .collect();
     }
 
-    fn note_image(&mut self, machine: &str, image: &str, gb: f64) {
+    fn note_image(&mut self, machine: &Name, image: &str, gb: f64) {
         let Some(record) = self.machines.get(machine) else { return };
         let room = self.types.get(&*record.value.machine_type).map_or(0.0, |t| t.cache_gb);
-        let list = self.images.entry(machine.into()).or_default();
+        let list = self.images.entry(machine.clone()).or_default();
         list.retain(|(i, _)| i != image);
         list.push_back((image.to_owned(), gb));
+        let mut dropped = Vec::new();
         while list.len() > 1 && list.iter().map(|(_, g)| g).sum::<f64>() > room {
-            list.pop_front();
+            dropped.extend(list.pop_front());
+        }
+        if !self.holders.get(image).is_some_and(|h| h.contains(machine)) {
+            self.holders.entry(image.to_owned()).or_default().insert(machine.clone());
+        }
+        dropped.iter().for_each(|(i, _)| self.no_longer_holds(i, machine));
+    }
+
+    fn no_longer_holds(&mut self, image: &str, machine: &str) {
+        if let Some(holders) = self.holders.get_mut(image) {
+            holders.remove(machine);
+            if holders.is_empty() {
+                self.holders.remove(image);
+            }
         }
     }
 
+    /// The machines that have an image, most likely.
+    pub fn holders(&self, image: &str) -> impl Iterator<Item = &Name> {
+        self.holders.get(image).into_iter().flatten()
+    }
+
     pub fn has_image(&self, machine: &str, image: &str) -> bool {
         self.images.get(machine).is_some_and(|l| l.iter().any(|(i, _)| i == image))
     }
@@ -466,7 +487,9 @@
 
     fn drop_machine(&mut self, id: &str) -> Option<Versioned<MachineRecord>> {
         self.owners.remove(id);
-        self.images.remove(id);
+        for (image, _) in self.images.remove(id).into_iter().flatten() {
+            self.no_longer_holds(&image, id);
+        }
         self.touched.insert(id.into());
         if self.on_machine.contains_key(id) {
             self.orphaned.insert(id.into());
@@ -495,6 +518,15 @@
         self.map.as_ref().map(|m| &m.value)
     }
 
+    /// All machines that have an owner, in the order of their names.
+    pub fn owned_machines(&self) -> impl Iterator<Item = (&Name, &Versioned<MachineRecord>, &Member)> {
+        let mut owners = self.owners.iter().peekable();
+        self.machines.iter().filter_map(move |(id, m)| {
+            while owners.next_if(|(other, _)| *other < id).is_some() {}
+            owners.next_if(|(other, _)| *other == id).map(|(_, owner)| (id, m, owner))
+        })
+    }
+
     pub fn owner_of(&self, machine: &str) -> Option<&Member> {
         self.owners.get(machine)
     }
