--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -8,7 +8,7 @@
 use cloud::CloudClient;
 use net::{Client, Connections};
 use peer::{MachineRow, Summary};
-use sched::placement::{self, Slot};
+use sched::placement::{self, Board, Slot};
 use sched::records::{End, MachineRecord, MapRecord, Member, Name};
 use sched::world::{Team, World};
 use store::{Budget, Reader, StateClient};
@@ -138,7 +138,7 @@
     pub workers: BTreeMap<Name, Worker>,
     pub peers: HashMap<String, PeerView>,
     /// What peers last said of their machines.
-    pub rows: HashMap<Name, MachineRow>,
+    pub rows: BTreeMap<Name, MachineRow>,
     /// When the last request was sent after which the mirror was known fresh.
     pub fresh_at: Option<Instant>,
     /// What peers have confirmed to users, while the state service cannot be asked.
@@ -203,7 +203,7 @@
             ready: false,
             workers: BTreeMap::new(),
             peers: HashMap::new(),
-            rows: HashMap::new(),
+            rows: BTreeMap::new(),
             fresh_at: None,
             read_indexes: ReadIndexes::default(),
             beat: now,
@@ -539,8 +539,11 @@
             return false;
         }
         let within = |t: Instant| now.saturating_duration_since(t) < bound;
+        // Also one that is live and missing in the settings could confirm.
+        let live = map.live.iter().map(|m| m.name.as_str()).filter(|n| *n != me.name);
+        let mut others = peers.into_iter().chain(live);
         self.fresh_at.is_some_and(within)
-            || peers.into_iter().all(|p| self.read_indexes.vouched_at(p).is_some_and(within))
+            || others.all(|p| self.read_indexes.vouched_at(p).is_some_and(within))
     }
 
     /// The owner of each machine that a peer has spoken of.
@@ -580,23 +583,45 @@
             })
     }
 
+    /// The machines that placement may use, by their owners' word.
+    pub fn board(&self, me: &Member, report: Duration, now: Instant) -> Board {
+        // All three lists are in the order of the machines' names: finding each machine
+        // in them anew cost more than all else that a round does.
+        let mut workers = self.workers.iter().peekable();
+        let mut rows = self.rows.iter().peekable();
+        Board::of_owned(&self.world, |machine, owner| {
+            if owner == me {
+                while workers.next_if(|(id, _)| *id < machine).is_some() {}
+                workers.next_if(|(id, _)| *id == machine).is_some_and(|(_, w)| takes_work(w, report, now))
+            } else {
+                while rows.next_if(|(id, _)| *id < machine).is_some() {}
+                rows.next_if(|(id, _)| *id == machine).is_none_or(|(_, r)| r.usable)
+            }
+        })
+    }
+
     /// Whether placement may use a machine, by its owner's word.
     pub fn usable(&self, machine: &str, me: &Member, report: Duration, now: Instant) -> bool {
         match self.world.owner_of(machine) {
-            Some(owner) if owner == me => self.workers.get(machine).is_some_and(|w| {
-                w.heard.is_some()
-                    && w.hears()
-                    && w.silent_for(now) < report * 5 / 2
-                    && !w.is_mute(report * 5 / 2, now)
-                    && w.notice_until.is_none()
-                    && !w.sick()
-            }),
+            Some(owner) if owner == me => {
+                self.workers.get(machine).is_some_and(|w| takes_work(w, report, now))
+            }
             Some(_) => self.rows.get(machine).is_none_or(|r| r.usable),
             None => false,
         }
     }
 }
 
+/// Whether an owner's worker may be given something.
+fn takes_work(w: &Worker, report: Duration, now: Instant) -> bool {
+    w.heard.is_some()
+        && w.hears()
+        && w.silent_for(now) < report * 5 / 2
+        && !w.is_mute(report * 5 / 2, now)
+        && w.notice_until.is_none()
+        && !w.sick()
+}
+
 #[cfg(test)]
 #[path = "../tests/unit/node.rs"]
 mod tests;
