--- a/crates/daemon/tests/unit/meetings/troubles.rs
+++ b/crates/daemon/tests/unit/meetings/troubles.rs
@@ -208,14 +208,71 @@
     }
 }
 
+/// Meetings that have broken rules before, or that operators fear most.
+fn known(rng: &mut StdRng) -> Vec<Trouble> {
+    let leader = Who::Leader;
+    let lease = LEASE_MS + rng.random_range(1000..LEASE_MS);
+    let long = CANCEL_MS + rng.random_range(1000..12_000);
+    let count = rng.random_range(2..8);
+    let share = rng.random_range(0.2..0.6);
+    let looks = Trouble::CloseLooks { for_ms: 15_000 };
+    let burst = Trouble::Burst { count: rng.random_range(15..40) };
+    let quick =
+        Trouble::Restart { who: leader, orderly: rng.random_bool(0.5), away_ms: rng.random_range(30..900) };
+    let ends = Trouble::Restart { who: leader, orderly: false, away_ms: rng.random_range(5000..20_000) };
+    let cancel = Trouble::CancelNow { count, hang_ms: 0 };
+    let hung = Trouble::CancelNow { count, hang_ms: [lease, long][rng.random_range(0..2)] };
+    let late = Trouble::LateWrites { share, for_ms: 15_000, at_once: false };
+    let copies = |for_next| Trouble::LateReports { share, for_ms: 25_000, for_next };
+    let alone = |from_peers| Trouble::NodeCut { who: leader, from_state: true, from_peers, for_ms: long };
+    let unreached = [
+        Trouble::Deaf { count, for_ms: lease },
+        Trouble::Mute { count, for_ms: lease },
+        Trouble::Hang { count, for_ms: LEASE_MS * 3 / 4 },
+    ][rng.random_range(0..3)];
+    match rng.random_range(0..20) {
+        0 => vec![burst, unreached, ends, cancel],
+        1 => vec![Trouble::Mute { count: 9, for_ms: lease }, burst],
+        2 => vec![Trouble::ZoneCut { b: rng.random_bool(0.5), for_ms: lease }, cancel],
+        3 => vec![copies(true), ends],
+        4 => vec![copies(true), copies(false), quick],
+        5 => vec![quick, Trouble::Restart { who: Who::Node(1), orderly: true, away_ms: 300 }, ends],
+        6 => vec![Trouble::CancelAtEnd { share: 0.8, for_ms: 25_000 }, looks],
+        7 => vec![burst, looks, quick],
+        8 => vec![Trouble::Leaders { count: 10, every_ms: 5000 }, Trouble::Outage { for_ms: lease }],
+        9 => vec![late, cancel, ends],
+        10 => vec![burst, hung, ends],
+        11 => vec![Trouble::AllAway { for_ms: lease }, unreached],
+        12 => vec![ends, unreached],
+        13 => vec![alone(true), cancel, looks],
+        14 => vec![Trouble::Refused { who: leader, for_ms: 1500, then_all_ms: long }, cancel, looks],
+        15 => vec![Trouble::SlowState { for_ms: long }, cancel, looks],
+        16 => vec![
+            Trouble::LateWrites { share, for_ms: 15_000, at_once: true },
+            looks,
+            Trouble::OddRequests { for_ms: 15_000 },
+        ],
+        17 => vec![copies(false), quick, Trouble::Lost { count: 3 }],
+        18 => vec![Trouble::QuickBoots { for_ms: 15_000 }, burst, late, ends],
+        _ => vec![Trouble::Held { share: 0.7, for_ms: 15_000 }, hung, quick],
+    }
+}
+
 /// A day's meetings, by its seed.
 pub(super) fn draw(seed: u64, meetings: usize) -> Vec<Event> {
     let mut rng = StdRng::seed_from_u64(seed ^ 0x5eed);
     let mut events = Vec::new();
     let mut at = rng.random_range(12_000..25_000);
     for _ in 0..meetings {
-        for _ in 0..rng.random_range(2..4) {
-            events.push(Event { at: at + rng.random_range(0..2000), trouble: Trouble::draw(&mut rng) });
+        let mut meet = match rng.random_bool(0.5) {
+            true => known(&mut rng),
+            false => vec![Trouble::draw(&mut rng), Trouble::draw(&mut rng)],
+        };
+        if rng.random_bool(0.4) {
+            meet.push(Trouble::draw(&mut rng));
+        }
+        for trouble in meet {
+            events.push(Event { at: at + rng.random_range(0..2000), trouble });
         }
         at += rng.random_range(6000..35_000);
     }
