--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -16,6 +16,9 @@
 #[path = "../tests/unit/meetings/mod.rs"]
 mod meetings;
 #[cfg(test)]
+#[path = "../tests/unit/meetings_front.rs"]
+mod meetings_front;
+#[cfg(test)]
 #[path = "../tests/unit/meetings_machines.rs"]
 mod meetings_machines;
 mod node;
@@ -34,6 +37,9 @@
 #[cfg(test)]
 #[path = "../tests/unit/sim/mod.rs"]
 mod sim;
+#[cfg(test)]
+#[path = "../tests/unit/stand_in.rs"]
+mod stand_in;
 mod state_duty;
 mod wide;
 mod worker;
