--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -541,9 +541,8 @@
         let within = |t: Instant| now.saturating_duration_since(t) < bound;
         // Also one that is live and missing in the settings could confirm.
         let live = map.live.iter().map(|m| m.name.as_str()).filter(|n| *n != me.name);
-        let mut others = peers.into_iter().chain(live);
-        self.fresh_at.is_some_and(within)
-            || others.all(|p| self.read_indexes.vouched_at(p).is_some_and(within))
+        let vouched = |p: &str| self.read_indexes.vouched_at(p).is_some_and(within);
+        self.fresh_at.is_some_and(within) || peers.into_iter().all(vouched) && live.into_iter().all(vouched)
     }
 
     /// The owner of each machine that a peer has spoken of.
