No number, name or list from outside ends the process

Cause: a worker's spot notice that is no number (NaN) ended the process, as Duration::from_secs_f64 does, and release builds abort; so did an odd save time or boot time. A malformed record could ask for billions of tasks or a name of any length. A worker whose name cannot be part of a key made the records of all machines that came with it fail. Change: wire::seconds takes any number; the lists in records are bounded by what a job can have; such a name is answered 400.

--- a/crates/daemon/src/fleet_duty/returns.rs
+++ b/crates/daemon/src/fleet_duty/returns.rs
@@ -139,7 +139,7 @@
                 let others = idle_of_kind.entry(kind).or_default();
                 *others += 1;
                 let boot = if *others > IDLE_KEPT { 0.0 } else { boot };
-                let keep = node.operators.idle.max(Duration::from_secs_f64(boot.clamp(0.0, 600.0)));
+                let keep = node.operators.idle.max(wire::seconds(boot.min(600.0)));
                 let room = spare_room(record, Amount::default());
                 let spared = room > 0 && spare_left < room + self.spare_tasks(node, now);
                 if now.saturating_duration_since(since) >= keep && !spared {
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -385,6 +385,9 @@
         Ok(r) => r,
         Err(e) => return Reply::error(400, &e.to_string()),
     };
+    if !report.is_named() {
+        return Reply::error(400, "frame: not a machine's name");
+    }
     Counts::add(&node.counts.reports, 1);
     match take_report(node, &report, relayed, Instant::now()) {
         Disposal::Answer(reply) => {
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -301,7 +301,7 @@
     /// rest is for transactions.
     pub fn watch_pause(&self) -> Duration {
         let size = self.settings.peers.len() + 1;
-        Duration::from_secs_f64((size as f64 * 3.0 / self.plan().rps).clamp(0.02, 0.5))
+        wire::seconds((size as f64 * 3.0 / self.plan().rps).clamp(0.02, 0.5))
     }
 
     /// Shares the changes that the state service takes among the controllers
@@ -334,11 +334,11 @@
     /// Silence after which a machine counts as lost and is given back.
     pub fn silent_limit(&self) -> Duration {
         let w = &self.settings.facts.workers;
-        self.operators.silent.unwrap_or(Duration::from_secs_f64((4.0 * w.report_s).max(8.0)))
+        self.operators.silent.unwrap_or(wire::seconds((4.0 * w.report_s).max(8.0)))
     }
 
     pub fn report_every(&self) -> Duration {
-        Duration::from_secs_f64(self.settings.facts.workers.report_s)
+        wire::seconds(self.settings.facts.workers.report_s)
     }
 
     /// What a job's record has for its assignments and for what is done.
@@ -362,10 +362,10 @@
     pub fn worker_limits(&self, fresh_at: Option<Instant>) -> Limits {
         let w = &self.settings.facts.workers;
         Limits {
-            gang_peer: Duration::from_secs_f64(w.gang_peer_s),
+            gang_peer: wire::seconds(w.gang_peer_s),
             // The clocks of both sides drift apart by 0.05% each way at most;
             // the rest is for timers that fire late.
-            lease: Duration::from_secs_f64(w.lease_s * 1.002 + 1.0),
+            lease: wire::seconds(w.lease_s * 1.002 + 1.0),
             fresh_at,
         }
     }
--- a/crates/daemon/src/placer.rs
+++ b/crates/daemon/src/placer.rs
@@ -331,7 +331,7 @@
         let save = all.iter().map(save).fold(0.0, f64::max).min(600.0);
         (machines, all, save)
     };
-    search.reserved.insert(id.to_owned(), (machines, now + RESERVE_FOR + Duration::from_secs_f64(save)));
+    search.reserved.insert(id.to_owned(), (machines, now + RESERVE_FOR + wire::seconds(save)));
     for v in victims {
         let Some(record) = edit(round, world, &v.job) else { continue };
         preempt::mark(record, &v);
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -281,7 +281,7 @@
     /// that it cannot know of must have taken effect.
     pub fn renewal_bound(&self) -> Duration {
         let w = &self.facts.workers;
-        Duration::from_secs_f64((w.cancel_s - w.lease_s * 1.001 - RENEWAL_MARGIN_S).max(1.0))
+        wire::seconds((w.cancel_s - w.lease_s * 1.001 - RENEWAL_MARGIN_S).max(1.0))
     }
 }
 
@@ -362,8 +362,8 @@
         let fleet = HclFleet::default();
         Self {
             rescheduler: Policy::default(),
-            idle: Duration::from_secs_f64(fleet.idle_s),
-            silent: fleet.silent_s.map(Duration::from_secs_f64),
+            idle: wire::seconds(fleet.idle_s),
+            silent: fleet.silent_s.map(wire::seconds),
             spare_gpu_tasks: fleet.spare_gpu_tasks,
         }
     }
@@ -395,7 +395,7 @@
                 });
             }
         }
-        let seconds = Duration::from_secs_f64;
+        let seconds = wire::seconds;
         Ok(Self {
             rescheduler: Policy {
                 scan: seconds(f.rescheduler.scan_s),
--- a/crates/daemon/src/worker.rs
+++ b/crates/daemon/src/worker.rs
@@ -191,7 +191,7 @@
         self.session = report.session;
         self.seq = report.seq;
         self.addr = report.addr;
-        self.notice_until = report.notice_s.map(|s| now + Duration::from_secs_f64(s.clamp(0.0, 3600.0)));
+        self.notice_until = report.notice_s.map(|s| now + wire::seconds(s.min(3600.0)));
         if self.tasks != report.tasks {
             self.tasks = report.tasks;
             for t in &self.tasks {
@@ -280,7 +280,7 @@
                     let save = job.spec.as_ref().map_or(0.0, |s| s.save_s);
                     let last = self.stops.get(&key).copied();
                     let kill = job.phase != Phase::Active;
-                    let patience = Duration::from_secs_f64(save.min(600.0)) + limits.gang_peer + STOP_AGAIN;
+                    let patience = wire::seconds(save.min(600.0)) + limits.gang_peer + STOP_AGAIN;
                     if last.is_none_or(|l| now.saturating_duration_since(l) >= STOP_AGAIN) {
                         let first = last.is_none();
                         let late = last.is_some_and(|l| now.saturating_duration_since(l) > patience);
--- a/crates/daemon/tests/unit/meetings_front.rs
+++ b/crates/daemon/tests/unit/meetings_front.rs
@@ -6,14 +6,15 @@
 use std::time::{Duration, Instant};
 
 use sched::records::*;
-use sched::world::Change;
+use sched::world::{Change, World};
 use store::{Put, key};
 use tokio::time::sleep;
-use wire::{JobKind, JobSpec, JobState};
+use wire::{JobKind, JobSpec, JobState, Report, TaskReport, TaskState};
 
 use crate::node::Node;
 use crate::stand_in::*;
 use crate::worker::tests::spec;
+use crate::worker::{Limits, Worker, first_token};
 use crate::{engine, state_duty};
 
 /// A description without one of its fields, or with another value in it.
@@ -136,6 +137,114 @@
     out
 }
 
+/// Nothing that a worker, a user, the cloud or a record says in numbers ends a process:
+/// `Duration` does for what is negative, endless or no number.
+#[test]
+fn no_number_from_outside_ends_the_process() {
+    let now = Instant::now();
+    let odd = [f64::NAN, f64::INFINITY, f64::NEG_INFINITY, f64::MAX, f64::MIN, -1.0, 1e300, 1e-320];
+    for s in odd {
+        assert!(wire::seconds(s) <= Duration::from_secs(1_000_000_000));
+        let mut world = World::default();
+        let machine = MachineRecord {
+            addr: "a".into(),
+            machine_type: "m".into(),
+            zone: "z".into(),
+            spot: false,
+            release: false,
+        };
+        world.apply(Change::Machine("m-1".into(), Some(machine)), 1);
+        let mut job = JobRecord::new(JobSpec { save_s: s, ..spec("j-1", JobKind::Array) }, None, 0);
+        job.run = vec![Assignment { task: 0, attempt: 1, machine: "m-1".into(), want: Want::Stop }];
+        world.apply(Change::Job("j-1".into(), Some(Box::new(job))), 2);
+        let mut worker = Worker::new("a".into(), 1, now);
+        let limits = Limits { gang_peer: Duration::ZERO, lease: Duration::from_secs(9), fresh_at: Some(now) };
+        for n in 1..4 {
+            let at = now + Duration::from_secs(n * 3);
+            let mut report = report("m-1", n);
+            report.notice_s = Some(s);
+            report.tasks = vec![TaskReport {
+                task: "j-1/0".into(),
+                attempt: 1,
+                state: TaskState::Running,
+                cause: None,
+                saved: None,
+            }];
+            assert!(worker.ingest(report, true, at));
+            worker.reconcile("m-1", &world, &limits, at);
+        }
+        let spec = JobSpec { save_s: s, checkpoint_s: s, ..spec("j-1", JobKind::Gang) };
+        sched::drain::stops(&spec, Duration::from_secs(5));
+        let mut budget = store::Budget::new(s, s, now);
+        let _ = now + budget.take(s, s, now);
+    }
+}
+
+fn report(machine: &str, n: u64) -> Report {
+    Report {
+        machine: machine.into(),
+        addr: "127.0.0.1:1".into(),
+        machine_type: "m".into(),
+        zone: "a".into(),
+        spot: false,
+        session: 1,
+        seq: n,
+        token: first_token(1),
+        notice_s: None,
+        tasks: Vec::new(),
+    }
+}
+
+/// A malformed record is one that cannot be read, and takes no more memory than it has.
+#[test]
+fn malformed_records_are_unreadable_and_no_more() {
+    // Five bits a character, the sixth tells that more follow.
+    let number = |mut n: u64| {
+        let digits = b"0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ-_";
+        let mut out = String::new();
+        while n >= 32 {
+            out.push(char::from(digits[(n % 32 + 32) as usize]));
+            n /= 32;
+        }
+        out + &char::from(digits[n as usize]).to_string()
+    };
+    let unreadable = |digits: u64, text: String| {
+        let record = serde_json::json!({"phase": "a", "run": [["host-", digits, 1, "r", text]]});
+        store::decode_change(&key::job("j-1"), Put::new(String::new(), &record).value).1
+    };
+    let row = |machine: u64, tasks: u64| number(machine) + &number(tasks * 2 + 1) + &number(0);
+    assert!(!unreadable(6, row(1, 1000)), "as it is written");
+    assert!(unreadable(6, row(1, 200_000)), "more tasks than any job has");
+    assert!(unreadable(100_000, row(1, 1)), "a name of so many digits");
+    assert!(unreadable(6, row(1 << 59, 1).repeat(40)), "numbers without end");
+    assert!(unreadable(6, "?".into()));
+    assert_eq!(Ranges::from((u32::MAX - 1, "3".into())).len(), u32::MAX, "the last number is none");
+    let gone = |digits: u64, text: String| {
+        let record = serde_json::json!({"rentals": [], "gone": [["host-", digits, text]]});
+        store::decode_change(key::FLEET, Put::new(String::new(), &record).value).1
+    };
+    assert!(!gone(6, number(7)));
+    assert!(gone(100_000, number(7)) && gone(6, number(1 << 59).repeat(40)));
+}
+
+/// A worker whose name cannot be one is told so: recorded together with it, no machine
+/// would be recorded.
+#[tokio::test]
+async fn machines_are_recorded_by_names_that_a_key_can_have() {
+    let service = Service::default();
+    let (node, _) = service.follower(0, 1).await;
+    service.elect(&[&node], 1);
+    caught_up(&service, &node).await;
+    for name in ["", "host 1", "host\u{7}1", &"x".repeat(300)] {
+        let body = wire::encode(&report(name, 1));
+        assert_eq!(ask(&node, "POST", "/hello", body).await.0, 400, "{name:?}");
+    }
+    assert_ne!(ask(&node, "POST", "/hello", wire::encode(&report("host-1", 1))).await.0, 400);
+    for body in [b"\xc1".to_vec(), Vec::new(), wire::encode(&7), odd("j-1", "cpus", None)] {
+        assert_eq!(ask(&node, "POST", "/hello", body).await.0, 400);
+    }
+}
+
 /// One round that gives a job's only task to a machine.
 async fn place(node: &Node, id: &str, machine: &str) {
     let mut round = engine::Round::default();
--- a/crates/sched/src/drain.rs
+++ b/crates/sched/src/drain.rs
@@ -14,7 +14,7 @@
 /// while there is time. The rest runs on: it loses nothing by it and may finish.
 pub fn stops(spec: &JobSpec, left: Duration) -> bool {
     let saves = spec.checkpoint_s > 0.0;
-    let save = Duration::from_secs_f64(spec.save_s.clamp(0.0, 3600.0));
+    let save = wire::seconds(spec.save_s.min(3600.0));
     match spec.kind {
         JobKind::Service => true,
         JobKind::Array | JobKind::Gang => saves && left >= save + MARGIN,
--- a/crates/sched/src/packed.rs
+++ b/crates/sched/src/packed.rs
@@ -121,10 +121,10 @@
             let mut text = text.bytes().peekable();
             let mut number = 0u64;
             while text.peek().is_some() {
-                let step =
-                    take(&mut text).ok_or_else(|| serde::de::Error::custom("a list of names is cut off"))?;
-                number += step;
-                names.push(name(&stem, digits, number));
+                let bad = || serde::de::Error::custom("a list of names is cut off");
+                let step = take(&mut text).ok_or_else(bad)?;
+                number = number.checked_add(step).ok_or_else(bad)?;
+                names.push(name(&stem, digits, number).ok_or_else(bad)?);
             }
         }
         Ok(Some(names))
@@ -144,8 +144,17 @@
     }
 }
 
-fn name(stem: &str, digits: usize, number: u64) -> Name {
-    if digits == 0 { stem.into() } else { format!("{stem}{number:0digits$}").into() }
+/// Most digits that a number of this form has.
+const DIGITS_MOST: usize = 18;
+
+/// None where the number of digits is not one that is ever written: a malformed record
+/// must not take all memory.
+fn name(stem: &str, digits: usize, number: u64) -> Option<Name> {
+    match digits {
+        0 => Some(stem.into()),
+        1..=DIGITS_MOST => Some(format!("{stem}{number:0digits$}").into()),
+        _ => None,
+    }
 }
 
 pub mod assignments {
@@ -191,9 +200,14 @@
             let mut next = 0u32;
             while text.peek().is_some() {
                 let bad = || serde::de::Error::custom("a list of assignments is cut off");
-                number += take(&mut text).ok_or_else(bad)?;
-                let machine = name(&stem, digits, number);
+                let step = take(&mut text).ok_or_else(bad)?;
+                number = number.checked_add(step).ok_or_else(bad)?;
+                let machine = name(&stem, digits, number).ok_or_else(bad)?;
                 let count = take(&mut text).ok_or_else(bad)?;
+                // No job has more tasks: a malformed record must not take all memory.
+                if run.len() as u64 + count / 2 > u64::from(wire::MAX_TASKS) {
+                    return Err(bad());
+                }
                 let in_a_row = count % 2 == 1;
                 let mut task = take(&mut text).and_then(|n| stepped(next, n)).ok_or_else(bad)?;
                 for i in 0..count / 2 {
--- a/crates/sched/src/records.rs
+++ b/crates/sched/src/records.rs
@@ -71,7 +71,8 @@
     fn from((prefix, bits): (u32, String)) -> Self {
         let mut out = Self(if prefix > 0 { vec![(0, prefix)] } else { Vec::new() });
         packed::each_bit(&bits, |i| {
-            if let Some(n) = prefix.checked_add(i) {
+            // A range ends before a number that has to be one, too.
+            if let Some(n) = prefix.checked_add(i).filter(|n| *n < u32::MAX) {
                 out.insert(n);
             }
         });
--- a/crates/store/src/budget.rs
+++ b/crates/store/src/budget.rs
@@ -30,7 +30,7 @@
     /// How long until there are `n` units.
     fn wait(&mut self, n: f64, now: Instant) -> Duration {
         self.fill(now);
-        Duration::from_secs_f64(((n - self.level) / self.per_s).clamp(0.0, DEBT_S))
+        wire::seconds(((n - self.level) / self.per_s).min(DEBT_S))
     }
 
     /// Takes `n` units, going into debt, and tells how long to wait first.
--- a/crates/wire/src/workers.rs
+++ b/crates/wire/src/workers.rs
@@ -84,6 +84,19 @@
     pub tasks: Vec<TaskReport>,
 }
 
+/// Longest name of a machine: it is part of a key of the state service, which has 200
+/// bytes at most.
+const NAME_MOST: usize = 120;
+
+impl Report {
+    /// Whether the machine's name can be one: recorded with any other, it would make the
+    /// records of all that are written with it fail.
+    pub fn is_named(&self) -> bool {
+        let plain = |c: char| !c.is_whitespace() && !c.is_control();
+        (1..=NAME_MOST).contains(&self.machine.len()) && self.machine.chars().all(plain)
+    }
+}
+
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "verb")]
 pub enum Command {
