Teams with a space in their names are placed by more than one controller

Cause: a team's record is known by the name in its key, which has no spaces, and was looked up by the name in the settings. Once another controller had put it, every placement of the team was conditional on an old version, for ever. Change: both go by the name in the key.

The test was seen red with the lookup as before.

--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -496,7 +496,9 @@
 pub(crate) fn assemble(world: &World, round: &Round, plan: &Plan, most_jobs: usize) -> Assembled {
     let mut wide = None;
     let mut puts = Vec::new();
-    let mut teams: BTreeMap<&String, TeamRecord> = BTreeMap::new();
+    // By the ids in their keys: a name with a space was never found here once another
+    // controller had written its record, and nothing of the team was placed any more.
+    let mut teams: BTreeMap<String, TeamRecord> = BTreeMap::new();
     let mut conditions = Vec::new();
     let mut left_out = BTreeSet::new();
     let (mut bytes, mut jobs) = (0, 0);
@@ -504,8 +506,8 @@
     // What is placed comes before what only ends, for jobs as urgent.
     order.sort_by_key(|(id, j)| std::cmp::Reverse((j.priority(), round.placing.contains(*id))));
     for (id, record) in order {
-        let team = record.spec.as_ref().map(|s| &s.team).filter(|_| round.placing.contains(id));
-        let new_team = team.filter(|t| !teams.contains_key(*t));
+        let team = record.spec.as_ref().filter(|_| round.placing.contains(id)).map(|s| key::team_id(&s.team));
+        let new_team = team.filter(|t| !teams.contains_key(t));
         let Some(old) = world.jobs.get(id) else { continue };
         let put = Put::new(key::job(id), record);
         let large = put.value_len() as f64 > plan.value_bytes;
@@ -527,10 +529,10 @@
         conditions.push(Condition { key: key::job(id), version: old.version });
         puts.push(put);
         if let Some(team) = new_team {
-            let (n, version) = world.teams.get(team).map_or((0, 0), |t| (t.value.placements, t.version));
-            let record = TeamRecord { placements: n + 1 };
-            conditions.push(Condition { key: key::team(team), version });
-            puts.push(Put::new(key::team(team), &record));
+            let (n, version) = world.teams.get(&team).map_or((0, 0), |t| (t.value.placements, t.version));
+            let record = TeamRecord { placements: n.wrapping_add(1) };
+            conditions.push(Condition { key: key::team(&team), version });
+            puts.push(Put::new(key::team(&team), &record));
             teams.insert(team, record);
         }
     }
@@ -538,7 +540,7 @@
         let version = world.map.as_ref().map_or(0, |m| m.version);
         conditions.push(Condition { key: key::MAP.into(), version });
     }
-    let teams = teams.into_iter().map(|(t, r)| (t.clone(), r)).collect();
+    let teams = teams.into_iter().collect();
     Assembled { conditions, puts, left_out, teams, wide }
 }
 
--- a/crates/daemon/tests/unit/meetings_front.rs
+++ b/crates/daemon/tests/unit/meetings_front.rs
@@ -256,6 +256,25 @@
     engine::commit(node, round).await;
 }
 
+/// Names of teams are free text, and a key has no spaces: the fence of such a team must be
+/// found again once another controller has written it.
+#[tokio::test]
+async fn a_team_with_a_space_in_its_name_is_placed_by_all_controllers_in_turn() {
+    let service = Service::default();
+    let (a, _) = service.follower(0, 2).await;
+    let (b, _) = service.follower(1, 2).await;
+    service.elect(&[&a, &b], 1);
+    let team = |id: &str| JobSpec { team: "ocean desk".into(), ..spec(id, JobKind::Array) };
+    for (n, node) in [&a, &b, &a, &b].into_iter().enumerate() {
+        let id = format!("j-{n}");
+        let record = JobRecord::new(team(&id), None, 0);
+        service.store().put(Put::new(key::job(&id), &record));
+        caught_up(&service, node).await;
+        place(node, &id, "m-1").await;
+        assert_eq!(service.store().job(&id).map(|j| j.run.len()), Some(1), "{id} is placed");
+    }
+}
+
 /// Small numbers without a pattern, the same on every run.
 struct Dice(u64);
 
@@ -654,7 +673,10 @@
 async fn the_end_of_the_last_task_and_a_cancellation_meet() {
     let service = Service::with_types();
     let (a, door) = service.follower(0, 2).await;
-    let (b, _) = service.follower(1, 2).await;
+    let (b, _) = service.controller(1, 2, 2).await;
+    let follows =
+        [tokio::spawn(state_duty::mirror(b.clone())), tokio::spawn(state_duty::verifier(b.clone()))];
+    assert!(soon(20, || b.core().ready).await);
     service.elect(&[&a, &b], 1);
     for id in ["j-1", "j-2"] {
         caught_up(&service, &a).await;
@@ -673,12 +695,14 @@
     service.store().put(Put::new(key::job("j-1"), &record));
     assert_eq!(cancel(&a, "j-1").await, (200, Some(JobState::Done)));
     assert_eq!(submit(&a, &spec("j-1", JobKind::Array)).await, (200, Some(JobState::Done)));
-    // Cancelled first, while the other writes that it is done.
+    // Cancelled first, while the other writes that it is done, by records from before.
+    follows.iter().for_each(|f| f.abort());
     let view = b.core().world.jobs["j-2"].value.clone();
     assert_eq!(cancel(&a, "j-2").await, (200, Some(JobState::Cancelled)));
     let mut late = engine::Round::default();
     late.jobs.insert("j-2".into(), Box::new(done(*view)));
     engine::commit(&b, late).await;
+    follow(&b);
     // And once more by who has heard of it: its only task is done all the same.
     caught_up(&service, &b).await;
     let record = b.core().world.jobs["j-2"].value.clone();
--- a/crates/store/src/codec.rs
+++ b/crates/store/src/codec.rs
@@ -21,8 +21,12 @@
         format!("sageloom/machines/{id}")
     }
     pub fn team(name: &str) -> String {
-        // Team names are free text; a key has no spaces.
-        format!("sageloom/teams/{}", name.replace(char::is_whitespace, "_"))
+        format!("sageloom/teams/{}", team_id(name))
+    }
+    /// A team's name as its key has it, by which its record is known: names are free text,
+    /// and a key has no spaces.
+    pub fn team_id(name: &str) -> String {
+        name.replace(char::is_whitespace, "_")
     }
     /// Left by a controller of the version that knows pipelines, without a lease: it
     /// does not come back old.
