A slow or flaky state service costs neither the records, the leader nor leases

Cause: reading the records began anew with every refused page, so that with every second request refused it never ended; a check that took more than 1.5 s was given up and asked anew, so that a state service that takes two seconds ended the renewal of all leases; while the answers to a lease's renewal came later than 1.5 s, nobody claimed to lead or wrote a map. Change: a page is asked for again by itself; who waits for a check is told after 1.5 s, and the check goes on; a late answer to a renewal holds back no claim. Changes are taken in by their versions, whatever order they are told in.

The tests were seen red without each of the first three; the order has no test, as the state service is not known to tell them otherwise.

--- a/crates/daemon/src/state_duty.rs
+++ b/crates/daemon/src/state_duty.rs
@@ -16,6 +16,12 @@
 
 const WATCH: Duration = Duration::from_secs(8);
 const RETRY: Duration = Duration::from_millis(250);
+/// How often in a row a page of the records is asked for again. Begun anew with every
+/// refusal, thousands of records were never read while a state service refused every
+/// second request.
+const PAGE_TRIES: u32 = 12;
+/// How long those who wait for a check are kept waiting, at most.
+const CHECK: Duration = Duration::from_millis(1500);
 
 /// Keeps the mirror: reads all records once, then follows the changes.
 pub async fn mirror(node: Node) {
@@ -44,7 +50,7 @@
     let (mut world, mut reader) = (World::default(), Reader::default());
     let mut after: Option<String> = None;
     loop {
-        let page = node.state.list(after.as_deref()).await?;
+        let page = page(node, after.as_deref()).await?;
         if after.is_none() {
             // Changes since the first page are followed from here, even if a
             // later page shows them already.
@@ -83,6 +89,22 @@
     Ok(())
 }
 
+/// One page of the records. Whatever changes while it is asked for again is told by the
+/// changes since the first page.
+async fn page(node: &Node, after: Option<&str>) -> Result<wire::Items<Value>, StoreError> {
+    let mut tries = 0;
+    loop {
+        match node.state.list(after).await {
+            Err(e) if after.is_some() && tries < PAGE_TRIES => {
+                debug!(error = %e, "a page of the records could not be read");
+                tries += 1;
+                sleep(RETRY).await;
+            }
+            result => return result,
+        }
+    }
+}
+
 /// Waits for changes and takes them in.
 async fn follow(node: &Node) -> Result<(), StoreError> {
     let after = node.core().world.revision;
@@ -96,7 +118,9 @@
 
 /// Applies changes to the mirror. Answers may overlap and cross each other: what
 /// is known already is passed over.
-fn take_in(node: &Node, changes: Changes<Value>) {
+fn take_in(node: &Node, mut changes: Changes<Value>) {
+    // The latest of a key's changes has to come last, in whatever order they are told.
+    changes.events.sort_by_key(|e| e.version);
     let mut core = node.core();
     let known = core.world.revision;
     if changes.revision <= known {
@@ -170,9 +194,20 @@
             continue;
         }
         let sent = Instant::now();
-        let result = timeout(Duration::from_millis(1500), node.state.watch(after, Duration::ZERO)).await;
+        let answer = node.state.watch(after, Duration::ZERO);
+        tokio::pin!(answer);
+        let result = match timeout(CHECK, &mut answer).await {
+            Ok(result) => result,
+            Err(_) => {
+                // Whoever waits is better off told, but the answer still shows that this
+                // controller is entitled. Were it asked anew instead, a state service
+                // that takes two seconds would cost the leases of all workers.
+                node.verified.send_modify(|v| v.refused = asked);
+                answer.await
+            }
+        };
         match result {
-            Ok(Ok(changes)) => {
+            Ok(changes) => {
                 if failing {
                     info!("the state service answers again");
                 }
@@ -182,7 +217,7 @@
                 node.verified.send_modify(|v| v.granted = asked);
                 sleep(node.watch_pause()).await;
             }
-            Ok(Err(e)) => {
+            Err(e) => {
                 if !failing {
                     warn!(error = %e, "the state service does not answer");
                 }
@@ -191,10 +226,6 @@
                 node.verified.send_modify(|v| v.refused = asked);
                 sleep(RETRY).await;
             }
-            Err(_) => {
-                failing = true;
-                node.verified.send_modify(|v| v.refused = asked);
-            }
         }
     }
 }
@@ -234,7 +265,10 @@
         if let Err(StoreError::NoLease) = kept {
             info!("this controller's lease has run out");
             node.core().lease = None;
-        } else if kept.is_ok() {
+        } else if matches!(kept, Ok(()) | Err(StoreError::Net(_))) {
+            // An answer that is late says nothing of the lease, and a claim by one that is
+            // over is refused. Were claims held back meanwhile, nobody would lead for as
+            // long as the state service takes more than a second.
             let lease = node.core().lease;
             if let Some(lease) = lease {
                 match claim(&node, lease).await {
--- a/crates/daemon/tests/unit/meetings_front.rs
+++ b/crates/daemon/tests/unit/meetings_front.rs
@@ -275,6 +275,68 @@
     }
 }
 
+/// Thousands of records are read while the state service refuses every second request.
+#[tokio::test]
+async fn records_are_read_while_every_second_request_is_refused() {
+    let service = Service::default();
+    service.store().page = 2;
+    for n in 0..9 {
+        let record = JobRecord::new(spec(&format!("j-{n}"), JobKind::Array), None, 0);
+        service.store().put(Put::new(key::job(&format!("j-{n}")), &record));
+    }
+    let (node, door) = service.controller(0, 1, 1).await;
+    door.set(Trouble::Flaky);
+    follow(&node);
+    assert!(soon(20, || node.core().ready).await, "the records are read");
+    assert_eq!(node.core().world.jobs.len(), 9);
+}
+
+/// The state service answers, but takes longer than users wait: they are told so in time,
+/// what is final is told at once, and the controller knows that it is still entitled, as
+/// else all workers would lose their leases.
+#[tokio::test]
+async fn slow_answers_cost_no_authority_and_keep_nobody_waiting() {
+    let service = Service::with_types();
+    let (node, door) = service.follower(0, 1).await;
+    for id in ["j-1", "j-2"] {
+        assert_eq!(submit(&node, &spec(id, JobKind::Array)).await.0, 201);
+    }
+    assert_eq!(cancel(&node, "j-2").await.0, 200);
+    door.set(Trouble::Slow(Duration::from_millis(1900)));
+    let since = Instant::now();
+    while since.elapsed() < Duration::from_secs(7) {
+        let asked = Instant::now();
+        assert_eq!(state_once(&node, "j-2").await, (200, Some(JobState::Cancelled)));
+        assert_eq!(state_once(&node, "j-1").await.0, 503);
+        assert!(asked.elapsed() < Duration::from_millis(2500), "{:?}", asked.elapsed());
+    }
+    let fresh = node.core().fresh_at.map(|t| t.elapsed());
+    assert!(fresh.is_some_and(|f| f < Duration::from_millis(5800)), "{fresh:?}");
+    door.set(Trouble::Slow(Duration::from_millis(300)));
+    assert!(soon(20, || node.core().fresh_at.is_some_and(|t| t.elapsed() < Duration::from_secs(1))).await);
+    assert_eq!(state(&node, "j-1").await, (200, Some(JobState::Queued)), "slow, but in time");
+}
+
+/// The leader ends while the state service takes longer for each answer than a lease is
+/// waited for: another leads all the same.
+#[tokio::test]
+async fn a_leader_is_found_while_the_state_service_is_slow() {
+    let service = Service::default();
+    let (node, door) = service.controller(0, 2, 1).await;
+    let (other, _) = service.controller(1, 2, 2).await;
+    service.elect(&[&other], 1);
+    follow(&node);
+    node.spawn_duty(state_duty::membership(node.clone()));
+    assert!(soon(20, || node.core().world.members.contains_key("n-0")).await);
+    door.set(Trouble::Slow(Duration::from_millis(1700)));
+    sleep(Duration::from_millis(1500)).await;
+    service.store().put(Put::delete(key::LEADER.into()));
+    service.store().put(Put::delete(key::member("n-1")));
+    assert!(soon(20, || service.store().map().is_some_and(|m| m.epoch == 2)).await, "nobody leads");
+    let map = service.store().map().expect("a map");
+    assert!(map.live.len() == 1 && map.holds("n-0", 1), "{map:?}");
+}
+
 /// Small numbers without a pattern, the same on every run.
 struct Dice(u64);
 
--- a/crates/daemon/tests/unit/stand_in.rs
+++ b/crates/daemon/tests/unit/stand_in.rs
@@ -1,10 +1,10 @@
 //! A stand-in for the state service for several controllers, each with a door of its
-//! own to it and troubles of its own: refusals, answers that are lost, and
+//! own to it and troubles of its own: refusals, slowness, answers that are lost, and
 //! transactions that are carried out late.
 
 use std::collections::{BTreeMap, HashMap};
 use std::future::pending;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -29,6 +29,10 @@
     #[default]
     None,
     Refused,
+    /// Every second request is refused.
+    Flaky,
+    /// What is asked is carried out at once, and each answer takes so long.
+    Slow(Duration),
     /// Transactions are carried out at once, and their answers are lost.
     Unanswered,
     /// Transactions get no answer and are carried out so much later.
@@ -40,6 +44,7 @@
     trouble: Mutex<Trouble>,
     /// Watches tell nothing: only what is asked for is known.
     pub deaf: AtomicBool,
+    requests: AtomicU32,
 }
 
 impl Door {
@@ -61,6 +66,8 @@
     last_lease: u64,
     /// All transactions that were asked for, in this order.
     pub sent: Vec<Txn<Value>>,
+    /// Most items of a page.
+    pub page: usize,
 }
 
 impl Store {
@@ -147,6 +154,7 @@
     }
 
     async fn come_in(self, door: Arc<Door>, request: Request) -> Reply {
+        let n = door.requests.fetch_add(1, Ordering::Relaxed);
         let txn = request.path == "/txn";
         if txn {
             let sent = wire::decode(&request.body).expect("a transaction");
@@ -154,6 +162,12 @@
         }
         match door.trouble() {
             Trouble::Refused => return Reply::error(503, "outage"),
+            Trouble::Flaky if n % 2 == 1 => return Reply::error(503, "outage"),
+            Trouble::Slow(by) => {
+                let reply = self.answer(&door, request).await;
+                sleep(by).await;
+                return reply;
+            }
             Trouble::Unanswered if txn => {
                 self.answer(&door, request).await;
                 return pending().await;
@@ -216,11 +230,12 @@
             return Reply::new(200, &"kept");
         }
         let after = field("after").unwrap_or_default();
+        let page = if store.page == 0 { 400 } else { store.page };
         let items: Vec<Item<Value>> = store
             .keys
             .iter()
             .filter(|(k, _)| **k > after)
-            .take(400)
+            .take(page)
             .map(|(k, (v, at, _))| Item { key: k.clone(), value: v.clone(), version: *at })
             .collect();
         let more = items.last().is_some_and(|i| store.keys.keys().next_back() != Some(&i.key));
