--- a/crates/daemon/src/fleet_duty/rentals.rs
+++ b/crates/daemon/src/fleet_duty/rentals.rs
@@ -38,6 +38,16 @@
     if quick.is_empty() { Vec::new() } else { slow.iter().map(|t| t.name.as_str().into()).collect() }
 }
 
+/// Writes requests down. They may be there already: the change was carried out, and only
+/// its answer was lost.
+fn ask(list: &mut Vec<Rental>, rentals: &[Rental]) {
+    for r in rentals {
+        if !list.iter().any(|l| l.request == r.request) {
+            list.push(r.clone());
+        }
+    }
+}
+
 /// Machines of one kind that were asked for within this time count as one rental: once
 /// it is answered, its name is of no more use.
 const TOGETHER_MS: u64 = 10_000;
@@ -335,7 +345,7 @@
             })
             .collect();
         // Recorded first: a successor knows what may still come.
-        if !self.put_rentals(node, |l| l.extend(rentals.iter().cloned())).await {
+        if !self.put_rentals(node, |l| ask(l, &rentals)).await {
             return;
         }
         // What became of each; it stays unanswered if that is not known.
--- a/crates/daemon/tests/unit/fleet_duty_rentals.rs
+++ b/crates/daemon/tests/unit/fleet_duty_rentals.rs
@@ -20,3 +20,23 @@
     // The one that was not answered keeps its name: a successor knows what may come.
     assert_eq!(all, [("4", None), ("", some(&["x", "y", "z"])), ("", some(&["w"]))]);
 }
+
+/// The change that writes requests down was carried out and only its answer was lost: it is
+/// made again on what it wrote, and must not write them twice. As machines that are to
+/// come, they would keep others from being rented.
+#[test]
+fn requests_are_written_down_once() {
+    let rental = |request: &str| Rental {
+        request: request.into(),
+        machine_type: "m".into(),
+        zone: "a".into(),
+        spot: false,
+        count: 2,
+        asked_ms: 0,
+        machines: None,
+    };
+    let mut list = vec![rental("1")];
+    ask(&mut list, &[rental("2"), rental("3")]);
+    ask(&mut list, &[rental("2"), rental("3")]);
+    assert_eq!(list.iter().map(|r| r.request.as_str()).collect::<Vec<_>>(), ["1", "2", "3"]);
+}
