Users' changes do not keep a controller's rounds from writing

Cause: users' changes wait for nothing and leave a controller in debt; where they are as many as its share, which may be 4% of the changes, its rounds had none for as long as users went on, and what it places waited. Change: after 2 s without any, a round has a job and its fence. The test was seen red without it.

--- a/crates/daemon/tests/unit/meetings_front.rs
+++ b/crates/daemon/tests/unit/meetings_front.rs
@@ -337,6 +337,30 @@
     assert!(map.live.len() == 1 && map.holds("n-0", 1), "{map:?}");
 }
 
+/// Users' changes take up more than a controller's share of the changes, for minutes: what
+/// it places still has its turn.
+#[test]
+fn users_changes_do_not_starve_the_rounds() {
+    let start = Instant::now();
+    let at = |ms: u64| start + Duration::from_millis(ms);
+    let mut budget = store::Budget::new(1.0, 1.0, start);
+    let (mut last, mut longest, mut written) = (0, 0, 0);
+    for ms in (0..300_000).step_by(50) {
+        if ms % 600 == 0 {
+            budget.take(1.0, 0.0, at(ms));
+        }
+        let ops = if ms % 250 == 0 { budget.allowance(at(ms)) } else { 0 };
+        if ops > 0 {
+            budget.take(ops as f64, 0.0, at(ms));
+            (longest, last) = (longest.max(ms - last), ms);
+            written += ops;
+        }
+    }
+    longest = longest.max(300_000 - last);
+    assert!(longest <= 3000, "nothing written for {longest} ms");
+    assert!(written <= 400, "and not much more than its share: {written}");
+}
+
 /// Small numbers without a pattern, the same on every run.
 struct Dice(u64);
 
--- a/crates/store/src/budget.rs
+++ b/crates/store/src/budget.rs
@@ -7,14 +7,22 @@
     burst: f64,
     level: f64,
     at: Instant,
+    /// Since when rounds have had nothing.
+    denied: Option<Instant>,
 }
 
+/// How long rounds wait for others' debt before they have a change and its fence all the
+/// same: where users' changes take up a controller's whole share, what it places would
+/// wait for as long as they go on.
+const DENIED_FOR: Duration = Duration::from_secs(2);
+const ALLOWED_THEN: usize = 2;
+
 /// Most debt, in seconds of the rate, and longest wait.
 const DEBT_S: f64 = 2.0;
 
 impl Budget {
     pub fn new(per_s: f64, burst: f64, now: Instant) -> Self {
-        Self { per_s, burst, level: burst, at: now }
+        Self { per_s, burst, level: burst, at: now, denied: None }
     }
 
     pub fn per_second(&self) -> f64 {
@@ -48,11 +56,20 @@
         self.level = self.level.min(0.0);
     }
 
-    /// How many changes a round may have now: nothing while there is debt, and
-    /// more the more has been saved up.
+    /// How many changes a round may have now: nothing while there is debt, but not for
+    /// ever, and more the more has been saved up.
     pub fn allowance(&mut self, now: Instant) -> usize {
         self.fill(now);
-        if self.level < 1.0 { 0 } else { (self.level + self.per_s * 0.5) as usize + 2 }
+        if self.level >= 1.0 {
+            self.denied = None;
+            return (self.level + self.per_s * 0.5) as usize + 2;
+        }
+        let since = *self.denied.get_or_insert(now);
+        if now.saturating_duration_since(since) < DENIED_FOR {
+            return 0;
+        }
+        self.denied = Some(now);
+        ALLOWED_THEN
     }
 
     /// A controller's share changes with the number of controllers.
