The state service has connections of its own

Cause: state service, cloud and peers shared their connections. While the reports of a hundred workers were passed on to a controller that did not answer, those took all turns for two seconds each: users had no answers, and the membership of a controller that was well could run out. Change: half of them are for the state service alone. Settings with a team's name that is too long for a key are refused, as none of the team's jobs could ever be placed.

--- a/crates/daemon/src/load.rs
+++ b/crates/daemon/src/load.rs
@@ -80,10 +80,11 @@
         let round_us = take(&c.round_us);
         info!(
             connections = format!(
-                "{}, peers {}, to workers {}, to others {}",
+                "{}, peers {}, to workers {}, to the state service {}, to others {}",
                 front.join(", "),
                 node.internal.open(),
                 node.workers_http.open(),
+                node.state_http.open(),
                 node.http.open()
             ),
             closed_for_want = node.front.take_closed() + node.internal.take_closed(),
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -42,7 +42,9 @@
     pub me: Member,
     pub state: StateClient,
     pub cloud: CloudClient,
-    /// To the state service, the cloud and the peers.
+    /// To the state service: whatever else hangs, it has its turns.
+    pub state_http: Client,
+    /// To the cloud and the peers.
     pub http: Client,
     /// To workers: however many they are, the others are always reached.
     pub workers_http: Client,
@@ -177,7 +179,7 @@
 impl Node {
     pub fn new(settings: Settings, operators: Operators, incarnation: u64) -> Self {
         let sockets = settings.sockets();
-        let http = Client::new(sockets.others);
+        let (state_http, http) = (Client::new(sockets.state), Client::new(sockets.others));
         let now = Instant::now();
         let per_s = settings.facts.state.write_rps;
         let core = Core {
@@ -211,7 +213,8 @@
         Self(Arc::new(Inner {
             teams: settings.teams(),
             me: Member { name: settings.node_name.clone(), zone: settings.zone.clone(), incarnation },
-            state: StateClient::new(http.clone(), settings.external.state.clone()),
+            state: StateClient::new(state_http.clone(), settings.external.state.clone()),
+            state_http,
             cloud: CloudClient::new(http.clone(), settings.external.cloud.clone()),
             http,
             workers_http: Client::new(sockets.to_workers),
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -123,6 +123,7 @@
     pub max_connections: usize,
 }
 
+const TEAM_NAME_MOST: usize = 150;
 /// A job's description has to fit beside a few assignments.
 const VALUE_KB_LEAST: f64 = 2.0;
 
@@ -215,6 +216,10 @@
                 return bad(field, "must be a number of 0 or more");
             }
         }
+        // The name is part of a key of the state service, which has 200 bytes at most.
+        if f.teams.iter().any(|t| t.name.len() > TEAM_NAME_MOST) {
+            return bad("facts.teams.name", "must have at most 150 bytes");
+        }
         if f.state.txn_ops < 2 {
             return bad("facts.state.txn_ops", "must be at least 2");
         }
@@ -272,7 +277,8 @@
             peers: sixteenth,
             to_workers: sixteenth * 4,
             // What is left is for listeners, files and what is being closed.
-            others: sixteenth,
+            state: (sixteenth / 2).max(STATE_LEAST),
+            others: (sixteenth / 2).max(1),
         }
     }
 
@@ -298,10 +304,17 @@
     pub peers: usize,
     /// Connections to workers.
     pub to_workers: usize,
-    /// Connections to the state service, the cloud and peers.
+    /// Connections to the state service. While reports were passed on to a controller that
+    /// could not be reached, those to the peers took its turns, too: users had no answers,
+    /// and the membership of one that was well ran out.
+    pub state: usize,
+    /// Connections to the cloud and peers.
     pub others: usize,
 }
 
+/// A watch, a check, and two for what is written and the lease.
+const STATE_LEAST: usize = 4;
+
 /// What lies between the last lease's end and the time by which a cancellation must
 /// have taken effect. A lease counts from when its report was sent, so that only
 /// the clocks' drift, timers that fire late and the worker's own stop take of it.
--- a/crates/daemon/tests/unit/meetings_front.rs
+++ b/crates/daemon/tests/unit/meetings_front.rs
@@ -12,6 +12,8 @@
 use wire::{JobKind, JobSpec, JobState, Report, TaskReport, TaskState};
 
 use crate::node::Node;
+use crate::settings::tests::EXAMPLE;
+use crate::settings::{Operators, Peer, Settings};
 use crate::stand_in::*;
 use crate::worker::tests::spec;
 use crate::worker::{Limits, Worker, first_token};
@@ -337,6 +339,31 @@
     assert!(map.live.len() == 1 && map.holds("n-0", 1), "{map:?}");
 }
 
+/// Reports of hundreds of workers are passed on to a controller that takes them and does
+/// not answer: users are answered all the same, and this controller stays a member.
+#[tokio::test]
+async fn a_peer_that_hangs_takes_no_turns_from_the_state_service() {
+    let service = Service::with_types();
+    let (door, hangs) = service.door().await;
+    door.set(Trouble::Slow(Duration::from_secs(60)));
+    let (addr, mut settings) = (service.door().await.1, Settings::parse("s", EXAMPLE).expect("valid"));
+    (settings.external.state, settings.facts.limits.max_connections) = (addr, 900);
+    settings.peers = vec![Peer { node_name: "n-1".into(), address: hangs }];
+    let node = Node::new(settings, Operators::default(), 1);
+    follow(&node);
+    node.spawn_duty(state_duty::membership(node.clone()));
+    assert!(soon(20, || node.core().in_map(&node.me)).await);
+    assert_eq!(submit(&node, &spec("j-1", JobKind::Array)).await.0, 201);
+    for n in 0..200 {
+        let (node, report) = (node.clone(), wire::encode(&report(&format!("host-{n}"), 1)));
+        tokio::spawn(async move { crate::gossip::relay(&node, "n-1", report).await });
+    }
+    let since = Instant::now();
+    assert_eq!(state(&node, "j-1").await, (200, Some(JobState::Queued)));
+    // Each of them gives up after two seconds.
+    assert!(since.elapsed() < Duration::from_millis(1900), "{:?}", since.elapsed());
+}
+
 /// Users' changes take up more than a controller's share of the changes, for minutes: what
 /// it places still has its turn.
 #[test]
--- a/crates/daemon/tests/unit/settings.rs
+++ b/crates/daemon/tests/unit/settings.rs
@@ -43,6 +43,7 @@
         ("lease_s = 24.0", "", "lease_s"),
         ("127.0.0.1:8080", "nowhere", "front"),
         ("cpus = 4.0", "cpus = -4.0", "facts.teams"),
+        ("name = \"t\"", &format!("name = \"{}\"", "t".repeat(151)), "facts.teams.name"),
         ("value_kb = 8.0", "value_kb = 1.0", "facts.state.value_kb"),
         ("txn_ops = 16", "txn_ops = 16\nnext = { write_rps = 0.0 }", "facts.state.next.write_rps"),
         ("txn_ops = 16", "txn_ops = 16\nnext = { rps = -1 }", "facts.state.next.rps"),
