--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -45,7 +45,9 @@
     pub me: Member,
     pub state: StateClient,
     pub cloud: CloudClient,
-    /// To the state service, the cloud and the peers.
+    /// To the state service: whatever else hangs, it has its turns.
+    pub state_http: Client,
+    /// To the cloud and the peers.
     pub http: Client,
     /// To workers: however many they are, the others are always reached.
     pub workers_http: Client,
@@ -182,17 +184,18 @@
 impl Node {
     pub fn new(settings: Settings, operators: Operators, incarnation: u64) -> Self {
         let sockets = settings.sockets();
-        let clients = (Client::new(sockets.others), Client::new(sockets.to_workers));
+        let clients =
+            (Client::new(sockets.state), Client::new(sockets.others), Client::new(sockets.to_workers));
         Self::with_clients(settings, operators, incarnation, clients)
     }
 
-    /// With clients of its own choice: one to the state service, the cloud and the
+    /// With clients of its own choice: one to the state service, one to the cloud and the
     /// peers, one to workers.
     pub fn with_clients(
         settings: Settings,
         operators: Operators,
         incarnation: u64,
-        (http, workers_http): (Client, Client),
+        (state_http, http, workers_http): (Client, Client, Client),
     ) -> Self {
         let sockets = settings.sockets();
         let now = clock::now();
@@ -229,7 +232,8 @@
         Self(Arc::new(Inner {
             teams: settings.teams(),
             me: Member { name: settings.node_name.clone(), zone: settings.zone.clone(), incarnation },
-            state: StateClient::new(http.clone(), settings.external.state.clone()),
+            state: StateClient::new(state_http.clone(), settings.external.state.clone()),
+            state_http,
             cloud: CloudClient::new(http.clone(), settings.external.cloud.clone()),
             http,
             workers_http,
@@ -319,7 +323,7 @@
     /// rest is for transactions.
     pub fn watch_pause(&self) -> Duration {
         let size = self.settings.peers.len() + 1;
-        Duration::from_secs_f64((size as f64 * 3.0 / self.plan().rps).clamp(0.02, 0.5))
+        wire::seconds((size as f64 * 3.0 / self.plan().rps).clamp(0.02, 0.5))
     }
 
     /// Shares the changes that the state service takes among the controllers
@@ -358,11 +362,11 @@
     /// Silence after which a machine counts as lost and is given back.
     pub fn silent_limit(&self) -> Duration {
         let w = &self.settings.facts.workers;
-        self.operators.silent.unwrap_or(Duration::from_secs_f64((4.0 * w.report_s).max(8.0)))
+        self.operators.silent.unwrap_or(wire::seconds((4.0 * w.report_s).max(8.0)))
     }
 
     pub fn report_every(&self) -> Duration {
-        Duration::from_secs_f64(self.settings.facts.workers.report_s)
+        wire::seconds(self.settings.facts.workers.report_s)
     }
 
     /// What a job's record has for its assignments and for what is done.
@@ -386,10 +390,10 @@
     pub fn worker_limits(&self, fresh_at: Option<Instant>) -> Limits {
         let w = &self.settings.facts.workers;
         Limits {
-            gang_peer: Duration::from_secs_f64(w.gang_peer_s),
+            gang_peer: wire::seconds(w.gang_peer_s),
             // The clocks of both sides drift apart by 0.05% each way at most;
             // the rest is for timers that fire late.
-            lease: Duration::from_secs_f64(w.lease_s * 1.002 + 1.0),
+            lease: wire::seconds(w.lease_s * 1.002 + 1.0),
             fresh_at,
         }
     }
--- a/crates/daemon/tests/unit/meetings/controllers.rs
+++ b/crates/daemon/tests/unit/meetings/controllers.rs
@@ -66,7 +66,8 @@
         let mut all = self.lock();
         all.incarnations += 1;
         let incarnation = all.incarnations * 1000 + n as u64;
-        let clients = (Client::over(link(self, n, incarnation)), Client::over(link(self, n, incarnation)));
+        let client = || Client::over(link(self, n, incarnation));
+        let clients = (client(), client(), client());
         let node = Node::with_clients(settings(n, all.sabotage), Operators::default(), incarnation, clients);
         crate::spawn_duties(&node);
         all.controllers[n] = Controller { node: Some(node), incarnation };
--- a/crates/daemon/tests/unit/meetings_front.rs
+++ b/crates/daemon/tests/unit/meetings_front.rs
@@ -6,14 +6,17 @@
 use std::time::{Duration, Instant};
 
 use sched::records::*;
-use sched::world::Change;
+use sched::world::{Change, World};
 use store::{Put, key};
 use tokio::time::sleep;
-use wire::{JobKind, JobSpec, JobState};
+use wire::{JobKind, JobSpec, JobState, Report, TaskReport, TaskState};
 
 use crate::node::Node;
+use crate::settings::tests::EXAMPLE;
+use crate::settings::{Operators, Peer, Settings};
 use crate::stand_in::*;
 use crate::worker::tests::spec;
+use crate::worker::{Limits, Worker, first_token};
 use crate::{engine, state_duty};
 
 /// A description without one of its fields, or with another value in it.
@@ -136,6 +139,114 @@
     out
 }
 
+/// Nothing that a worker, a user, the cloud or a record says in numbers ends a process:
+/// `Duration` does for what is negative, endless or no number.
+#[test]
+fn no_number_from_outside_ends_the_process() {
+    let now = Instant::now();
+    let odd = [f64::NAN, f64::INFINITY, f64::NEG_INFINITY, f64::MAX, f64::MIN, -1.0, 1e300, 1e-320];
+    for s in odd {
+        assert!(wire::seconds(s) <= Duration::from_secs(1_000_000_000));
+        let mut world = World::default();
+        let machine = MachineRecord {
+            addr: "a".into(),
+            machine_type: "m".into(),
+            zone: "z".into(),
+            spot: false,
+            release: false,
+        };
+        world.apply(Change::Machine("m-1".into(), Some(machine)), 1);
+        let mut job = JobRecord::new(JobSpec { save_s: s, ..spec("j-1", JobKind::Array) }, None, 0);
+        job.run = vec![Assignment { task: 0, attempt: 1, machine: "m-1".into(), want: Want::Stop }];
+        world.apply(Change::Job("j-1".into(), Some(Box::new(job))), 2);
+        let mut worker = Worker::new("a".into(), 1, now);
+        let limits = Limits { gang_peer: Duration::ZERO, lease: Duration::from_secs(9), fresh_at: Some(now) };
+        for n in 1..4 {
+            let at = now + Duration::from_secs(n * 3);
+            let mut report = report("m-1", n);
+            report.notice_s = Some(s);
+            report.tasks = vec![TaskReport {
+                task: "j-1/0".into(),
+                attempt: 1,
+                state: TaskState::Running,
+                cause: None,
+                saved: None,
+            }];
+            assert!(worker.ingest(report, true, at));
+            worker.reconcile("m-1", &world, &limits, at);
+        }
+        let spec = JobSpec { save_s: s, checkpoint_s: s, ..spec("j-1", JobKind::Gang) };
+        sched::drain::stops(&spec, Duration::from_secs(5));
+        let mut budget = store::Budget::new(s, s, now);
+        let _ = now + budget.take(s, s, now);
+    }
+}
+
+fn report(machine: &str, n: u64) -> Report {
+    Report {
+        machine: machine.into(),
+        addr: "127.0.0.1:1".into(),
+        machine_type: "m".into(),
+        zone: "a".into(),
+        spot: false,
+        session: 1,
+        seq: n,
+        token: first_token(1),
+        notice_s: None,
+        tasks: Vec::new(),
+    }
+}
+
+/// A malformed record is one that cannot be read, and takes no more memory than it has.
+#[test]
+fn malformed_records_are_unreadable_and_no_more() {
+    // Five bits a character, the sixth tells that more follow.
+    let number = |mut n: u64| {
+        let digits = b"0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ-_";
+        let mut out = String::new();
+        while n >= 32 {
+            out.push(char::from(digits[(n % 32 + 32) as usize]));
+            n /= 32;
+        }
+        out + &char::from(digits[n as usize]).to_string()
+    };
+    let unreadable = |digits: u64, text: String| {
+        let record = serde_json::json!({"phase": "a", "run": [["host-", digits, 1, "r", text]]});
+        store::decode_change(&key::job("j-1"), Put::new(String::new(), &record).value).1
+    };
+    let row = |machine: u64, tasks: u64| number(machine) + &number(tasks * 2 + 1) + &number(0);
+    assert!(!unreadable(6, row(1, 1000)), "as it is written");
+    assert!(unreadable(6, row(1, 200_000)), "more tasks than any job has");
+    assert!(unreadable(100_000, row(1, 1)), "a name of so many digits");
+    assert!(unreadable(6, row(1 << 59, 1).repeat(40)), "numbers without end");
+    assert!(unreadable(6, "?".into()));
+    assert_eq!(Ranges::from((u32::MAX - 1, "3".into())).len(), u32::MAX, "the last number is none");
+    let gone = |digits: u64, text: String| {
+        let record = serde_json::json!({"rentals": [], "gone": [["host-", digits, text]]});
+        store::decode_change(key::FLEET, Put::new(String::new(), &record).value).1
+    };
+    assert!(!gone(6, number(7)));
+    assert!(gone(100_000, number(7)) && gone(6, number(1 << 59).repeat(40)));
+}
+
+/// A worker whose name cannot be one is told so: recorded together with it, no machine
+/// would be recorded.
+#[tokio::test]
+async fn machines_are_recorded_by_names_that_a_key_can_have() {
+    let service = Service::default();
+    let (node, _) = service.follower(0, 1).await;
+    service.elect(&[&node], 1);
+    caught_up(&service, &node).await;
+    for name in ["", "host 1", "host\u{7}1", &"x".repeat(300)] {
+        let body = wire::encode(&report(name, 1));
+        assert_eq!(ask(&node, "POST", "/hello", body).await.0, 400, "{name:?}");
+    }
+    assert_ne!(ask(&node, "POST", "/hello", wire::encode(&report("host-1", 1))).await.0, 400);
+    for body in [b"\xc1".to_vec(), Vec::new(), wire::encode(&7), odd("j-1", "cpus", None)] {
+        assert_eq!(ask(&node, "POST", "/hello", body).await.0, 400);
+    }
+}
+
 /// One round that gives a job's only task to a machine.
 async fn place(node: &Node, id: &str, machine: &str) {
     let mut round = engine::Round::default();
@@ -147,6 +258,136 @@
     engine::commit(node, round).await;
 }
 
+/// Names of teams are free text, and a key has no spaces: the fence of such a team must be
+/// found again once another controller has written it.
+#[tokio::test]
+async fn a_team_with_a_space_in_its_name_is_placed_by_all_controllers_in_turn() {
+    let service = Service::default();
+    let (a, _) = service.follower(0, 2).await;
+    let (b, _) = service.follower(1, 2).await;
+    service.elect(&[&a, &b], 1);
+    let team = |id: &str| JobSpec { team: "ocean desk".into(), ..spec(id, JobKind::Array) };
+    for (n, node) in [&a, &b, &a, &b].into_iter().enumerate() {
+        let id = format!("j-{n}");
+        let record = JobRecord::new(team(&id), None, 0);
+        service.store().put(Put::new(key::job(&id), &record));
+        caught_up(&service, node).await;
+        place(node, &id, "m-1").await;
+        assert_eq!(service.store().job(&id).map(|j| j.run.len()), Some(1), "{id} is placed");
+    }
+}
+
+/// Thousands of records are read while the state service refuses every second request.
+#[tokio::test]
+async fn records_are_read_while_every_second_request_is_refused() {
+    let service = Service::default();
+    service.store().page = 2;
+    for n in 0..9 {
+        let record = JobRecord::new(spec(&format!("j-{n}"), JobKind::Array), None, 0);
+        service.store().put(Put::new(key::job(&format!("j-{n}")), &record));
+    }
+    let (node, door) = service.controller(0, 1, 1).await;
+    door.set(Trouble::Flaky);
+    follow(&node);
+    assert!(soon(20, || node.core().ready).await, "the records are read");
+    assert_eq!(node.core().world.jobs.len(), 9);
+}
+
+/// The state service answers, but takes longer than users wait: they are told so in time,
+/// what is final is told at once, and the controller knows that it is still entitled, as
+/// else all workers would lose their leases.
+#[tokio::test]
+async fn slow_answers_cost_no_authority_and_keep_nobody_waiting() {
+    let service = Service::with_types();
+    let (node, door) = service.follower(0, 1).await;
+    for id in ["j-1", "j-2"] {
+        assert_eq!(submit(&node, &spec(id, JobKind::Array)).await.0, 201);
+    }
+    assert_eq!(cancel(&node, "j-2").await.0, 200);
+    door.set(Trouble::Slow(Duration::from_millis(1900)));
+    let since = Instant::now();
+    while since.elapsed() < Duration::from_secs(7) {
+        let asked = Instant::now();
+        assert_eq!(state_once(&node, "j-2").await, (200, Some(JobState::Cancelled)));
+        assert_eq!(state_once(&node, "j-1").await.0, 503);
+        assert!(asked.elapsed() < Duration::from_millis(2500), "{:?}", asked.elapsed());
+    }
+    let fresh = node.core().fresh_at.map(|t| t.elapsed());
+    assert!(fresh.is_some_and(|f| f < Duration::from_millis(5800)), "{fresh:?}");
+    door.set(Trouble::Slow(Duration::from_millis(300)));
+    assert!(soon(20, || node.core().fresh_at.is_some_and(|t| t.elapsed() < Duration::from_secs(1))).await);
+    assert_eq!(state(&node, "j-1").await, (200, Some(JobState::Queued)), "slow, but in time");
+}
+
+/// The leader ends while the state service takes longer for each answer than a lease is
+/// waited for: another leads all the same.
+#[tokio::test]
+async fn a_leader_is_found_while_the_state_service_is_slow() {
+    let service = Service::default();
+    let (node, door) = service.controller(0, 2, 1).await;
+    let (other, _) = service.controller(1, 2, 2).await;
+    service.elect(&[&other], 1);
+    follow(&node);
+    node.spawn_duty(state_duty::membership(node.clone()));
+    assert!(soon(20, || node.core().world.members.contains_key("n-0")).await);
+    door.set(Trouble::Slow(Duration::from_millis(1700)));
+    sleep(Duration::from_millis(1500)).await;
+    service.store().put(Put::delete(key::LEADER.into()));
+    service.store().put(Put::delete(key::member("n-1")));
+    assert!(soon(20, || service.store().map().is_some_and(|m| m.epoch == 2)).await, "nobody leads");
+    let map = service.store().map().expect("a map");
+    assert!(map.live.len() == 1 && map.holds("n-0", 1), "{map:?}");
+}
+
+/// Reports of hundreds of workers are passed on to a controller that takes them and does
+/// not answer: users are answered all the same, and this controller stays a member.
+#[tokio::test]
+async fn a_peer_that_hangs_takes_no_turns_from_the_state_service() {
+    let service = Service::with_types();
+    let (door, hangs) = service.door().await;
+    door.set(Trouble::Slow(Duration::from_secs(60)));
+    let (addr, mut settings) = (service.door().await.1, Settings::parse("s", EXAMPLE).expect("valid"));
+    (settings.external.state, settings.facts.limits.max_connections) = (addr, 900);
+    settings.peers = vec![Peer { node_name: "n-1".into(), address: hangs }];
+    let node = Node::new(settings, Operators::default(), 1);
+    follow(&node);
+    node.spawn_duty(state_duty::membership(node.clone()));
+    assert!(soon(20, || node.core().in_map(&node.me)).await);
+    assert_eq!(submit(&node, &spec("j-1", JobKind::Array)).await.0, 201);
+    for n in 0..200 {
+        let (node, report) = (node.clone(), wire::encode(&report(&format!("host-{n}"), 1)));
+        tokio::spawn(async move { crate::gossip::relay(&node, "n-1", report).await });
+    }
+    let since = Instant::now();
+    assert_eq!(state(&node, "j-1").await, (200, Some(JobState::Queued)));
+    // Each of them gives up after two seconds.
+    assert!(since.elapsed() < Duration::from_millis(1900), "{:?}", since.elapsed());
+}
+
+/// Users' changes take up more than a controller's share of the changes, for minutes: what
+/// it places still has its turn.
+#[test]
+fn users_changes_do_not_starve_the_rounds() {
+    let start = Instant::now();
+    let at = |ms: u64| start + Duration::from_millis(ms);
+    let mut budget = store::Budget::new(1.0, 1.0, start);
+    let (mut last, mut longest, mut written) = (0, 0, 0);
+    for ms in (0..300_000).step_by(50) {
+        if ms % 600 == 0 {
+            budget.take(1.0, 0.0, at(ms));
+        }
+        let ops = if ms % 250 == 0 { budget.allowance(at(ms)) } else { 0 };
+        if ops > 0 {
+            budget.take(ops as f64, 0.0, at(ms));
+            (longest, last) = (longest.max(ms - last), ms);
+            written += ops;
+        }
+    }
+    longest = longest.max(300_000 - last);
+    assert!(longest <= 3000, "nothing written for {longest} ms");
+    assert!(written <= 400, "and not much more than its share: {written}");
+}
+
 /// Small numbers without a pattern, the same on every run.
 struct Dice(u64);
 
@@ -545,7 +786,10 @@
 async fn the_end_of_the_last_task_and_a_cancellation_meet() {
     let service = Service::with_types();
     let (a, door) = service.follower(0, 2).await;
-    let (b, _) = service.follower(1, 2).await;
+    let (b, _) = service.controller(1, 2, 2).await;
+    let follows =
+        [tokio::spawn(state_duty::mirror(b.clone())), tokio::spawn(state_duty::verifier(b.clone()))];
+    assert!(soon(20, || b.core().ready).await);
     service.elect(&[&a, &b], 1);
     for id in ["j-1", "j-2"] {
         caught_up(&service, &a).await;
@@ -564,12 +808,14 @@
     service.store().put(Put::new(key::job("j-1"), &record));
     assert_eq!(cancel(&a, "j-1").await, (200, Some(JobState::Done)));
     assert_eq!(submit(&a, &spec("j-1", JobKind::Array)).await, (200, Some(JobState::Done)));
-    // Cancelled first, while the other writes that it is done.
+    // Cancelled first, while the other writes that it is done, by records from before.
+    follows.iter().for_each(|f| f.abort());
     let view = b.core().world.jobs["j-2"].value.clone();
     assert_eq!(cancel(&a, "j-2").await, (200, Some(JobState::Cancelled)));
     let mut late = engine::Round::default();
     late.jobs.insert("j-2".into(), Box::new(done(*view)));
     engine::commit(&b, late).await;
+    follow(&b);
     // And once more by who has heard of it: its only task is done all the same.
     caught_up(&service, &b).await;
     let record = b.core().world.jobs["j-2"].value.clone();
