--- a/crates/daemon/tests/unit/meetings_machines.rs
+++ b/crates/daemon/tests/unit/meetings_machines.rs
@@ -1043,3 +1043,55 @@
     }
     assert!(host.tasks.is_empty());
 }
+
+/// A gang waits for its tasks when one of its machines loses them, and gets another machine
+/// within the same attempt: never the same one again, whose late word of the end would else
+/// count for the new start. Then the leader changes. The gang is done once a task says so.
+#[test]
+fn a_gang_that_lost_a_machine_goes_on_elsewhere_within_its_attempt() {
+    let mut site = Site::new(2, &[("host-1", "a"), ("host-2", "a"), ("host-3", "a")]);
+    let mut hosts = ["host-1", "host-2", "host-3"].map(|id| Host::new(id, "a", site.now));
+    site.assign(
+        JobSpec { tasks: 2, memory_gb: 40.0, ..spec("j-1", JobKind::Gang) },
+        &[(0, 1, "host-1"), (1, 1, "host-2")],
+    );
+    site.map(&[0]);
+    let round = |site: &mut Site, n: usize, hosts: &mut [Host; 3], hung: &[usize]| {
+        site.wait(1.0);
+        site.read(n);
+        let up = |i: &usize| !hung.contains(i);
+        (0..3).filter(up).for_each(|i| site.meet(n, &mut hosts[i]));
+        let mut there: Vec<&mut Host> =
+            hosts.iter_mut().enumerate().filter(|(i, _)| up(i)).map(|(_, h)| h).collect();
+        site.command(n, &mut there);
+    };
+    (0..3).for_each(|_| round(&mut site, 0, &mut hosts, &[]));
+    assert!(hosts[0].runs("j-1/0") && hosts[1].runs("j-1/1"));
+    let mut gave_up = hosts[1].report();
+    gave_up.tasks[0].state = TaskState::Exited;
+    gave_up.tasks[0].cause = Some(Cause::Alone);
+    // It hangs for longer than its lease.
+    (0..26).for_each(|_| round(&mut site, 0, &mut hosts, &[1, 2]));
+    (0..9).for_each(|_| round(&mut site, 0, &mut hosts, &[2]));
+    assert_eq!(site.job("j-1").run.len(), 1, "it waits, though there is room where it was");
+    (0..9).for_each(|_| round(&mut site, 0, &mut hosts, &[]));
+    let check = |site: &Site, hosts: &[Host; 3]| {
+        let job = site.job("j-1");
+        let places: Vec<(u64, &str)> = job.run.iter().map(|a| (a.attempt, &*a.machine)).collect();
+        assert_eq!(places, [(1, "host-1"), (1, "host-3")]);
+        assert!(job.phase == Phase::Active && hosts[2].runs("j-1/1") && !hosts[1].runs("j-1/1"));
+    };
+    check(&site, &hosts);
+    site.report(0, &gave_up);
+    site.round(0);
+    check(&site, &hosts);
+    site.map(&[1]);
+    site.read(1);
+    site.report(1, &gave_up);
+    (0..3).for_each(|_| round(&mut site, 1, &mut hosts, &[]));
+    check(&site, &hosts);
+    hosts[2].end("j-1/1", 1, Cause::Done);
+    (0..3).for_each(|_| round(&mut site, 1, &mut hosts, &[]));
+    let job = site.job("j-1");
+    assert!(job.phase == Phase::Done && job.done.len() == 2, "{job:?}");
+}
