An answer of another machine is no word of the one that was meant

Cause: an answer to commands was taken in without a look at whose it is. Answers to questions were checked. If an address becomes another machine's, its list of tasks would have ended what the first ran. Change: such an answer counts as none. Result: a test, red without the check.

--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -634,8 +634,10 @@
     });
 }
 
-/// Takes in what became of commands: the report that answers them, if any.
+/// Takes in what became of commands: the report that answers them, if any. An address may
+/// have become another machine's, whose word says nothing of the one that was meant.
 pub(crate) fn answered(core: &mut Core, machine: &str, token: u64, report: Option<Report>, now: Instant) {
+    let report = report.filter(|r| r.machine == machine);
     let Some(w) = core.workers.get_mut(machine) else { return };
     w.finish(token, report.is_some(), now);
     if let Some(report) = report {
--- a/crates/daemon/tests/unit/meetings_machines.rs
+++ b/crates/daemon/tests/unit/meetings_machines.rs
@@ -1095,3 +1095,28 @@
     let job = site.job("j-1");
     assert!(job.phase == Phase::Done && job.done.len() == 2, "{job:?}");
 }
+
+/// The address of a machine that is gone has become another's, who answers in its place.
+/// That is no word of the first.
+#[test]
+fn an_answer_of_another_machine_is_none() {
+    let (mut site, mut host) = running(1);
+    let mut other = Host::new("host-2", "a", site.now);
+    (other.token, other.seq) = (host.token + 9, 99);
+    let mut job = site.job("j-1");
+    job.run[0].want = Want::Stop;
+    site.put(vec![Put::new(key::job("j-1"), &job)]);
+    site.read(0);
+    let sent = site.round(0);
+    assert!(!sent.is_empty());
+    for (machine, commands) in sent {
+        site.answered(0, &machine, &commands, Some(other.report()));
+    }
+    site.wait(1.0);
+    site.round(0);
+    assert_eq!(site.attempt("j-1"), Some(1), "it runs");
+    site.wait(1.0);
+    site.meet(0, &mut host);
+    site.command(0, &mut [&mut host]);
+    assert_eq!(host.tasks.values().next(), Some(&(TaskState::Saving, None)), "it is told");
+}
