A deaf machine counts as deaf until it hears

Cause: a machine that lost its lease though its reports were answered counted as deaf for one report only, where nothing raised the token: its next report showed the old one, which was the last told. It could be given work in every lease. Change: the answers after a lost lease have a new token, which only a worker that hears them can show. Result: a test on the fake clock, red without the new token.

--- a/crates/daemon/src/worker.rs
+++ b/crates/daemon/src/worker.rs
@@ -235,6 +235,11 @@
         } else if report.token < self.told {
             self.unheard += 1;
         }
+        if by_itself && lost_lease {
+            // The answers from now on have a new token, which only a worker that hears
+            // them can show.
+            self.token += 1;
+        }
         if by_itself && (self.unheard >= 2 || lost_lease) {
             self.deaf_since.get_or_insert(now);
         }
--- a/crates/daemon/tests/unit/meetings_machines.rs
+++ b/crates/daemon/tests/unit/meetings_machines.rs
@@ -1120,3 +1120,26 @@
     site.command(0, &mut [&mut host]);
     assert_eq!(host.tasks.values().next(), Some(&(TaskState::Saving, None)), "it is told");
 }
+
+/// A machine hears nothing: it loses its lease though its reports are answered. That shows,
+/// and it gets no work until it hears, though nothing else would raise the token that its
+/// reports have to show.
+#[test]
+fn a_deaf_machine_counts_as_deaf_until_it_hears() {
+    let (mut site, mut host) = running(1);
+    let hears = |site: &Site| site.nodes[0].core().workers["host-1"].hears();
+    let deaf_at = site.now;
+    while site.now < deaf_at + LEASE * 3 {
+        site.wait(3.0);
+        site.read(0);
+        host.live(site.now);
+        site.report(0, &host.report());
+        assert!(host.session == 1 || !hears(&site), "{:?}", site.now - deaf_at);
+    }
+    for _ in 0..2 {
+        site.wait(3.0);
+        site.read(0);
+        site.meet(0, &mut host);
+    }
+    assert!(hears(&site));
+}
