Emulator: jobs outlive a restart of the site, read-along passes everything on

An emulated site with data kept its state service over a restart, but tasks of earlier jobs ended with no_such. Descriptions, run times, progress and results are now in a file as well, and names of machines do not come back. A new test of read_along found that it stopped passing bytes on once they were not HTTP, and dropped what came just before the end: both mended.

--- a/crates/emulator/src/config/mod.rs
+++ b/crates/emulator/src/config/mod.rs
@@ -201,9 +201,10 @@
             }
         }
         let c = &self.cloud;
-        // A state service with a file remembers machines of earlier runs.
+        // A state service with a file remembers machines of earlier runs, whose names must
+        // not come back: they would, counted by seconds, if many were rented in a few.
         let first = match self.data {
-            Some(_) => SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |d| d.as_secs()),
+            Some(_) => SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |d| d.as_secs() * 1000),
             None => 1,
         };
         CloudSettings {
--- a/crates/emulator/src/jobs.rs
+++ b/crates/emulator/src/jobs.rs
@@ -4,6 +4,7 @@
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
+use serde::{Deserialize, Serialize};
 use wire::{JobKind, JobSpec};
 
 use crate::gang::{Gang, GangRules};
@@ -15,6 +16,8 @@
     /// By job and attempt.
     gangs: BTreeMap<(String, u64), Gang>,
     rules: GangRules,
+    /// What changed since the last `take_changes`.
+    changes: Vec<JobChange>,
     rng: StdRng,
 }
 
@@ -29,21 +32,75 @@
     done: HashSet<u32>,
 }
 
+/// What is kept of jobs beyond a restart, one entry of the file each.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum JobChange {
+    Uploaded { spec: Arc<JobSpec>, run_s: f64, broken: bool },
+    Saved { job: String, task: u32, progress: f64 },
+    Done { job: String, task: u32 },
+}
+
 /// The owners' estimates are often wrong by half.
 const TRUTH: std::ops::Range<f64> = 0.6..1.5;
 
 impl Jobs {
     pub fn new(rules: GangRules, seed: u64) -> Self {
         let rng = StdRng::seed_from_u64(seed);
-        Self { all: HashMap::new(), gangs: BTreeMap::new(), rules, rng }
+        Self { all: HashMap::new(), gangs: BTreeMap::new(), rules, changes: Vec::new(), rng }
     }
 
     /// A user uploads a job's description; the first one counts.
     pub fn upload(&mut self, spec: JobSpec, broken: bool) {
         let run_s = spec.estimate_s * self.rng.random_range(TRUTH);
-        let (saved, done) = (HashMap::new(), HashSet::new());
-        let id = spec.id.clone();
-        self.all.entry(id).or_insert(Job { spec: Arc::new(spec), run_s, broken, saved, done });
+        if !self.all.contains_key(&spec.id) {
+            self.apply(JobChange::Uploaded { spec: Arc::new(spec), run_s, broken });
+        }
+    }
+
+    /// Makes a change of its own, or one of an earlier run.
+    fn apply(&mut self, change: JobChange) {
+        match change.clone() {
+            JobChange::Uploaded { spec, run_s, broken } => {
+                let (saved, done) = (HashMap::new(), HashSet::new());
+                let id = spec.id.clone();
+                self.all.insert(id, Job { spec, run_s, broken, saved, done });
+            }
+            JobChange::Saved { job, task, progress } => {
+                if let Some(j) = self.all.get_mut(&job) {
+                    j.saved.insert(task, progress);
+                }
+            }
+            JobChange::Done { job, task } => {
+                if let Some(j) = self.all.get_mut(&job) {
+                    j.done.insert(task);
+                }
+            }
+        }
+        self.changes.push(change);
+    }
+
+    /// What an earlier run left, oldest first.
+    pub fn restore(&mut self, changes: impl IntoIterator<Item = JobChange>) {
+        changes.into_iter().for_each(|c| self.apply(c));
+        self.changes.clear();
+    }
+
+    /// What changed since the last call, oldest first.
+    pub fn take_changes(&mut self) -> Vec<JobChange> {
+        std::mem::take(&mut self.changes)
+    }
+
+    /// All there is to keep.
+    pub fn snapshot(&self) -> Vec<JobChange> {
+        let mut out = Vec::new();
+        for (job, j) in &self.all {
+            let (spec, run_s, broken) = (j.spec.clone(), j.run_s, j.broken);
+            out.push(JobChange::Uploaded { spec, run_s, broken });
+            let saved = j.saved.iter().map(|(task, p)| (*task, *p));
+            out.extend(saved.map(|(task, progress)| JobChange::Saved { job: job.clone(), task, progress }));
+            out.extend(j.done.iter().map(|task| JobChange::Done { job: job.clone(), task: *task }));
+        }
+        out
     }
 
     pub fn get(&self, job: &str) -> Option<&Job> {
@@ -55,8 +112,8 @@
     }
 
     pub fn set_done(&mut self, job: &str, task: u32) {
-        if let Some(j) = self.all.get_mut(job) {
-            j.done.insert(task);
+        if !self.is_done(job, task) {
+            self.apply(JobChange::Done { job: job.to_owned(), task });
         }
     }
 
@@ -64,10 +121,10 @@
         self.get(job).and_then(|j| j.saved.get(&task)).copied().unwrap_or(0.0)
     }
 
+    /// Progress that is kept outside the machine; it never goes back.
     pub fn save(&mut self, job: &str, task: u32, progress: f64) {
-        if let Some(j) = self.all.get_mut(job) {
-            let saved = j.saved.entry(task).or_insert(0.0);
-            *saved = saved.max(progress);
+        if progress > self.saved(job, task) {
+            self.apply(JobChange::Saved { job: job.to_owned(), task, progress });
         }
     }
 
@@ -97,8 +154,9 @@
         });
         for (job, saved, done) in kept {
             self.save(&job, 0, saved);
-            if done && let Some(j) = self.all.get_mut(&job) {
-                j.done.extend(0..j.spec.tasks);
+            if done {
+                let tasks = self.get(&job).map_or(0, |j| j.spec.tasks);
+                (0..tasks).for_each(|task| self.set_done(&job, task));
             }
         }
     }
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -23,7 +23,7 @@
 pub use config::{SiteError, SiteFile};
 pub use gang::{Gang, GangRules, Part};
 pub use images::Images;
-pub use jobs::{Job, Jobs};
+pub use jobs::{Job, JobChange, Jobs};
 pub use journal::{Journal, JournalError};
 pub use live::{Controller, Emulation, LiveError};
 pub use schedule::{Kind, Schedule, Trouble};
--- a/crates/emulator/src/live/mod.rs
+++ b/crates/emulator/src/live/mod.rs
@@ -1,10 +1,12 @@
 //! The stand-ins in real time, behind HTTP on loopback.
 
+mod job_file;
 mod people;
 mod relay;
 mod services;
 
 use std::collections::HashMap;
+use std::path::Path;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -14,6 +16,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use self::job_file::JobFile;
 use crate::balancer::Balancer;
 use crate::config::{ControllerFile, SiteFile};
 use crate::journal::JournalError;
@@ -62,6 +65,8 @@
     /// The users' connections to each controller end with it.
     resets: Vec<Locked<CancellationToken>>,
     probes: Client,
+    /// Keeps descriptions, progress and results of jobs, if anything is kept.
+    job_file: Option<Locked<JobFile>>,
     /// Something in the state service may have changed.
     changed: Notify,
     /// A probe was answered.
@@ -114,11 +119,18 @@
     Some(addr)
 }
 
+fn folder(site: &SiteFile) -> Result<Option<&Path>, LiveError> {
+    let Some(folder) = site.data.as_deref() else { return Ok(None) };
+    std::fs::create_dir_all(folder).map_err(|e| LiveError::Folder(folder.display().to_string(), e))?;
+    Ok(Some(folder))
+}
+
 fn state_service(site: &SiteFile, now: Instant) -> Result<StateService, LiveError> {
     let limits = site.state_limits();
-    let Some(folder) = &site.data else { return Ok(StateService::new(limits, site.seed, now)) };
-    std::fs::create_dir_all(folder).map_err(|e| LiveError::Folder(folder.display().to_string(), e))?;
-    Ok(StateService::open(limits, site.seed, &folder.join("state"), now)?)
+    Ok(match folder(site)? {
+        Some(folder) => StateService::open(limits, site.seed, &folder.join("state"), now)?,
+        None => StateService::new(limits, site.seed, now),
+    })
 }
 
 impl Emulation {
@@ -142,8 +154,14 @@
         let l = listeners.clone();
         let addresses = Box::new(move |machine: &str| machine_port(&l, &host, machine));
         let fronts: Vec<String> = site.controller.values().map(|c| c.front.clone()).collect();
+        let mut stand_ins = Site::new(site.site_settings(), addresses, now);
+        let job_file = match folder(site)? {
+            Some(folder) => Some(Locked::new(JobFile::open(&folder.join("jobs"), &mut stand_ins.jobs)?)),
+            None => None,
+        };
         let live = Arc::new(Live {
-            site: Locked::new(Site::new(site.site_settings(), addresses, now)),
+            site: Locked::new(stand_ins),
+            job_file,
             state: Locked::new(state),
             balancer: Locked::new(Balancer::new(fronts.len(), site.seed)),
             schedule: Locked::new(Schedule::new(site.troubles(), site.seed, now)),
--- a/crates/emulator/src/live/relay.rs
+++ b/crates/emulator/src/live/relay.rs
@@ -86,8 +86,14 @@
     };
     let there = net::read_along(from_client, to_server, wire::BODY_LIMIT, upload);
     let back = tokio::io::copy(&mut from_server, &mut to_client);
+    // A client that has said all still gets its answer: the controller ends it.
+    let there = async {
+        if there.await.is_ok() {
+            std::future::pending::<()>().await;
+        }
+    };
     tokio::select! {
-        _ = there => {}
+        () = there => {}
         _ = back => {}
         () = live.stop.cancelled() => {}
     }
--- a/crates/emulator/src/live/services.rs
+++ b/crates/emulator/src/live/services.rs
@@ -117,6 +117,10 @@
             let mut site = live.site.lock();
             (site.poll(now), site.take_changes())
         };
+        match &live.job_file {
+            Some(file) => file.lock().keep(&mut live.site.lock().jobs),
+            None => drop(live.site.lock().jobs.take_changes()),
+        }
         for (machine, status) in changes {
             let listener = listeners.lock().remove(&machine);
             if status == MachineStatus::Running {
--- a/crates/emulator/tests/workers.rs
+++ b/crates/emulator/tests/workers.rs
@@ -198,6 +198,31 @@
     assert_eq!(t.tasks("host-000002"), ["done"], "it went on from what was saved");
 }
 
+#[test]
+fn jobs_outlive_a_restart_of_the_site() {
+    let mut t = Test::new(1);
+    let run_s = t.upload("j-1", json!({"guess_s":100.0}));
+    t.upload("j-2", json!({"weave":"ensemble","threads":1,"guess_s":2.0}));
+    t.launch(M, "j-1/0", 1);
+    t.launch(M, "j-2/0", 1);
+    t.pass(8.0 + run_s / 2.0);
+    assert_eq!(t.tasks(M), ["running", "done"]);
+    let changes = t.site.jobs.take_changes();
+    let mut after = Test::new(1);
+    after.site.jobs.restore(changes);
+    assert!(after.site.jobs.take_changes().is_empty(), "they are kept already");
+    assert_eq!(after.site.jobs.get("j-1").map(|j| j.run_s), Some(run_s));
+    after.launch(M, "j-1/0", 2);
+    after.launch(M, "j-2/0", 2);
+    after.pass(5.0 + run_s * 0.3);
+    assert_eq!(after.tasks(M), ["running", "done"]);
+    after.pass(run_s * 0.3);
+    assert_eq!(after.tasks(M), ["done", "done"], "it went on from its last checkpoint");
+    let mut again = Test::new(1);
+    again.site.jobs.restore(after.site.jobs.snapshot());
+    assert!(again.site.jobs.is_done("j-1", 0) && again.site.jobs.is_done("j-2", 0));
+}
+
 #[test]
 fn leases_tokens_and_sessions() {
     let mut t = Test::new(1);
--- a/crates/net/src/read_along.rs
+++ b/crates/net/src/read_along.rs
@@ -13,7 +13,8 @@
 
 /// Copies from one side to the other until either ends, and hands every request that
 /// passes to `read`. What passes is not changed, nor is it held back for longer than
-/// `read` takes. Bytes that are not HTTP pass all the same; no request is seen in them.
+/// `read` takes. Bytes that are not HTTP pass all the same; no request is seen in them, nor
+/// after a body larger than `body_limit`.
 pub async fn read_along<F: Future<Output = ()>>(
     mut from: impl AsyncRead + Unpin,
     mut to: impl AsyncWrite + Unpin,
@@ -21,8 +22,7 @@
     read: impl Fn(Request) -> F + Clone,
 ) -> std::io::Result<()> {
     let (mut copy, parsed) = duplex(2 * body_limit);
-    let (parsed_in, mut answers) = tokio::io::split(parsed);
-    let reader = tokio::io::join(parsed_in, tokio::io::sink());
+    let reader = tokio::io::join(parsed, tokio::io::sink());
     let service = service_fn(move |request: hyper::Request<Incoming>| {
         let read = read.clone();
         async move {
@@ -36,16 +36,18 @@
     });
     let parse = async {
         // An error means that it is not HTTP (any more).
-        let _ = http1::Builder::new().serve_connection(TokioIo::new(reader), service).await;
-        let _ = answers.shutdown().await;
-        std::future::pending::<()>().await;
+        // What came before the end is still read after it.
+        let mut builder = http1::Builder::new();
+        let _ = builder.half_close(true).serve_connection(TokioIo::new(reader), service).await;
+        Ok(())
     };
-    let pass = async {
+    let pass = async move {
         let mut buffer = vec![0; 16 * 1024];
         let mut reads = true;
         loop {
             let n = from.read(&mut buffer).await?;
             if n == 0 {
+                // The copy ends here as well, so that the parser sees the end.
                 return to.shutdown().await;
             }
             let bytes = buffer.get(..n).unwrap_or_default();
@@ -54,8 +56,5 @@
             to.write_all(bytes).await?;
         }
     };
-    tokio::select! {
-        () = parse => Ok(()),
-        done = pass => done,
-    }
+    tokio::try_join!(parse, pass).map(|_| ())
 }
