Emulator: blocks that are there twice or have the wrong labels are mistakes

Read as values, two blocks of a name become one, and a block without its name vanished: team { } was taken without a word. They are now told with line and field.

--- a/crates/emulator/src/config/hcl_file.rs
+++ b/crates/emulator/src/config/hcl_file.rs
@@ -45,6 +45,31 @@
     None
 }
 
+/// Blocks of which there may be several, told apart by one label.
+const NAMED: [&str; 5] = ["controller", "machine_type", "team", "load", "trouble"];
+
+/// A block that is there twice or has the wrong labels, and where it is. Once read as
+/// values, such blocks would have become one.
+fn misplaced(body: &Body) -> Option<(usize, String, &'static str)> {
+    let mut seen = Vec::new();
+    for block in body.blocks() {
+        let mut path = vec![block.ident.as_str()];
+        path.extend(block.labels.iter().map(|l| l.as_str()));
+        let labels = usize::from(NAMED.contains(&block.ident.as_str()));
+        let why = match block.labels.len() {
+            n if n > labels => Some("has a label too many"),
+            n if n < labels => Some("must have a name"),
+            _ if seen.contains(&path) => Some("is there twice"),
+            _ => None,
+        };
+        if let Some(why) = why {
+            return Some((block.span().map_or(0, |s| s.start), path.join("."), why));
+        }
+        seen.push(path);
+    }
+    None
+}
+
 /// The field that serde's message names, if it names one that is not in the path.
 fn named(message: &str) -> Option<String> {
     let rest = message.strip_prefix("unknown field `").or(message.strip_prefix("missing field `"))?;
@@ -68,6 +93,10 @@
             let line = locate(&body, &path).map_or(1, |at| line_of(text, at));
             SiteError::Field { file: file.to_owned(), line, field: path.join("."), why }
         };
+        if let Some((at, field, why)) = misplaced(&body) {
+            let line = line_of(text, at);
+            return Err(SiteError::Field { file: file.to_owned(), line, field, why: why.to_owned() });
+        }
         let value: serde_json::Value =
             hcl::from_str(text).map_err(|e| field(vec!["this file".to_owned()], one_line(&e.to_string())))?;
         let site: Self = serde_path_to_error::deserialize(&value).map_err(|e| {
--- a/crates/emulator/src/troubles.rs
+++ b/crates/emulator/src/troubles.rs
@@ -38,8 +38,10 @@
     Late(Duration),
 }
 
-/// What an answer usually takes.
+/// What an answer usually takes, and now and then, even when nothing is wrong.
 const QUICK_MS: std::ops::Range<u64> = 1..8;
+const SLUGGISH_MS: std::ops::Range<u64> = 100..400;
+const SLUGGISH: f64 = 0.002;
 
 fn happens(share: f64, rng: &mut StdRng) -> bool {
     share > 0.0 && rng.random_bool(share.min(1.0))
@@ -58,6 +60,7 @@
         }
         let delay = match happens(self.slow_share, rng) {
             true => self.slow.mul_f64(rng.random_range(0.1..1.0)),
+            false if rng.random_bool(SLUGGISH) => Duration::from_millis(rng.random_range(SLUGGISH_MS)),
             false => Duration::from_millis(rng.random_range(QUICK_MS)),
         };
         Step::Answer(reply, delay)
--- a/crates/emulator/tests/config.rs
+++ b/crates/emulator/tests/config.rs
@@ -28,6 +28,9 @@
         (front, "\"127.0.0.1:0\"", "controller.weaver-2.front: must have a port"),
         (front, "\"10.0.0.1:8092\"", "controller.weaver-2.front: must be an address of this machine"),
         (front, "\"127.0.0.1:8091\"", "is the same address as controller.weaver-1.front"),
+        ("team \"dyes\" {", "team {", "team: must have a name"),
+        ("team \"dyes\" {", "team \"looms\" {", "team.looms: is there twice"),
+        ("workers {", "workers \"x\" {", "workers.x: has a label too many"),
         ("quick_boots = 0.1", "quick_boots = 1.1", "cloud.quick_boots: must be a share from 0 to 1"),
     ];
     for (from, to, expected) in cases {
