--- a/crates/daemon/src/state_duty.rs
+++ b/crates/daemon/src/state_duty.rs
@@ -5,7 +5,7 @@
 
 use rmpv::Value;
 use sched::records::{FORM, MapRecord, Member, Upgraded};
-use sched::world::World;
+use sched::world::{Change, World};
 use store::{Outcome, Put, Reader, StoreError, key};
 use tokio::time::{sleep, timeout};
 use tracing::{debug, info, warn};
@@ -61,7 +61,7 @@
         // Machines and types come before jobs need them.
         let mut decoded: Vec<_> =
             page.items.into_iter().map(|i| reader.take(&i.key, Some(i.value), i.version)).collect();
-        decoded.sort_by_key(|(c, ..)| matches!(c, sched::world::Change::Job(..)));
+        decoded.sort_by_key(|(c, ..)| matches!(c, Change::Job(..)));
         for (change, bad, version) in decoded {
             if bad {
                 // One in parts is read once they are, too.
@@ -79,6 +79,7 @@
     let (jobs, machines) = (world.jobs.len(), world.machines.len());
     {
         let mut core = node.core();
+        keep_newer(&mut world, &core.world);
         core.world = world;
         core.reader = reader;
         core.ready = true;
@@ -90,6 +91,25 @@
     Ok(())
 }
 
+/// Takes over what this controller has committed or learnt since the first page was read. A
+/// cancellation that it confirmed meanwhile would else be missing from its read index, and
+/// another controller would go on renewing the leases of its tasks.
+fn keep_newer(read: &mut World, known: &World) {
+    let since = read.revision;
+    for (id, job) in known.jobs.iter().filter(|(_, j)| j.version > since) {
+        read.apply(Change::Job(id.clone(), Some(job.value.clone())), job.version);
+    }
+    for (id, m) in known.machines.iter().filter(|(_, m)| m.version > since) {
+        read.apply(Change::Machine(id.to_string(), Some(m.value.clone())), m.version);
+    }
+    for (id, team) in known.teams.iter().filter(|(_, t)| t.version > since) {
+        read.apply(Change::Team(id.clone(), Some(team.value.clone())), team.version);
+    }
+    if let Some(fleet) = known.fleet.as_ref().filter(|f| f.version > since) {
+        read.apply(Change::Fleet(Some(fleet.value.clone())), fleet.version);
+    }
+}
+
 /// One page of the records. Whatever changes while it is asked for again is told by the
 /// changes since the first page.
 async fn page(node: &Node, after: Option<&str>) -> Result<wire::Items<Value>, StoreError> {
--- a/crates/daemon/tests/unit/state_duty.rs
+++ b/crates/daemon/tests/unit/state_duty.rs
@@ -1,4 +1,5 @@
 use super::*;
+use sched::records::{Assignment, JobRecord, Phase, Want};
 use sched::world::Change;
 
 fn member(name: &str, incarnation: u64) -> Member {
@@ -44,3 +45,28 @@
     let Some(Claim::Map(map, 0, 7)) = next_claim(&world, &new) else { unreachable!("a map") };
     assert_eq!(map.live, [new]);
 }
+
+/// All records are read anew, as the changes are too far back. A cancellation that was
+/// committed and confirmed after the first page stays known, though a page from before
+/// it comes last: a peer that asks for the read index has to hear of it.
+#[test]
+fn what_was_confirmed_while_records_are_read_anew_stays_known() {
+    let record = |phase| {
+        let mut job = JobRecord::new(crate::worker::tests::spec("j-1", wire::JobKind::Array), None, 0);
+        job.run = vec![Assignment { task: 0, attempt: 1, machine: "host-1".into(), want: Want::Run }];
+        job.phase = phase;
+        Box::new(job)
+    };
+    let (mut read, mut known) = (World::default(), World::default());
+    read.revision = 10;
+    for id in ["j-1", "j-2"] {
+        read.apply(Change::Job(id.into(), Some(record(Phase::Active))), 5);
+    }
+    known.apply(Change::Job("j-1".into(), Some(record(Phase::Cancelled))), 12);
+    // What it knew from before is no newer than what was read.
+    known.apply(Change::Job("j-2".into(), Some(record(Phase::Cancelled))), 4);
+    keep_newer(&mut read, &known);
+    let seen = |id: &str| (read.jobs[id].value.phase, read.jobs[id].version);
+    assert_eq!((seen("j-1"), seen("j-2")), ((Phase::Cancelled, 12), (Phase::Active, 5)));
+    assert_eq!(read.revision, 10, "the changes in between are still to come");
+}
