Submissions and cancellations are answered while their users still wait

Change: after 4.5 s the answer is 503, and what is under way is found when the user asks again. The test was seen red without the bound.

--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -9,7 +9,7 @@
 use sched::records::*;
 use sched::world::Change;
 use store::{Outcome, Put, StoreError, key};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 use tracing::{debug, info};
 use wire::{Condition, JobKind, JobSpec, JobState, JobStatus, Redirect, Report, ReportAnswer};
 
@@ -27,20 +27,30 @@
     match path {
         "/hello" if post => report(&node, &request.body, false).await,
         "/healthz" if get => healthz(&node),
-        "/v1/jobs" if post => submit(&node, &request.body).await,
+        "/v1/jobs" if post => in_time(submit(&node, &request.body)).await,
         "/hello" | "/healthz" | "/v1/jobs" => wrong(),
         _ => match path
             .strip_prefix("/v1/jobs/")
             .map(|rest| rest.split_once('/').map_or((rest, None), |(a, b)| (a, Some(b))))
         {
             Some((id, None)) if get => status(&node, id).await,
-            Some((id, Some("withdraw"))) if post => cancel(&node, id).await,
+            Some((id, Some("withdraw"))) if post => in_time(cancel(&node, id)).await,
             Some((_, None | Some("withdraw"))) => wrong(),
             _ => Reply::error(404, "unknown path"),
         },
     }
 }
 
+/// How long a submission or a cancellation may take: users wait for 5 s.
+const IN_TIME: Duration = Duration::from_millis(4500);
+
+/// The answer, or that there is none yet. With checks, transactions and conflicts that
+/// each take seconds, users were left without one. What is under way may still be carried
+/// out, as after any 503, and is found when they ask again.
+async fn in_time(answer: impl Future<Output = Reply>) -> Reply {
+    timeout(IN_TIME, answer).await.unwrap_or_else(|_| Reply::busy("the state service takes too long", 1))
+}
+
 /// The kinds of connections that share the front's sockets: their names, and of
 /// which kind a request is.
 pub const SHARES: [&str; 2] = ["workers", "users"];
--- a/crates/daemon/tests/unit/meetings_front.rs
+++ b/crates/daemon/tests/unit/meetings_front.rs
@@ -319,6 +319,26 @@
     assert_eq!(state(&node, "j-1").await, (200, Some(JobState::Queued)), "slow, but in time");
 }
 
+/// A cancellation meets newer records while each answer takes seconds: its user has an
+/// answer while he still waits, and what was under way holds.
+#[tokio::test]
+async fn users_are_answered_while_they_wait() {
+    let service = Service::with_types();
+    let (node, door) = service.follower(0, 1).await;
+    assert_eq!(submit(&node, &spec("j-1", JobKind::Array)).await.0, 201);
+    door.deaf.store(true, Ordering::Relaxed);
+    let mut newer = service.store().job("j-1").expect("accepted");
+    newer.errors = 1;
+    service.store().put(Put::new(key::job("j-1"), &newer));
+    door.set(Trouble::Slow(Duration::from_millis(2400)));
+    let asked = Instant::now();
+    assert_eq!(cancel_once(&node, "j-1").await.0, 503);
+    assert!(asked.elapsed() < Duration::from_millis(4900), "{:?}", asked.elapsed());
+    door.set(Trouble::None);
+    assert_eq!(cancel(&node, "j-1").await, (200, Some(JobState::Cancelled)));
+    assert_eq!(state(&node, "j-1").await, (200, Some(JobState::Cancelled)));
+}
+
 /// The leader ends while the state service takes longer for each answer than a lease is
 /// waited for: another leads all the same.
 #[tokio::test]
