--- a/crates/daemon/tests/unit/meetings/controllers.rs
+++ b/crates/daemon/tests/unit/meetings/controllers.rs
@@ -7,6 +7,7 @@
 
 use super::machines::{CANCEL_MS, GANG_PEER_MS, GANG_WAIT_MS, LEASE_MS, REPORT_MS};
 use super::network::{CLOUD, STATE, link, peer_address};
+use super::state::{RPS, WRITE_RPS};
 use super::{CONTROLLERS, LIMIT, LIMIT_U, Sabotage, Site};
 use crate::node::Node;
 use crate::settings::{Operators, Settings};
@@ -42,7 +43,7 @@
         "node_name = \"n-{n}\"\nzone = \"{}\"\nfront = \"127.0.0.1:1\"\ninternal_addr = \"{}\"\n{peers}
         [external]\ncloud = \"{CLOUD}\"\nstate = \"{STATE}\"\n[facts]\n{}{}
         [facts.workers]\nreport_s = {:.1}\nlease_s = {:.1}\ngang_wait_s = {:.1}\ngang_peer_s = {:.1}\ncancel_s = {:.1}
-        [facts.state]\nrps = 300.0\nwrite_rps = 80.0\nvalue_kb = 8.0\ntxn_ops = 16
+        [facts.state]\nrps = {RPS:.1}\nwrite_rps = {WRITE_RPS:.1}\nvalue_kb = 8.0\ntxn_ops = 16
         [facts.cloud]\nrps = 5.0\nlist_lag_s = {:.1}
         [facts.limits]\ncores = 1.0\nmemory_mb = 100.0\nmax_connections = 1800\n",
         zone(n),
--- a/crates/daemon/tests/unit/meetings/mod.rs
+++ b/crates/daemon/tests/unit/meetings/mod.rs
@@ -31,7 +31,7 @@
 
 use controllers::Controller;
 use machines::{LEASE_MS, Machine};
-use network::{Cut, HeldCommands, Party};
+use network::{Cut, Held, Party};
 use troubles::Event;
 use users::Job;
 
@@ -127,7 +127,8 @@
     done: BTreeSet<String>,
     ended: Vec<String>,
     cuts: Vec<(Cut, u64)>,
-    held_commands: HeldCommands,
+    held_commands: Held,
+    held_peers: Held,
     copies: Copies,
     kept_copies: Vec<Report>,
     copies_due: Vec<(u64, usize, Report)>,
@@ -221,7 +222,8 @@
             done: BTreeSet::new(),
             ended: Vec::new(),
             cuts: Vec::new(),
-            held_commands: HeldCommands::default(),
+            held_commands: Held::default(),
+            held_peers: Held::default(),
             copies: Copies::default(),
             kept_copies: Vec::new(),
             copies_due: Vec::new(),
--- a/crates/daemon/tests/unit/meetings/network.rs
+++ b/crates/daemon/tests/unit/meetings/network.rs
@@ -155,10 +155,13 @@
         if (*from == Party::State || *to == Party::State) && now < self.state.slow_until {
             delay += self.rng.random_range(100..900);
         }
-        let held = self.held_commands;
-        let command = path == "/commands" && now < held.until;
-        if command && self.rng.random_bool(held.share) {
-            delay += self.rng.random_range(1000..7000);
+        let held = match path {
+            "/commands" => self.held_commands,
+            "/peer" | read_index::PATH => self.held_peers,
+            _ => Held::default(),
+        };
+        if now < held.until && self.rng.random_bool(held.share) {
+            delay += self.rng.random_range(200..7000);
         }
         delay
     }
@@ -205,9 +208,9 @@
     }
 }
 
-/// A share of the commands to workers, or of their answers, is held up for seconds.
+/// A share of the messages of one kind is held up for seconds.
 #[derive(Debug, Clone, Copy, Default)]
-pub(super) struct HeldCommands {
+pub(super) struct Held {
     pub(super) share: f64,
     pub(super) until: u64,
 }
--- a/crates/daemon/tests/unit/meetings/state.rs
+++ b/crates/daemon/tests/unit/meetings/state.rs
@@ -14,6 +14,10 @@
 
 use super::{All, Sabotage, Site};
 
+/// Requests and changes that it takes a second.
+pub(super) const RPS: f64 = 150.0;
+pub(super) const WRITE_RPS: f64 = 50.0;
+
 struct Entry {
     value: Value,
     version: u64,
@@ -33,6 +37,9 @@
     pub(super) refused_until: HashMap<usize, u64>,
     pub(super) slow_until: u64,
     pub(super) late: LateWrites,
+    /// What is left of a second's worth of requests and of changes, and since when.
+    left: (f64, f64),
+    filled: u64,
 }
 
 /// A share of the transactions has no answer, and is carried out late or at once.
@@ -56,6 +63,8 @@
             refused_until: HashMap::new(),
             slow_until: 0,
             late: LateWrites::default(),
+            left: (RPS, WRITE_RPS),
+            filled: 0,
         }
     }
 }
@@ -73,6 +82,19 @@
         now < self.outage_until || self.refused_until.get(&n).is_some_and(|t| now < *t)
     }
 
+    /// Counts a request and its changes; false if that is above the limits.
+    fn admits(&mut self, changes: usize, now: u64) -> bool {
+        let s = (now - self.filled) as f64 / 1000.0;
+        self.filled = now;
+        self.left = ((self.left.0 + s * RPS).min(RPS), (self.left.1 + s * WRITE_RPS).min(WRITE_RPS));
+        let changes = changes as f64;
+        if self.left.0 < 1.0 || self.left.1 < changes {
+            return false;
+        }
+        self.left = (self.left.0 - 1.0, self.left.1 - changes);
+        true
+    }
+
     /// Leases that have run out end; after an outage each has its full time again.
     pub(super) fn tick(&mut self, now: u64) {
         if now < self.outage_until {
@@ -211,6 +233,11 @@
             return error(503, "outage");
         }
         let path = request.path.as_str();
+        let txn = (path == "/txn").then(|| wire::decode::<Txn<Value>>(&request.body));
+        let changes = txn.as_ref().and_then(|t| t.as_ref().ok()).map_or(0, |t| t.ops.len());
+        if !self.lock().state.admits(changes, self.ms()) {
+            return error(429, "too many");
+        }
         let number = |text: Option<&str>| text.and_then(|t| t.parse::<u64>().ok()).unwrap_or_default();
         if path.starts_with("/follow") {
             let (after, hold) = (number(query(path, "after")), number(query(path, "hold_ms")));
@@ -225,8 +252,8 @@
         if path.starts_with("/keys?") {
             return self.lock().state.list(query(path, "after").unwrap_or_default());
         }
-        if path == "/txn" {
-            let Ok(txn) = wire::decode::<Txn<Value>>(&request.body) else { return error(400, "malformed") };
+        if let Some(txn) = txn {
+            let Ok(txn) = txn else { return error(400, "malformed") };
             let fate = self.lock().fate();
             return match fate {
                 Fate::Plain => self.lock().carry_out(&txn),
--- a/crates/daemon/tests/unit/meetings/troubles.rs
+++ b/crates/daemon/tests/unit/meetings/troubles.rs
@@ -8,7 +8,7 @@
 use tokio::time::sleep;
 
 use super::machines::{CANCEL_MS, LEASE_MS};
-use super::network::{Cut, HeldCommands};
+use super::network::{Cut, Held};
 use super::state::LateWrites;
 use super::{CONTROLLERS, Site};
 
@@ -106,6 +106,11 @@
         share: f64,
         for_ms: u64,
     },
+    /// What controllers say to each other is held up, or lost.
+    SlowPeers {
+        share: f64,
+        for_ms: u64,
+    },
     ZoneCut {
         b: bool,
         for_ms: u64,
@@ -136,7 +141,7 @@
             Trouble::LateWrites { for_ms, at_once, .. } => for_ms + if at_once { 0 } else { 12_000 },
             Trouble::LateReports { for_ms, .. } => for_ms + 3 * LEASE_MS,
             Trouble::Refused { for_ms, then_all_ms, .. } => for_ms + then_all_ms,
-            Trouble::Held { for_ms, .. } => for_ms + 7000,
+            Trouble::Held { for_ms, .. } | Trouble::SlowPeers { for_ms, .. } => for_ms + 7000,
             Trouble::Leaders { count, every_ms } => count * every_ms + 2000,
             Trouble::Restart { away_ms, .. } => away_ms,
             Trouble::CancelNow { hang_ms, .. } => hang_ms,
@@ -170,7 +175,7 @@
             _ => rng.random_range(CANCEL_MS..CANCEL_MS + 12_000),
         };
         let half = |rng: &mut StdRng| rng.random_bool(0.5);
-        match rng.random_range(0..26) {
+        match rng.random_range(0..27) {
             0 => Trouble::LateWrites { share, for_ms, at_once: false },
             1 => Trouble::LateWrites { share, for_ms, at_once: true },
             2 => Trouble::LateReports { share, for_ms, for_next: false },
@@ -203,6 +208,7 @@
                 let from_peers = half(rng);
                 Trouble::NodeCut { who, from_state: !from_peers || half(rng), from_peers, for_ms }
             }
+            25 => Trouble::SlowPeers { share, for_ms },
             _ => Trouble::Burst { count: rng.random_range(12..40) },
         }
     }
@@ -245,7 +251,11 @@
         11 => vec![Trouble::AllAway { for_ms: lease }, unreached],
         12 => vec![ends, unreached],
         13 => vec![alone(true), cancel, looks],
-        14 => vec![Trouble::Refused { who: leader, for_ms: 1500, then_all_ms: long }, cancel, looks],
+        14 => vec![
+            Trouble::Refused { who: leader, for_ms: 1500, then_all_ms: long },
+            cancel,
+            Trouble::SlowPeers { share, for_ms: long },
+        ],
         15 => vec![Trouble::SlowState { for_ms: long }, cancel, looks],
         16 => vec![
             Trouble::LateWrites { share, for_ms: 15_000, at_once: true },
@@ -413,7 +423,10 @@
                 }
             }
             Trouble::Held { share, for_ms } => {
-                self.lock().held_commands = HeldCommands { share, until: now + for_ms };
+                self.lock().held_commands = Held { share, until: now + for_ms };
+            }
+            Trouble::SlowPeers { share, for_ms } => {
+                self.lock().held_peers = Held { share, until: now + for_ms };
             }
             Trouble::ZoneCut { b, for_ms } => self.cut(Cut::Zone(if b { "b" } else { "a" }), for_ms),
             Trouble::NodeCut { who, from_state, from_peers, for_ms } => {
