Idle connections hold their socket only

hyper keeps 16 KiB of buffers for every connection it serves, idle or not: with the 896 that a controller with 1,800 sockets keeps open, a quarter of 66 MB. It now has the socket only while something is asked. The board of machines has a file of its own.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -2,6 +2,7 @@
 //! on everything, one request at a time on a connection.
 
 mod client;
+mod connection;
 mod server;
 
 pub use client::{Answer, Client, NetError};
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -7,15 +7,14 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
 use serde::Serialize;
 use tokio::net::TcpListener;
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::connection;
+
 /// A request with its whole body.
 #[derive(Debug)]
 pub struct Request {
@@ -58,8 +57,6 @@
     }
 }
 
-/// Also ends connections that are idle for so long.
-const HEADER_TIMEOUT: Duration = Duration::from_secs(30);
 const BODY_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// What some of a server's connections are for, and how many of them may stay
@@ -184,18 +181,8 @@
         let (handler, stop) = (handler.clone(), stop.clone());
         tasks.spawn(async move {
             let of = counted.clone();
-            let service = service_fn(move |request| answer(request, body_limit, handler.clone(), of.clone()));
-            let mut builder = http1::Builder::new();
-            builder.timer(TokioTimer::new()).header_read_timeout(HEADER_TIMEOUT).max_buf_size(96 * 1024);
-            let connection = builder.serve_connection(TokioIo::new(stream), service);
-            tokio::pin!(connection);
-            tokio::select! {
-                _ = &mut connection => {}
-                _ = stop.cancelled() => {
-                    connection.as_mut().graceful_shutdown();
-                    let _ = timeout(Duration::from_secs(1), connection).await;
-                }
-            }
+            let answer = move |request| answer(request, body_limit, handler.clone(), of.clone());
+            connection::serve(stream, answer, stop).await;
             drop(counted);
         });
     }
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -1,6 +1,7 @@
 //! The decisions of sageloom, without any input or output: callers pass in what
 //! is known and what time it is.
 
+mod board;
 pub mod drain;
 pub mod fleet;
 pub mod forecast;
--- a/crates/sched/tests/unit/alike.rs
+++ b/crates/sched/tests/unit/alike.rs
@@ -3,7 +3,7 @@
 
 use super::tests::{add, spec, team};
 use super::*;
-use crate::records::{MachineRecord, MapRecord, TypesRecord};
+use crate::records::{MachineRecord, MapRecord, Member, TypesRecord};
 use crate::world::Change;
 use wire::MachineType;
 
