--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -6,7 +6,6 @@
 
 use peer::Proof;
 use sched::drain;
-use sched::placement::Board;
 use sched::preempt;
 use sched::records::*;
 use sched::rescheduler;
@@ -407,7 +406,7 @@
 fn reschedule(node: &Node, core: &Core, round: &mut Round, ops: usize, now: Instant, now_ms: u64) {
     let policy = &node.operators.rescheduler;
     let report = node.report_every();
-    let board = Board::new(&core.world, |m| core.usable(m, &node.me, report, now));
+    let board = core.board(&node.me, report, now);
     for e in rescheduler::scan(&core.world, &board, policy, now_ms) {
         if round.jobs.contains_key(&e.job) || round.puts() >= ops {
             continue;
@@ -500,7 +499,9 @@
 pub(crate) fn assemble(world: &World, round: &Round, plan: &Plan, most_jobs: usize) -> Assembled {
     let mut wide = None;
     let mut puts = Vec::new();
-    let mut teams: BTreeMap<&String, TeamRecord> = BTreeMap::new();
+    // By the ids in their keys: a name with a space was never found here once another
+    // controller had written its record, and nothing of the team was placed any more.
+    let mut teams: BTreeMap<String, TeamRecord> = BTreeMap::new();
     let mut conditions = Vec::new();
     let mut left_out = BTreeSet::new();
     let (mut bytes, mut jobs) = (0, 0);
@@ -508,8 +509,8 @@
     // What is placed comes before what only ends, for jobs as urgent.
     order.sort_by_key(|(id, j)| std::cmp::Reverse((j.priority(), round.placing.contains(*id))));
     for (id, record) in order {
-        let team = record.spec.as_ref().map(|s| &s.team).filter(|_| round.placing.contains(id));
-        let new_team = team.filter(|t| !teams.contains_key(*t));
+        let team = record.spec.as_ref().filter(|_| round.placing.contains(id)).map(|s| key::team_id(&s.team));
+        let new_team = team.filter(|t| !teams.contains_key(t));
         let Some(old) = world.jobs.get(id) else { continue };
         let put = Put::new(key::job(id), record);
         let large = put.value_len() as f64 > plan.value_bytes;
@@ -531,10 +532,10 @@
         conditions.push(Condition { key: key::job(id), version: old.version });
         puts.push(put);
         if let Some(team) = new_team {
-            let (n, version) = world.teams.get(team).map_or((0, 0), |t| (t.value.placements, t.version));
-            let record = TeamRecord { placements: n + 1 };
-            conditions.push(Condition { key: key::team(team), version });
-            puts.push(Put::new(key::team(team), &record));
+            let (n, version) = world.teams.get(&team).map_or((0, 0), |t| (t.value.placements, t.version));
+            let record = TeamRecord { placements: n.wrapping_add(1) };
+            conditions.push(Condition { key: key::team(&team), version });
+            puts.push(Put::new(key::team(&team), &record));
             teams.insert(team, record);
         }
     }
@@ -542,7 +543,7 @@
         let version = world.map.as_ref().map_or(0, |m| m.version);
         conditions.push(Condition { key: key::MAP.into(), version });
     }
-    let teams = teams.into_iter().map(|(t, r)| (t.clone(), r)).collect();
+    let teams = teams.into_iter().collect();
     Assembled { conditions, puts, left_out, teams, wide }
 }
 
@@ -635,8 +636,10 @@
     });
 }
 
-/// Takes in what became of commands: the report that answers them, if any.
+/// Takes in what became of commands: the report that answers them, if any. An address may
+/// have become another machine's, whose word says nothing of the one that was meant.
 pub(crate) fn answered(core: &mut Core, machine: &str, token: u64, report: Option<Report>, now: Instant) {
+    let report = report.filter(|r| r.machine == machine);
     let Some(w) = core.workers.get_mut(machine) else { return };
     w.finish(token, report.is_some(), now);
     if let Some(report) = report {
--- a/crates/daemon/src/fleet_duty/returns.rs
+++ b/crates/daemon/src/fleet_duty/returns.rs
@@ -6,7 +6,7 @@
 use cloud::RELEASE_MAX;
 use sched::fleet::Offer;
 use sched::forecast;
-use sched::placement::{self, Board};
+use sched::placement;
 use sched::records::*;
 use sched::world::Amount;
 use store::{Put, key};
@@ -78,7 +78,7 @@
         let report = node.report_every();
         let for_services: HashSet<Name> = match forecast::services(&core.world, wall_ms()) {
             Some((spec, tasks)) => {
-                let board = Board::new(&core.world, |m| core.usable(m, &node.me, report, now));
+                let board = core.board(&node.me, report, now);
                 placement::room_for(&core.world, &board, &spec, tasks, wall_ms()).into_iter().collect()
             }
             None => HashSet::new(),
@@ -138,7 +138,7 @@
                 let others = idle_of_kind.entry(kind).or_default();
                 *others += 1;
                 let boot = if *others > IDLE_KEPT { 0.0 } else { boot };
-                let keep = node.operators.idle.max(Duration::from_secs_f64(boot.clamp(0.0, 600.0)));
+                let keep = node.operators.idle.max(wire::seconds(boot.min(600.0)));
                 let room = spare_room(record, Amount::default());
                 let spared = room > 0 && spare_left < room + self.spare_tasks(node, now);
                 if now.saturating_duration_since(since) >= keep && !spared {
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -5,11 +5,11 @@
 
 use net::{Reply, Request};
 use sched::fleet;
-use sched::placement::{Board, Slot, fits_whole, gpu_loss};
+use sched::placement::{Slot, fits_whole, gpu_loss};
 use sched::records::*;
 use sched::world::Change;
 use store::{Outcome, Put, StoreError, key};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 use tracing::{debug, info};
 use wire::{Condition, JobKind, JobSpec, JobState, JobStatus, Redirect, Report, ReportAnswer};
 
@@ -28,20 +28,30 @@
     match path {
         "/hello" if post => report(&node, &request.body, false).await,
         "/healthz" if get => healthz(&node),
-        "/v1/jobs" if post => submit(&node, &request.body).await,
+        "/v1/jobs" if post => in_time(submit(&node, &request.body)).await,
         "/hello" | "/healthz" | "/v1/jobs" => wrong(),
         _ => match path
             .strip_prefix("/v1/jobs/")
             .map(|rest| rest.split_once('/').map_or((rest, None), |(a, b)| (a, Some(b))))
         {
             Some((id, None)) if get => status(&node, id).await,
-            Some((id, Some("withdraw"))) if post => cancel(&node, id).await,
+            Some((id, Some("withdraw"))) if post => in_time(cancel(&node, id)).await,
             Some((_, None | Some("withdraw"))) => wrong(),
             _ => Reply::error(404, "unknown path"),
         },
     }
 }
 
+/// How long a submission or a cancellation may take: users wait for 5 s.
+const IN_TIME: Duration = Duration::from_millis(4500);
+
+/// The answer, or that there is none yet. With checks, transactions and conflicts that
+/// each take seconds, users were left without one. What is under way may still be carried
+/// out, as after any 503, and is found when they ask again.
+async fn in_time(answer: impl Future<Output = Reply>) -> Reply {
+    timeout(IN_TIME, answer).await.unwrap_or_else(|_| Reply::busy("the state service takes too long", 1))
+}
+
 /// The kinds of connections that share the front's sockets: their names, and of
 /// which kind a request is.
 pub const SHARES: [&str; 2] = ["workers", "users"];
@@ -120,7 +130,7 @@
         Some(view) => view,
         None => {
             let report = node.report_every();
-            let board = Board::new(&core.world, |m| core.usable(m, &node.me, report, now));
+            let board = core.board(&node.me, report, now);
             let mut parts: BTreeMap<u64, Vec<Slot>> = BTreeMap::new();
             for s in board.slots {
                 parts.entry(s.owner).or_default().push(s);
@@ -386,6 +396,9 @@
         Ok(r) => r,
         Err(e) => return Reply::error(400, &e.to_string()),
     };
+    if !report.is_named() {
+        return Reply::error(400, "frame: not a machine's name");
+    }
     Counts::add(&node.counts.reports, 1);
     match take_report(node, &report, relayed, clock::now()) {
         Disposal::Answer(reply) => {
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -8,7 +8,7 @@
 use cloud::CloudClient;
 use net::{Client, Connections};
 use peer::{MachineRow, Summary};
-use sched::placement::{self, Slot};
+use sched::placement::{self, Board, Slot};
 use sched::records::{End, MachineRecord, MapRecord, Member, Name};
 use sched::world::{Team, World};
 use store::{Budget, Reader, StateClient};
@@ -45,7 +45,9 @@
     pub me: Member,
     pub state: StateClient,
     pub cloud: CloudClient,
-    /// To the state service, the cloud and the peers.
+    /// To the state service: whatever else hangs, it has its turns.
+    pub state_http: Client,
+    /// To the cloud and the peers.
     pub http: Client,
     /// To workers: however many they are, the others are always reached.
     pub workers_http: Client,
@@ -138,7 +140,7 @@
     pub workers: BTreeMap<Name, Worker>,
     pub peers: HashMap<String, PeerView>,
     /// What peers last said of their machines.
-    pub rows: HashMap<Name, MachineRow>,
+    pub rows: BTreeMap<Name, MachineRow>,
     /// When the last request was sent after which the mirror was known fresh.
     pub fresh_at: Option<Instant>,
     /// What peers have confirmed to users, while the state service cannot be asked.
@@ -182,17 +184,18 @@
 impl Node {
     pub fn new(settings: Settings, operators: Operators, incarnation: u64) -> Self {
         let sockets = settings.sockets();
-        let clients = (Client::new(sockets.others), Client::new(sockets.to_workers));
+        let clients =
+            (Client::new(sockets.state), Client::new(sockets.others), Client::new(sockets.to_workers));
         Self::with_clients(settings, operators, incarnation, clients)
     }
 
-    /// With clients of its own choice: one to the state service, the cloud and the
+    /// With clients of its own choice: one to the state service, one to the cloud and the
     /// peers, one to workers.
     pub fn with_clients(
         settings: Settings,
         operators: Operators,
         incarnation: u64,
-        (http, workers_http): (Client, Client),
+        (state_http, http, workers_http): (Client, Client, Client),
     ) -> Self {
         let sockets = settings.sockets();
         let now = clock::now();
@@ -203,7 +206,7 @@
             ready: false,
             workers: BTreeMap::new(),
             peers: HashMap::new(),
-            rows: HashMap::new(),
+            rows: BTreeMap::new(),
             fresh_at: None,
             read_indexes: ReadIndexes::default(),
             beat: now,
@@ -229,7 +232,8 @@
         Self(Arc::new(Inner {
             teams: settings.teams(),
             me: Member { name: settings.node_name.clone(), zone: settings.zone.clone(), incarnation },
-            state: StateClient::new(http.clone(), settings.external.state.clone()),
+            state: StateClient::new(state_http.clone(), settings.external.state.clone()),
+            state_http,
             cloud: CloudClient::new(http.clone(), settings.external.cloud.clone()),
             http,
             workers_http,
@@ -319,7 +323,7 @@
     /// rest is for transactions.
     pub fn watch_pause(&self) -> Duration {
         let size = self.settings.peers.len() + 1;
-        Duration::from_secs_f64((size as f64 * 3.0 / self.plan().rps).clamp(0.02, 0.5))
+        wire::seconds((size as f64 * 3.0 / self.plan().rps).clamp(0.02, 0.5))
     }
 
     /// Shares the changes that the state service takes among the controllers
@@ -358,11 +362,11 @@
     /// Silence after which a machine counts as lost and is given back.
     pub fn silent_limit(&self) -> Duration {
         let w = &self.settings.facts.workers;
-        self.operators.silent.unwrap_or(Duration::from_secs_f64((4.0 * w.report_s).max(8.0)))
+        self.operators.silent.unwrap_or(wire::seconds((4.0 * w.report_s).max(8.0)))
     }
 
     pub fn report_every(&self) -> Duration {
-        Duration::from_secs_f64(self.settings.facts.workers.report_s)
+        wire::seconds(self.settings.facts.workers.report_s)
     }
 
     /// What a job's record has for its assignments and for what is done.
@@ -386,10 +390,10 @@
     pub fn worker_limits(&self, fresh_at: Option<Instant>) -> Limits {
         let w = &self.settings.facts.workers;
         Limits {
-            gang_peer: Duration::from_secs_f64(w.gang_peer_s),
+            gang_peer: wire::seconds(w.gang_peer_s),
             // The clocks of both sides drift apart by 0.05% each way at most;
             // the rest is for timers that fire late.
-            lease: Duration::from_secs_f64(w.lease_s * 1.002 + 1.0),
+            lease: wire::seconds(w.lease_s * 1.002 + 1.0),
             fresh_at,
         }
     }
@@ -539,8 +543,10 @@
             return false;
         }
         let within = |t: Instant| now.saturating_duration_since(t) < bound;
-        self.fresh_at.is_some_and(within)
-            || peers.into_iter().all(|p| self.read_indexes.vouched_at(p).is_some_and(within))
+        // Also one that is live and missing in the settings could confirm.
+        let live = map.live.iter().map(|m| m.name.as_str()).filter(|n| *n != me.name);
+        let vouched = |p: &str| self.read_indexes.vouched_at(p).is_some_and(within);
+        self.fresh_at.is_some_and(within) || peers.into_iter().all(vouched) && live.into_iter().all(vouched)
     }
 
     /// The owner of each machine that a peer has spoken of.
@@ -580,23 +586,45 @@
             })
     }
 
+    /// The machines that placement may use, by their owners' word.
+    pub fn board(&self, me: &Member, report: Duration, now: Instant) -> Board {
+        // All three lists are in the order of the machines' names: finding each machine
+        // in them anew cost more than all else that a round does.
+        let mut workers = self.workers.iter().peekable();
+        let mut rows = self.rows.iter().peekable();
+        Board::of_owned(&self.world, |machine, owner| {
+            if owner == me {
+                while workers.next_if(|(id, _)| *id < machine).is_some() {}
+                workers.next_if(|(id, _)| *id == machine).is_some_and(|(_, w)| takes_work(w, report, now))
+            } else {
+                while rows.next_if(|(id, _)| *id < machine).is_some() {}
+                rows.next_if(|(id, _)| *id == machine).is_none_or(|(_, r)| r.usable)
+            }
+        })
+    }
+
     /// Whether placement may use a machine, by its owner's word.
     pub fn usable(&self, machine: &str, me: &Member, report: Duration, now: Instant) -> bool {
         match self.world.owner_of(machine) {
-            Some(owner) if owner == me => self.workers.get(machine).is_some_and(|w| {
-                w.heard.is_some()
-                    && w.hears()
-                    && w.silent_for(now) < report * 5 / 2
-                    && !w.is_mute(report * 5 / 2, now)
-                    && w.notice_until.is_none()
-                    && !w.sick()
-            }),
+            Some(owner) if owner == me => {
+                self.workers.get(machine).is_some_and(|w| takes_work(w, report, now))
+            }
             Some(_) => self.rows.get(machine).is_none_or(|r| r.usable),
             None => false,
         }
     }
 }
 
+/// Whether an owner's worker may be given something.
+fn takes_work(w: &Worker, report: Duration, now: Instant) -> bool {
+    w.heard.is_some()
+        && w.hears()
+        && w.silent_for(now) < report * 5 / 2
+        && !w.is_mute(report * 5 / 2, now)
+        && w.notice_until.is_none()
+        && !w.sick()
+}
+
 #[cfg(test)]
 #[path = "../tests/unit/node.rs"]
 mod tests;
--- a/crates/daemon/src/state_duty.rs
+++ b/crates/daemon/src/state_duty.rs
@@ -5,7 +5,7 @@
 
 use rmpv::Value;
 use sched::records::{FORM, MapRecord, Member, Upgraded};
-use sched::world::World;
+use sched::world::{Change, World};
 use store::{Outcome, Put, Reader, StoreError, key};
 use tokio::time::{sleep, timeout};
 use tracing::{debug, info, warn};
@@ -17,6 +17,12 @@
 
 const WATCH: Duration = Duration::from_secs(8);
 const RETRY: Duration = Duration::from_millis(250);
+/// How often in a row a page of the records is asked for again. Begun anew with every
+/// refusal, thousands of records were never read while a state service refused every
+/// second request.
+const PAGE_TRIES: u32 = 12;
+/// How long those who wait for a check are kept waiting, at most.
+const CHECK: Duration = Duration::from_millis(1500);
 
 /// Keeps the mirror: reads all records once, then follows the changes.
 pub async fn mirror(node: Node) {
@@ -45,7 +51,7 @@
     let (mut world, mut reader) = (World::default(), Reader::default());
     let mut after: Option<String> = None;
     loop {
-        let page = node.state.list(after.as_deref()).await?;
+        let page = page(node, after.as_deref()).await?;
         if after.is_none() {
             // Changes since the first page are followed from here, even if a
             // later page shows them already.
@@ -55,7 +61,7 @@
         // Machines and types come before jobs need them.
         let mut decoded: Vec<_> =
             page.items.into_iter().map(|i| reader.take(&i.key, Some(i.value), i.version)).collect();
-        decoded.sort_by_key(|(c, ..)| matches!(c, sched::world::Change::Job(..)));
+        decoded.sort_by_key(|(c, ..)| matches!(c, Change::Job(..)));
         for (change, bad, version) in decoded {
             if bad {
                 // One in parts is read once they are, too.
@@ -73,6 +79,7 @@
     let (jobs, machines) = (world.jobs.len(), world.machines.len());
     {
         let mut core = node.core();
+        keep_newer(&mut world, &core.world);
         core.world = world;
         core.reader = reader;
         core.ready = true;
@@ -84,6 +91,41 @@
     Ok(())
 }
 
+/// Takes over what this controller has committed or learnt since the first page was read. A
+/// cancellation that it confirmed meanwhile would else be missing from its read index, and
+/// another controller would go on renewing the leases of its tasks.
+fn keep_newer(read: &mut World, known: &World) {
+    let since = read.revision;
+    for (id, job) in known.jobs.iter().filter(|(_, j)| j.version > since) {
+        read.apply(Change::Job(id.clone(), Some(job.value.clone())), job.version);
+    }
+    for (id, m) in known.machines.iter().filter(|(_, m)| m.version > since) {
+        read.apply(Change::Machine(id.to_string(), Some(m.value.clone())), m.version);
+    }
+    for (id, team) in known.teams.iter().filter(|(_, t)| t.version > since) {
+        read.apply(Change::Team(id.clone(), Some(team.value.clone())), team.version);
+    }
+    if let Some(fleet) = known.fleet.as_ref().filter(|f| f.version > since) {
+        read.apply(Change::Fleet(Some(fleet.value.clone())), fleet.version);
+    }
+}
+
+/// One page of the records. Whatever changes while it is asked for again is told by the
+/// changes since the first page.
+async fn page(node: &Node, after: Option<&str>) -> Result<wire::Items<Value>, StoreError> {
+    let mut tries = 0;
+    loop {
+        match node.state.list(after).await {
+            Err(e) if after.is_some() && tries < PAGE_TRIES => {
+                debug!(error = %e, "a page of the records could not be read");
+                tries += 1;
+                sleep(RETRY).await;
+            }
+            result => return result,
+        }
+    }
+}
+
 /// Waits for changes and takes them in.
 async fn follow(node: &Node) -> Result<(), StoreError> {
     let after = node.core().world.revision;
@@ -97,7 +139,9 @@
 
 /// Applies changes to the mirror. Answers may overlap and cross each other: what
 /// is known already is passed over.
-pub(crate) fn take_in(node: &Node, changes: Changes<Value>) {
+pub(crate) fn take_in(node: &Node, mut changes: Changes<Value>) {
+    // The latest of a key's changes has to come last, in whatever order they are told.
+    changes.events.sort_by_key(|e| e.version);
     let mut core = node.core();
     let known = core.world.revision;
     if changes.revision <= known {
@@ -171,9 +215,20 @@
             continue;
         }
         let sent = clock::now();
-        let result = timeout(Duration::from_millis(1500), node.state.watch(after, Duration::ZERO)).await;
+        let answer = node.state.watch(after, Duration::ZERO);
+        tokio::pin!(answer);
+        let result = match timeout(CHECK, &mut answer).await {
+            Ok(result) => result,
+            Err(_) => {
+                // Whoever waits is better off told, but the answer still shows that this
+                // controller is entitled. Were it asked anew instead, a state service
+                // that takes two seconds would cost the leases of all workers.
+                node.verified.send_modify(|v| v.refused = asked);
+                answer.await
+            }
+        };
         match result {
-            Ok(Ok(changes)) => {
+            Ok(changes) => {
                 if failing {
                     info!("the state service answers again");
                 }
@@ -183,7 +238,7 @@
                 node.verified.send_modify(|v| v.granted = asked);
                 sleep(node.watch_pause()).await;
             }
-            Ok(Err(e)) => {
+            Err(e) => {
                 if !failing {
                     warn!(error = %e, "the state service does not answer");
                 }
@@ -192,10 +247,6 @@
                 node.verified.send_modify(|v| v.refused = asked);
                 sleep(RETRY).await;
             }
-            Err(_) => {
-                failing = true;
-                node.verified.send_modify(|v| v.refused = asked);
-            }
         }
     }
 }
@@ -235,7 +286,10 @@
         if let Err(StoreError::NoLease) = kept {
             info!("this controller's lease has run out");
             node.core().lease = None;
-        } else if kept.is_ok() {
+        } else if matches!(kept, Ok(()) | Err(StoreError::Net(_))) {
+            // An answer that is late says nothing of the lease, and a claim by one that is
+            // over is refused. Were claims held back meanwhile, nobody would lead for as
+            // long as the state service takes more than a second.
             let lease = node.core().lease;
             if let Some(lease) = lease {
                 match claim(&node, lease).await {
--- a/crates/daemon/tests/unit/fleet_duty_rentals.rs
+++ b/crates/daemon/tests/unit/fleet_duty_rentals.rs
@@ -57,3 +57,23 @@
     core.fresh_at = Some(later);
     assert_eq!(late(&core, later, 200_000), 1);
 }
+
+/// The change that writes requests down was carried out and only its answer was lost: it is
+/// made again on what it wrote, and must not write them twice. As machines that are to
+/// come, they would keep others from being rented.
+#[test]
+fn requests_are_written_down_once() {
+    let rental = |request: &str| Rental {
+        request: request.into(),
+        machine_type: "m".into(),
+        zone: "a".into(),
+        spot: false,
+        count: 2,
+        asked_ms: 0,
+        machines: None,
+    };
+    let mut list = vec![rental("1")];
+    ask(&mut list, &[rental("2"), rental("3")]);
+    ask(&mut list, &[rental("2"), rental("3")]);
+    assert_eq!(list.iter().map(|r| r.request.as_str()).collect::<Vec<_>>(), ["1", "2", "3"]);
+}
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -5,70 +5,11 @@
 
 use wire::{JobKind, JobSpec};
 
+use crate::board::Candidates;
+pub use crate::board::{Board, Slot};
 use crate::records::{Assignment, JobRecord, Name, Phase, Want};
 use crate::world::{Amount, Team, World};
 
-/// A machine as placement sees it within one round.
-#[derive(Debug, Clone)]
-pub struct Slot {
-    pub id: Name,
-    /// The owner's incarnation.
-    pub owner: u64,
-    pub machine_type: Name,
-    pub zone: Name,
-    pub spot: bool,
-    pub whole: Amount,
-    pub used: Amount,
-}
-
-impl Slot {
-    pub fn free(&self) -> Amount {
-        self.whole.plus(self.used, -1.0)
-    }
-}
-
-/// The state of a round of decisions: machines and team use, with what the
-/// round has already given away.
-#[derive(Debug, Default)]
-pub struct Board {
-    pub slots: Vec<Slot>,
-    pub index: HashMap<Name, usize>,
-    pub team_use: HashMap<String, Amount>,
-}
-
-impl Board {
-    /// All machines that `usable` admits, apart from those being given back.
-    pub fn new(world: &World, usable: impl Fn(&str) -> bool) -> Self {
-        let slots: Vec<Slot> = world
-            .machines
-            .iter()
-            .filter(|(id, m)| !m.value.release && usable(id))
-            .filter_map(|(id, m)| {
-                let m = &m.value;
-                let whole = Amount::of_type(world.types.get(&*m.machine_type)?);
-                Some(Slot {
-                    id: id.clone(),
-                    owner: world.owner_of(id)?.incarnation,
-                    machine_type: m.machine_type.clone(),
-                    zone: m.zone.clone(),
-                    spot: m.spot,
-                    whole,
-                    used: world.machine_use.get(id).copied().unwrap_or_default(),
-                })
-            })
-            .collect();
-        let index = slots.iter().enumerate().map(|(i, s)| (s.id.clone(), i)).collect();
-        Self { slots, index, team_use: world.team_use.clone() }
-    }
-
-    /// Takes room on machines, or gives it back.
-    pub fn reserve(&mut self, machines: &[Name], size: Amount, sign: f64) {
-        for i in machines.iter().filter_map(|m| self.index.get(m)) {
-            self.slots[*i].used = self.slots[*i].used.plus(size, sign);
-        }
-    }
-}
-
 /// Whether the job may use this kind of machine at all.
 pub fn allowed(spec: &JobSpec, machine_type: &str, zone: &str, spot: bool) -> bool {
     spec.types.as_ref().is_none_or(|t| t.iter().any(|t| t == machine_type))
@@ -127,7 +68,8 @@
 }
 
 /// Places as many of the job's pending tasks as there is room for, all or none
-/// for a gang, at most `most`. The job and the board are changed to match.
+/// for a gang, at most `most`. The job and the board are changed to match. `within` must
+/// not tell machines apart of the same owner, type, zone and purchase with the same in use.
 pub fn place(
     world: &World,
     board: &mut Board,
@@ -135,6 +77,29 @@
     team: &Team,
     within: impl Fn(&Slot) -> bool,
     limits: Limits,
+) -> Vec<Assignment> {
+    place_on(world, board, job, team, (within, None), limits)
+}
+
+/// The same on machines of these names only.
+pub fn place_at(
+    world: &World,
+    board: &mut Board,
+    job: &mut JobRecord,
+    team: &Team,
+    machines: &[Name],
+    limits: Limits,
+) -> Vec<Assignment> {
+    place_on(world, board, job, team, (|_: &Slot| true, Some(machines)), limits)
+}
+
+fn place_on(
+    world: &World,
+    board: &mut Board,
+    job: &mut JobRecord,
+    team: &Team,
+    (within, only): (impl Fn(&Slot) -> bool, Option<&[Name]>),
+    limits: Limits,
 ) -> Vec<Assignment> {
     let Limits { most, window, now_ms, .. } = limits;
     let Some(spec) = job.spec.clone() else { return Vec::new() };
@@ -156,45 +121,50 @@
     if wanted.is_empty() || (gang && (wanted.len() as u32) < pending_count(job)) {
         return Vec::new();
     }
-    let candidates: Vec<usize> = (0..board.slots.len())
-        .filter(|&i| {
-            let s = &board.slots[i];
-            size.fits(s.free())
-                && allowed(&spec, &s.machine_type, &s.zone, s.spot)
-                && within(s)
-                && !job.left.contains(&s.id)
-        })
-        .collect();
-    // All tasks of a one-zone job share the zone of those that are still out.
-    let held_zone = spec.one_zone.then(|| zone_of(world, job)).flatten();
-    let zones: BTreeSet<Name> = match held_zone {
-        Some(z) => [z].into(),
-        None => candidates.iter().map(|&i| board.slots[i].zone.clone()).collect(),
-    };
+    let may = |s: &Slot| size.fits(s.free()) && allowed(&spec, &s.machine_type, &s.zone, s.spot) && within(s);
+    let apart = gang && spec.tasks > 1 && limits.gang_wait_s > 0.0 && job.run.is_empty();
+    // Only these are chosen by more than a machine's own rank.
+    let list: Option<Vec<usize>> = (spec.one_zone || apart || only.is_some()).then(|| {
+        let may = |i: &usize| may(&board.slots[*i]) && !job.left.contains(&board.slots[*i].id);
+        match only {
+            Some(machines) => {
+                let all: BTreeSet<usize> = machines.iter().filter_map(|m| board.find(m)).collect();
+                all.into_iter().filter(may).collect()
+            }
+            None => (0..board.slots.len()).filter(may).collect(),
+        }
+    });
     let attempt = match gang {
         true if job.run.is_empty() => job.attempt + 1,
         true => job.attempt,
         false => job.attempt.max(1),
     };
-    let whole = |candidates: &[usize]| {
+    let choose = |candidates| choose(world, board, job, &spec, candidates, &wanted, limits);
+    let whole = |list: &[usize]| {
         if !spec.one_zone {
-            return choose(world, board, job, &spec, candidates, &wanted, limits);
+            return choose(Candidates::list(list));
         }
+        // All tasks of a one-zone job share the zone of those that are still out.
+        let zones: BTreeSet<Name> = match zone_of(world, job) {
+            Some(z) => [z].into(),
+            None => list.iter().map(|&i| board.slots[i].zone.clone()).collect(),
+        };
         let tries = zones.iter().map(|z| {
-            let here: Vec<usize> =
-                candidates.iter().copied().filter(|&i| board.slots[i].zone == *z).collect();
-            choose(world, board, job, &spec, &here, &wanted, limits)
+            let here: Vec<usize> = list.iter().copied().filter(|&i| board.slots[i].zone == *z).collect();
+            choose(Candidates::list(&here))
         });
         tries.max_by_key(Vec::len).unwrap_or_default()
     };
-    let chosen = if gang && spec.tasks > 1 && limits.gang_wait_s > 0.0 && job.run.is_empty() {
-        let sets = ready_together(world, board, &spec, &candidates, limits.gang_wait_s);
-        let of_sets = sets.iter().map(|s| whole(s)).find(|c| c.len() == wanted.len());
-        // Better to try than to wait for ever.
-        let tries = waited_s(job, now_ms) >= TRY_ANYHOW_S;
-        of_sets.unwrap_or_else(|| if tries { whole(&candidates) } else { Vec::new() })
-    } else {
-        whole(&candidates)
+    let chosen = match &list {
+        None => choose(board.candidates(world, job, &spec, may)),
+        Some(list) if apart => {
+            let sets = ready_together(world, board, &spec, list, limits.gang_wait_s);
+            let of_sets = sets.iter().map(|s| whole(s)).find(|c| c.len() == wanted.len());
+            // Better to try than to wait for ever.
+            let tries = waited_s(job, now_ms) >= TRY_ANYHOW_S;
+            of_sets.unwrap_or_else(|| if tries { whole(list) } else { Vec::new() })
+        }
+        Some(list) => whole(list),
     };
     if chosen.is_empty() || (gang && chosen.len() < wanted.len()) {
         return Vec::new();
@@ -209,7 +179,7 @@
     let placed: Vec<Assignment> = chosen
         .into_iter()
         .map(|(task, i)| {
-            board.slots[i].used = board.slots[i].used.plus(size, 1.0);
+            board.take(i, size, 1.0);
             Assignment { task, attempt, machine: board.slots[i].id.clone(), want: Want::Run }
         })
         .collect();
@@ -247,9 +217,8 @@
         .iter()
         .map(|&i| {
             let s = &board.slots[i];
-            let rate = world.types.get(&*s.machine_type).map_or(0.0, |t| t.fetch_gb_per_s);
-            let (early, late) =
-                if world.has_image(&s.id, &spec.image) { (0.0, 0.0) } else { fetch_s(spec, rate) };
+            let there = world.has_image(&s.id, &spec.image);
+            let (early, late) = if there { (0.0, 0.0) } else { fetch_s(spec, s.gb_per_s) };
             (i, early, late)
         })
         .collect();
@@ -306,19 +275,23 @@
 
 /// The machines that would take so many tasks of a job that is yet to come.
 pub fn room_for(world: &World, board: &Board, spec: &JobSpec, tasks: u32, now_ms: u64) -> Vec<Name> {
-    let candidates: Vec<usize> = (0..board.slots.len())
-        .filter(|&i| allowed(spec, &board.slots[i].machine_type, &board.slots[i].zone, board.slots[i].spot))
-        .collect();
     let job = JobRecord::new(spec.clone(), None, 0);
+    let may = |s: &Slot| allowed(spec, &s.machine_type, &s.zone, s.spot);
+    let candidates = board.candidates(world, &job, spec, may);
     let wanted: Vec<u32> = (0..tasks).collect();
     let limits = Limits { most: wanted.len(), window: tasks, lossy: true, gang_wait_s: 0.0, now_ms };
-    let chosen = choose(world, board, &job, spec, &candidates, &wanted, limits);
+    let chosen = choose(world, board, &job, spec, candidates, &wanted, limits);
     chosen.into_iter().map(|(_, i)| board.slots[i].id.clone()).collect()
 }
 
 /// How many tasks of the usual GPU job a machine loses room for by one task
 /// that needs no GPU.
 pub fn gpu_loss(world: &World, spec: &JobSpec, slot: &Slot) -> u32 {
+    gpu_loss_at(world, spec, slot, slot.used)
+}
+
+/// The same if so much of the machine were in use.
+pub fn gpu_loss_at(world: &World, spec: &JobSpec, slot: &Slot, used: Amount) -> u32 {
     if spec.gpus > 0.0 || slot.whole.gpus <= 0.0 {
         return 0;
     }
@@ -329,7 +302,7 @@
         None if slot.spot => return 0,
         None => Amount { cpus: slot.whole.cpus / slot.whole.gpus, gpus: 1.0, memory_gb: 0.0 },
     };
-    let free = slot.free();
+    let free = slot.whole.plus(used, -1.0);
     need.times_in(free).saturating_sub(need.times_in(free.plus(Amount::of_task(spec), -1.0)))
 }
 
@@ -343,7 +316,7 @@
     board: &Board,
     job: &JobRecord,
     spec: &JobSpec,
-    candidates: &[usize],
+    mut candidates: Candidates,
     wanted: &[u32],
     limits: Limits,
 ) -> Vec<(u32, usize)> {
@@ -365,13 +338,11 @@
         if !size.fits(s.whole.plus(used, -1.0)) {
             return None;
         }
-        let loss = s.whole.gpus > 0.0 && gpu_loss(world, spec, &Slot { used, ..s.clone() }) > 0;
+        let loss = s.whole.gpus > 0.0 && gpu_loss_at(world, spec, s, used) > 0;
         if loss && !lossy {
             return None;
         }
-        let of_type = world.types.get(&*s.machine_type);
-        let price = of_type.map_or(0.0, |t| if s.spot { t.spot_price } else { t.price });
-        let price = price / s.whole.cpus.max(1.0);
+        let price = s.price / s.whole.cpus.max(1.0);
         let share = order_of(used.share_of(s.whole));
         Some(Rank {
             first: (
@@ -384,7 +355,7 @@
             then: (
                 match taken.contains_key(&i) || world.has_image(&s.id, &spec.image) {
                     true => 0,
-                    false => fetch_class(spec, of_type.map_or(0.0, |t| t.fetch_gb_per_s)),
+                    false => fetch_class(spec, s.gb_per_s),
                 },
                 // Machines with GPUs are filled one by one, so that the others
                 // stay whole for jobs that need the GPUs.
@@ -395,11 +366,18 @@
         })
     };
     // The best of each zone; how many tasks the zones have is compared last, as
-    // that changes for all of a zone at once.
-    let mut zones: BTreeMap<&str, BinaryHeap<Reverse<Rank>>> = BTreeMap::new();
-    for &i in candidates {
-        if let Some(rank) = rank(i, &HashMap::new()) {
-            zones.entry(&*board.slots[i].zone).or_default().push(Reverse(rank));
+    // that changes for all of a zone at once. Each comes with its run: those that are
+    // alike have the same rank but for their place, and follow one by one.
+    let mut zones: BTreeMap<&str, BinaryHeap<Reverse<Ranked>>> = BTreeMap::new();
+    let none = HashMap::new();
+    let each = std::mem::take(&mut candidates.each);
+    let heads: Vec<(usize, Option<usize>)> = (0..candidates.alike.len())
+        .filter_map(|run| Some((candidates.next(run)?, Some(run))))
+        .chain(each.into_iter().map(|i| (i, None)))
+        .collect();
+    for (i, run) in heads {
+        if let Some(rank) = rank(i, &none) {
+            zones.entry(&*board.slots[i].zone).or_default().push(Reverse((rank, run)));
         }
     }
     let mut taken: HashMap<usize, Amount> = HashMap::new();
@@ -409,18 +387,24 @@
             .iter()
             .filter(|(z, _)| in_zone.get(**z).copied().unwrap_or(0) < limit)
             .filter_map(|(z, heap)| {
-                let Reverse(top) = heap.peek()?;
+                let Reverse((top, _)) = heap.peek()?;
                 let zone = if spec.spread { in_zone.get(*z).copied().unwrap_or(0) } else { 0 };
                 Some(((top.first, zone, top.then), *z))
             })
             .min();
         let Some((_, zone)) = best else { break };
         let Some(heap) = zones.get_mut(zone) else { break };
-        let Some(Reverse(Rank { then: (.., slot), .. })) = heap.pop() else { break };
+        let Some(Reverse((top, run))) = heap.pop() else { break };
+        let slot = top.then.3;
+        if let Some(next) = run.and_then(|run| candidates.next(run)) {
+            let mut rank = top;
+            rank.then.3 = next;
+            heap.push(Reverse((rank, run)));
+        }
         let used = taken.get(&slot).copied().unwrap_or(board.slots[slot].used);
         taken.insert(slot, used.plus(size, 1.0));
         if let Some(rank) = rank(slot, &taken) {
-            heap.push(Reverse(rank));
+            heap.push(Reverse((rank, None)));
         }
         *in_zone.entry(zone).or_default() += 1;
         out.push((task, slot));
@@ -428,6 +412,9 @@
     out
 }
 
+/// A machine's rank, and its run.
+type Ranked = (Rank, Option<usize>);
+
 /// What makes one machine better than another: before and after zone spread.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Rank {
@@ -545,6 +532,10 @@
     }
 }
 
+#[cfg(test)]
+#[path = "../tests/unit/alike.rs"]
+mod alike;
+
 #[cfg(test)]
 pub(crate) mod tests {
     use super::*;
