--- a/crates/daemon/tests/unit/meetings/mod.rs
+++ b/crates/daemon/tests/unit/meetings/mod.rs
@@ -286,7 +286,13 @@
                 }
                 if now > calm_at && !spoiled {
                     spoiled = true;
-                    all.spoil_records();
+                    if let Some(id) = all.spoil_records() {
+                        let site = self.clone();
+                        tokio::spawn(async move {
+                            sleep(Duration::from_secs(3)).await;
+                            site.look(0, &id).await;
+                        });
+                    }
                 }
             }
             self.boot();
--- a/crates/daemon/tests/unit/meetings/state.rs
+++ b/crates/daemon/tests/unit/meetings/state.rs
@@ -296,33 +296,22 @@
 }
 
 impl All {
-    /// Planted breaches of the records, once, in the middle of the day.
-    pub(super) fn spoil_records(&mut self) {
-        let told = |final_state: bool| {
-            let mut jobs = self.jobs.iter().filter(|(_, j)| j.accepted.is_some());
-            jobs.find(|(_, j)| j.cancelled.is_some() == final_state).map(|(id, _)| key::job(id))
-        };
+    /// Planted breaches of the records, once, when troubles are over; tells which job's
+    /// user would notice.
+    pub(super) fn spoil_records(&mut self) -> Option<String> {
+        let cancelled = self.sabotage == Sabotage::Flip;
+        let mut jobs = self.jobs.iter().filter(|(_, j)| j.accepted.is_some());
+        let id = jobs.find(|(_, j)| j.cancelled.is_some() == cancelled)?.0.clone();
+        let first = self.state.first_of(&key::job(&id))?;
         match self.sabotage {
-            Sabotage::Forget => {
-                if let Some(k) = told(false) {
-                    self.state.spoil(&k, None);
-                }
-            }
-            Sabotage::Flip => {
-                if let Some(k) = told(true)
-                    && let Some(first) = self.state.first_of(&k)
-                {
-                    self.state.spoil(&k, Some(first));
-                }
-            }
+            Sabotage::Forget => self.state.spoil(&key::job(&id), None),
+            Sabotage::Flip => self.state.spoil(&key::job(&id), Some(first)),
             Sabotage::Invent => {
-                if let Some(k) = told(false)
-                    && let Some(first) = self.state.first_of(&k)
-                {
-                    self.state.spoil(&key::job(super::users::NOBODYS), Some(first));
-                }
+                self.state.spoil(&key::job(super::users::NOBODYS), Some(first));
+                return Some(super::users::NOBODYS.into());
             }
-            _ => {}
+            _ => return None,
         }
+        Some(id)
     }
 }
--- a/crates/daemon/tests/unit/meetings/tests.rs
+++ b/crates/daemon/tests/unit/meetings/tests.rs
@@ -93,18 +93,19 @@
     finds("ran_cancelled", Sabotage::Leases, &[deaf, cancel()], 0);
     finds("ran_cancelled", Sabotage::Stops, &[cancel()], CANCEL_MS);
     finds("started_cancelled", Sabotage::Again, &[], CANCEL_MS);
-    finds("wrong_place", Sabotage::Kind, &[burst()], 0);
+    let more = at(25_000, Trouble::Burst { count: 30 });
+    finds("wrong_place", Sabotage::Kind, &[burst(), more], CANCEL_MS);
     finds("nothing_ran", Sabotage::Starts, &[], 0);
 }
 
 #[test]
 fn the_checker_finds_wrong_answers() {
     finds("not_done", Sabotage::Done, &[], 0);
-    finds("forgotten", Sabotage::Forget, &[], 40_000);
+    finds("forgotten", Sabotage::Forget, &[], 10_000);
     finds("forgotten", Sabotage::Unknown, &[], 0);
-    finds("went_back", Sabotage::Flip, &[cancel()], 40_000);
+    finds("went_back", Sabotage::Flip, &[cancel()], 10_000);
     finds("went_back", Sabotage::Called, &[], 0);
-    finds("invented", Sabotage::Invent, &[], 15_000);
+    finds("invented", Sabotage::Invent, &[], 10_000);
     finds("took_odd", Sabotage::Odd, &[at(15_000, Trouble::OddRequests { for_ms: 10_000 })], 0);
 }
 
