Tests of all packages live in test files; one machine type for tests

Change: their bodies are moved unchanged to tests/unit of each package, as the daemon's were; the type is made by one function beside the tests' job description. Nothing but code under cfg(test) is changed.

--- a/crates/daemon/tests/unit/pipelines.rs
+++ b/crates/daemon/tests/unit/pipelines.rs
@@ -181,18 +181,7 @@
 
     fn with_types() -> Self {
         let service = Self::default();
-        let kind = wire::MachineType {
-            name: "m".into(),
-            cpus: 4000.0,
-            gpus: 0.0,
-            memory_gb: 9000.0,
-            cache_gb: 9.0,
-            fetch_gb_per_s: 1.0,
-            price: 1.0,
-            spot_price: 1.0,
-            boot_s: 1.0,
-            zones: vec!["a".into()],
-        };
+        let kind = crate::worker::tests::kind(4000.0, 9000.0, &["a"]);
         service.store().put(Put::new(key::TYPES.into(), &TypesRecord { types: vec![kind] }));
         service
     }
--- a/crates/daemon/tests/unit/placer.rs
+++ b/crates/daemon/tests/unit/placer.rs
@@ -40,18 +40,7 @@
     let now = Instant::now();
     let mut core = node.core();
     core.ready = true;
-    let kind = wire::MachineType {
-        name: "m".into(),
-        cpus: node.teams[0].cpus_max * 2.0,
-        gpus: 0.0,
-        memory_gb: 64.0,
-        cache_gb: 9.0,
-        fetch_gb_per_s: 1.0,
-        price: 1.0,
-        spot_price: 1.0,
-        boot_s: 1.0,
-        zones: vec!["a".into()],
-    };
+    let kind = crate::worker::tests::kind(node.teams[0].cpus_max * 2.0, 64.0, &["a"]);
     let machine = MachineRecord {
         addr: "host-1".into(),
         machine_type: "m".into(),
--- a/crates/daemon/tests/unit/sim/mod.rs
+++ b/crates/daemon/tests/unit/sim/mod.rs
@@ -20,7 +20,7 @@
 use sched::records::*;
 use sched::world::{Change, World};
 use store::{Put, Reader, decode_change, key, split};
-use wire::{Cause, Command, Commands, Condition, JobKind, MachineType, Report, TaskReport, TaskState};
+use wire::{Cause, Command, Commands, Condition, JobKind, Report, TaskReport, TaskState};
 
 use crate::engine;
 use crate::front;
@@ -149,18 +149,7 @@
             done: HashSet::new(),
             started: 0,
         };
-        let kind: MachineType = MachineType {
-            name: "m".into(),
-            cpus: 4.0,
-            gpus: 0.0,
-            memory_gb: 64.0,
-            cache_gb: 9.0,
-            fetch_gb_per_s: 1.0,
-            price: 1.0,
-            spot_price: 1.0,
-            boot_s: 1.0,
-            zones: vec!["z".into(), "y".into()],
-        };
+        let kind = crate::worker::tests::kind(4.0, 64.0, &["z", "y"]);
         let mut puts = vec![
             Put::new(key::TYPES.into(), &TypesRecord { types: vec![kind] }),
             Put::new(key::LEADER.into(), &sim.nodes[0].me),
--- a/crates/daemon/tests/unit/stand_in.rs
+++ b/crates/daemon/tests/unit/stand_in.rs
@@ -292,18 +292,7 @@
 
     pub fn with_types() -> Self {
         let service = Self::default();
-        let kind = wire::MachineType {
-            name: "m".into(),
-            cpus: 40.0,
-            gpus: 0.0,
-            memory_gb: 90.0,
-            cache_gb: 9.0,
-            fetch_gb_per_s: 1.0,
-            price: 1.0,
-            spot_price: 1.0,
-            boot_s: 1.0,
-            zones: vec!["a".into()],
-        };
+        let kind = crate::worker::tests::kind(40.0, 90.0, &["a"]);
         service.store().put(Put::new(key::TYPES.into(), &TypesRecord { types: vec![kind] }));
         service
     }
--- a/crates/daemon/tests/unit/worker.rs
+++ b/crates/daemon/tests/unit/worker.rs
@@ -3,6 +3,22 @@
 use sched::world::Change;
 use wire::{JobKind, JobSpec, Priority};
 
+/// A machine type without GPUs that boots and fetches fast.
+pub(crate) fn kind(cpus: f64, memory_gb: f64, zones: &[&str]) -> wire::MachineType {
+    wire::MachineType {
+        name: "m".into(),
+        cpus,
+        gpus: 0.0,
+        memory_gb,
+        cache_gb: 9.0,
+        fetch_gb_per_s: 1.0,
+        price: 1.0,
+        spot_price: 1.0,
+        boot_s: 1.0,
+        zones: zones.iter().map(|z| (*z).into()).collect(),
+    }
+}
+
 pub(crate) fn spec(id: &str, kind: JobKind) -> JobSpec {
     JobSpec {
         id: id.into(),
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -224,55 +224,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::{Connections, Reply, serve};
-    use tokio::net::TcpListener;
-    use tokio_util::sync::CancellationToken;
-    use tokio_util::task::TaskTracker;
-
-    /// One controller is left that commands all the workers: its connections to
-    /// them stay within their share, and each request gets its turn.
-    #[tokio::test]
-    async fn connections_to_many_addresses_stay_within_their_number() {
-        let (stop, tasks) = (CancellationToken::new(), TaskTracker::new());
-        let mut workers = Vec::new();
-        for _ in 0..30 {
-            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-            let addr = listener.local_addr().expect("an address").to_string();
-            let connections = Arc::new(Connections::new(8, &[], |_| 0));
-            let handler = |_| async { Reply::new(200, &"fine") };
-            tokio::spawn(serve(listener, connections.clone(), 1 << 16, handler, stop.clone(), tasks.clone()));
-            workers.push((addr, connections));
-        }
-        let client = Client::new(5);
-        for _ in 0..2 {
-            let all: Vec<_> = workers
-                .iter()
-                .map(|(addr, _)| {
-                    let (client, addr) = (client.clone(), addr.clone());
-                    tokio::spawn(async move {
-                        let deadline = Duration::from_secs(5);
-                        client.request(&addr, "GET", "/status", Vec::new(), 1 << 16, deadline).await
-                    })
-                })
-                .collect();
-            for a in all {
-                assert_eq!(a.await.expect("ends").expect("an answer").status, 200);
-                assert!(client.open() <= 5, "{}", client.open());
-            }
-        }
-        // Only those that were used last are still open.
-        let open = || workers.iter().map(|w| w.1.open()).sum::<usize>();
-        for _ in 0..100 {
-            if open() <= 5 {
-                break;
-            }
-            tokio::time::sleep(Duration::from_millis(10)).await;
-        }
-        assert!(open() <= 5 && client.open() == 5, "{} {}", open(), client.open());
-        client.forget(&workers[29].0);
-        assert!(client.open() <= 5);
-        stop.cancel();
-    }
-}
+#[path = "../tests/unit/client.rs"]
+mod tests;
--- /dev/null
+++ b/crates/sched/tests/unit/packed.rs
@@ -0,0 +1,99 @@
+use super::*;
+use crate::records::{JobRecord, Ranges};
+use wire::JobKind;
+
+/// Names of any form, and records of the largest arrays, survive.
+#[test]
+fn scattered_arrays_of_many_machines_fit_and_survive() {
+    let mut job = JobRecord::new(crate::placement::tests::spec("j-000412", JobKind::Array, 1800), None, 0);
+    // Every third task is done; the others lie scattered on 157 machines.
+    (0..1800).filter(|t| t % 3 == 0).for_each(|t| job.done.insert(t));
+    job.run = (0..1800u32)
+        .filter(|t| t % 3 != 0)
+        .map(|task| Assignment {
+            task,
+            attempt: 1 + u64::from(task % 7 == 0),
+            machine: format!("host-{:06}", 100 + (task * 7919) % 157).into(),
+            want: Want::Run,
+        })
+        .collect();
+    job.run[3].machine = "left".into();
+    job.run[4].machine = "00000000000000000012".into();
+    job.run[5].want = Want::Stop;
+    let bytes = rmp_serde::to_vec_named(&job).expect("encodes");
+    let back: JobRecord = rmp_serde::from_slice(&bytes).expect("decodes");
+    assert_eq!(back, job);
+    let json = serde_json::to_string(&job).expect("encodes");
+    assert!(json.len() < 6500, "{} bytes", json.len());
+}
+
+#[test]
+fn the_names_of_a_rental_take_a_character_each() {
+    let rental = crate::records::Rental {
+        request: "n-1".into(),
+        machine_type: "m".into(),
+        zone: "a".into(),
+        spot: false,
+        count: 50,
+        asked_ms: 0,
+        machines: Some((200..250).map(|n| format!("host-{n:06}").into()).collect()),
+    };
+    let json = serde_json::to_string(&rental).expect("encodes");
+    assert!(json.len() < 140, "{json}");
+    assert_eq!(serde_json::from_str::<crate::records::Rental>(&json).expect("decodes"), rental);
+    let none = crate::records::Rental { machines: None, ..rental };
+    let bytes = rmp_serde::to_vec_named(&none).expect("encodes");
+    assert_eq!(rmp_serde::from_slice::<crate::records::Rental>(&bytes).expect("decodes"), none);
+}
+
+#[test]
+fn done_tasks_take_a_bit_each_at_most() {
+    let mut r = Ranges::all(5);
+    (7..100_000).step_by(2).for_each(|n| r.insert(n));
+    let (prefix, bits): (u32, String) = r.clone().into();
+    assert_eq!((prefix, bits.len()), (5, 99_995usize.div_ceil(6)));
+    assert_eq!(Ranges::from((prefix, bits)), r);
+}
+
+/// A gang with a task or two on each machine of the largest fleet still is one
+/// value of the smallest size that sites have.
+#[test]
+fn a_gang_on_two_thousand_machines_fits_into_a_value() {
+    let spec = crate::placement::tests::spec("j-000412", JobKind::Gang, 3000);
+    let mut job = JobRecord::new(spec, None, 1_796_169_600_000);
+    // Not every machine is in it, as others are taken.
+    let on = |task: u32| format!("host-{:06}", task * 2 / 3 + task / 500 * 37).into();
+    let run = |task| Assignment { task, attempt: 12, machine: on(task), want: Want::Run };
+    job.run = (0..3000).map(run).collect();
+    let machines: std::collections::BTreeSet<_> = job.run.iter().map(|a| &a.machine).collect();
+    assert!(machines.len() >= 2000, "{}", machines.len());
+    let json = serde_json::to_string(&job).expect("encodes");
+    assert!(json.len() < 8 * 1024 - 500, "{} bytes", json.len());
+    assert_eq!(serde_json::from_str::<JobRecord>(&json).expect("decodes"), job);
+    // In two attempts, as when some were replaced, and with tasks missing.
+    job.run.retain(|a| a.task % 7 != 3);
+    job.run.iter_mut().filter(|a| a.task % 50 == 0).for_each(|a| a.want = Want::Stop);
+    let json = serde_json::to_string(&job).expect("encodes");
+    assert_eq!(serde_json::from_str::<JobRecord>(&json).expect("decodes"), job);
+}
+
+/// The tasks of a gang lie in a row on each machine, however many they are.
+#[test]
+fn a_gang_takes_a_few_characters_for_each_machine() {
+    let spec = crate::placement::tests::spec("j-000412", JobKind::Gang, 20_000);
+    let mut job = JobRecord::new(spec, None, 0);
+    let on = |task: u32| format!("host-{:06}", task / 40).into();
+    let run = |task| Assignment { task, attempt: 1, machine: on(task), want: Want::Run };
+    job.run = (0..20_000).map(run).collect();
+    let json = serde_json::to_string(&job).expect("encodes");
+    assert!(json.len() < 5000, "{} bytes", json.len());
+    assert_eq!(serde_json::from_str::<JobRecord>(&json).expect("decodes"), job);
+}
+
+#[test]
+fn lists_that_are_cut_off_are_refused() {
+    let bad = (vec![("host-", 6usize, 1u64, Want::Run, "1")],);
+    let bytes = rmp_serde::to_vec(&bad.0).expect("encodes");
+    let mut d = rmp_serde::Deserializer::new(bytes.as_slice());
+    assert!(assignments::deserialize(&mut d).is_err());
+}
--- /dev/null
+++ b/crates/store/tests/unit/codec.rs
@@ -0,0 +1,40 @@
+use super::*;
+use sched::records::*;
+
+#[test]
+fn records_survive_the_round_trip() {
+    let mut job: JobRecord = rmp_serde::from_slice(
+        &rmp_serde::to_vec_named(&JobRecord {
+            phase: Phase::Active,
+            spec: None,
+            part: Some("n".into()),
+            submitted_ms: 5,
+            attempt: 2,
+            done: Ranges::all(3),
+            run: vec![Assignment { task: 4, attempt: 2, machine: "host-1".into(), want: Want::Run }],
+            avoid: vec![("host-9".into(), 77)],
+            left: vec!["host-8".into()],
+            evicted_ms: 0,
+            errors: 1,
+            error_ms: 9,
+            needs: vec!["j-000000000000000001".into(), "j-7".into()],
+            accepted_ms: 4,
+            ended_ms: 0,
+            urgency: Urgency::default(),
+        })
+        .unwrap_or_default(),
+    )
+    .expect("decodes");
+    job.error_ms = 10;
+    let put = Put::new(key::job("j-1"), &job);
+    let (change, bad) = decode_change(&put.key, put.value);
+    assert!(!bad);
+    let Change::Job(id, Some(back)) = change else { unreachable!("a job") };
+    assert_eq!((id.as_str(), *back), ("j-1", job));
+}
+
+#[test]
+fn unreadable_values_are_flagged() {
+    assert!(decode_change(key::MAP, Some(Value::from("x"))).1);
+    assert!(!decode_change(key::MAP, None).1);
+}
--- /dev/null
+++ b/crates/wire/tests/unit/lib.rs
@@ -0,0 +1,73 @@
+use super::*;
+
+/// The document's own examples, as MessagePack maps with text keys.
+fn msgpack(json: &str) -> Vec<u8> {
+    let value: serde_json::Value = serde_json::from_str(json).expect("an example");
+    rmp_serde::to_vec_named(&value).expect("encodes")
+}
+
+fn same<T: serde::de::DeserializeOwned + serde::Serialize>(json: &str) -> T {
+    let value: T = decode(&msgpack(json)).expect("decodes");
+    let back: serde_json::Value = decode(&encode(&value)).expect("round trip");
+    let given: serde_json::Value = serde_json::from_str(json).expect("an example");
+    for (k, v) in given.as_object().expect("a map") {
+        if !v.is_null() {
+            assert_eq!(back.get(k), Some(v), "{k}");
+        }
+    }
+    value
+}
+
+const JOB: &str = r#"{"id":"j-000412","pattern":"train","owner":"vision","weave":"ensemble","rank":"high",
+        "threads":16,"cpus":8.0,"gpus":1.0,"mem_gb":64.0,"bundle":"img-07","size_gb":6.2,"shapes":["g8"],"bay":null,
+        "one_zone":true,"spread":false,"loaner":true,"guess_s":240.0,"knot_s":30.0,"tie_s":4.0,"due_s":900.0}"#;
+
+#[test]
+fn the_documents_examples_are_read_and_written_back() {
+    let job: JobSpec = same(JOB);
+    assert_eq!((job.kind, job.priority, job.tasks), (JobKind::Gang, Priority::High, 16));
+    assert_eq!(job.invalid_field(), None);
+    let report: Report = decode(&msgpack(
+        r#"{"frame":"host-000231","addr":"10.1.0.232:9000","shape":"g8","bay":"a","loaner":true,"stint":1,
+            "tally":88,"baton":41,"warning_s":null,"new_field":7,
+            "threads":[{"thread":"j-000412/3","try":2,"status":"running"},
+                       {"thread":"j-000398/0","try":1,"status":"ended","cause":"some_new_cause"}]}"#,
+    ))
+    .expect("a report");
+    assert_eq!(report.tasks[0].parts(), Some(("j-000412", 3)));
+    assert_eq!(report.tasks[1].cause, Some(Cause::Other));
+    same::<ReportAnswer>(
+        r#"{"baton":41,"orders":[{"verb":"launch","thread":"j-000412/4","try":2},
+            {"verb":"stop","thread":"j-000377/1","try":1,"leeway_s":10.0},{"verb":"clear","thread":"j-1/0","try":1}]}"#,
+    );
+    let txn: Txn<serde_json::Value> = same(
+        r#"{"if":[{"k":"a/b","stamp":0}],"then":[{"put":"a/b","v":{"x":1},"hold":7},{"remove":"c/d"}]}"#,
+    );
+    assert!(matches!(txn.ops[1], Op::Delete { .. }));
+    let changes: Changes<serde_json::Value> = decode(&msgpack(
+        r#"{"epoch":433,"news":[{"put":"c/9","v":{},"stamp":433},{"remove":"c/d","stamp":432}]}"#,
+    ))
+    .expect("changes");
+    assert_eq!(changes.events[1].delete.as_deref(), Some("c/d"));
+}
+
+#[test]
+fn invalid_jobs_are_named_by_their_field() {
+    let job: JobSpec = decode(&msgpack(JOB)).expect("a job");
+    let invalid = |change: &dyn Fn(&mut JobSpec)| {
+        let mut job = job.clone();
+        change(&mut job);
+        job.invalid_field()
+    };
+    assert_eq!(invalid(&|j| j.id = "k-1".into()), Some("id"));
+    assert_eq!(invalid(&|j| j.tasks = 0), Some("threads"));
+    assert_eq!(invalid(&|j| j.tasks = 100_001), Some("threads"));
+    assert_eq!(invalid(&|j| j.cpus = -1.0), Some("cpus"));
+    assert_eq!(invalid(&|j| j.memory_gb = f64::NAN), Some("mem_gb"));
+    for (from, to) in
+        [("\"high\"", "\"urgent\""), ("\"threads\":16", "\"threads\":\"x\""), ("\"owner\"", "\"x\"")]
+    {
+        assert!(decode::<JobSpec>(&msgpack(&JOB.replacen(from, to, 1))).is_err(), "{to}");
+    }
+    assert!(decode::<JobSpec>(b"\x01").is_err());
+}
