--- /dev/null
+++ b/crates/daemon/src/drains/mod.rs
@@ -0,0 +1,314 @@
+//! The duty of drains: the leader takes one step after the other for all drains that are not
+//! over. What is decided is in the package `drain`; here it is committed.
+//!
+//! A step: what was stopped and runs again is taken off the teams' records; cordons of drains
+//! that end are lifted; what became of machines is noted; what may be stopped now is stopped.
+//! Each is a transaction of its own, conditional on all records that it was decided from, so
+//! that a step of a leader that has been replaced comes to nothing.
+
+pub mod command;
+mod eviction;
+pub mod observe;
+mod report;
+mod transactions;
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::time::{Duration, Instant};
+
+use drain::lifecycle::Event;
+use drain::room::InventoryRoom;
+use drain::step::{self, Decision, Drain, Limits};
+use drain::view::{self, ObservedTasks};
+use sched::drain_records::{DisruptionRecord, DrainPhase, DrainRecord, Obstacle, ObstacleKind};
+use sched::hash::HashSet as NameSet;
+use sched::records::{DRAINS_SCHEMA_VERSION, Name, Phase};
+use sched::world::World;
+use store::key;
+use tokio::time::sleep;
+use tracing::{info, warn};
+
+use crate::clock;
+use crate::controller::{Controller, Inner, wall_ms};
+use crate::state::Core;
+pub use eviction::EvictionBudget;
+use transactions::Transaction;
+
+/// How often the duty looks at drains.
+const TICK: Duration = Duration::from_millis(500);
+/// Between its steps the duty leaves this many times the time that one took.
+const LEAVE: u32 = 8;
+/// Most units that one step stops.
+const MOVES_MOST: usize = 16;
+/// How often a drain's record is written for what it waits for.
+const TOLD_EVERY: Duration = Duration::from_secs(2);
+/// Machines come up within three times their usual boot; that, and some more for the rental
+/// and the first report, is an attempt to get room.
+const BOOTS: f64 = 3.0;
+const ATTEMPT_REST_S: f64 = 45.0;
+/// Boots longer than this are not waited for in full.
+const BOOT_MOST_S: f64 = 600.0;
+/// How long room is held for what was stopped, beyond the time that it needs to save.
+const HOLD_FOR: Duration = Duration::from_secs(60);
+/// Longest time to save that room is held for.
+const SAVE_MOST_S: f64 = 600.0;
+
+/// Room that is held for a job of which something was stopped.
+#[derive(Debug, Clone)]
+pub struct Hold {
+    /// The machines, each as often as it has a place.
+    pub machines: Vec<Name>,
+    /// Until when it is held at the latest.
+    pub until: Instant,
+}
+
+impl Hold {
+    /// Whether the job has not got its places yet.
+    pub fn is_needed(&self, world: &World, job: &str) -> bool {
+        let Some(job) = world.jobs.get(job).map(|j| &j.value) else { return false };
+        let stopping = job.run.iter().any(|a| !job.wants(a));
+        job.phase == Phase::Active && (stopping || sched::placement::pending_count(job) > 0)
+    }
+}
+
+/// What a controller knows of drains beside the records.
+#[derive(Debug, Default)]
+pub struct DrainState {
+    /// The jobs whose running tasks have to be known for the next step.
+    pub asked: BTreeSet<String>,
+    /// What each peer last said of them.
+    pub answers: HashMap<String, observe::PeerAnswer>,
+    /// Machines whose work waits for room that should be rented.
+    pub wants_room: NameSet<Name>,
+    /// Room held for what was stopped, by job.
+    pub holds: BTreeMap<String, Hold>,
+    /// When each drain's record was last written.
+    told: HashMap<String, Instant>,
+    /// Cordons that were first seen without a drain, and when.
+    abandoned: HashMap<String, Instant>,
+    /// Drains that cannot be read, as already told in the log.
+    unreadable: HashSet<String>,
+}
+
+/// The leader's duty.
+pub async fn duty(controller: Controller) {
+    let mut cost = Duration::ZERO;
+    loop {
+        sleep(TICK.max(cost * LEAVE)).await;
+        cost = Duration::ZERO;
+        if !is_due(&controller) {
+            continue;
+        }
+        cost = take_step(&controller).await;
+    }
+}
+
+/// Whether this controller leads, there is something to do, and its view of the records is
+/// one to act by. What it knew otherwise is forgotten: another leads meanwhile.
+fn is_due(controller: &Inner) -> bool {
+    let mut core = controller.core();
+    let busy = core.world.drains.is_busy();
+    let leads = core.leads(&controller.me);
+    if !leads || !busy {
+        if !core.drains.asked.is_empty() || !core.drains.holds.is_empty() {
+            core.drains = DrainState::default();
+        }
+        return false;
+    }
+    core.is_view_fresh(clock::now())
+}
+
+/// One step; tells how long its decisions took.
+async fn take_step(controller: &Controller) -> Duration {
+    tell_unreadable(&mut controller.core());
+    for housekeeping in [transactions::settle, transactions::lift_cordons, transactions::note_outcomes] {
+        let transaction = housekeeping(controller, &mut controller.core());
+        if let Some(transaction) = transaction {
+            transaction.commit(controller).await;
+        }
+    }
+    let begun = clock::now();
+    let Some(Step { decision, ops }) = decide(controller) else { return clock::since(begun) };
+    let cost = clock::since(begun);
+    carry_out(controller, decision, ops).await;
+    cost
+}
+
+/// Says once of each drain that its record cannot be read. Its machines stay cordoned.
+fn tell_unreadable(core: &mut Core) {
+    let Core { world, drains, .. } = core;
+    drains.unreadable.retain(|name| world.drains.unreadable.contains(name));
+    for name in &world.drains.unreadable {
+        if drains.unreadable.insert(name.clone()) {
+            warn!(key = key::drain(name), "a drain cannot be read; its machines stay cordoned");
+        }
+    }
+}
+
+/// What a step decided, and how many changes there are for it.
+struct Step {
+    decision: Decision,
+    ops: usize,
+}
+
+fn decide(controller: &Controller) -> Option<Step> {
+    let now = clock::now();
+    let mut core = controller.core();
+    let budgets = &controller.operators.drains.budgets;
+    let drains = view::active_drains(&core.world, budgets);
+    core.drains.asked = view::jobs_to_ask(&core.world, &drains, budgets);
+    let running = observe::running(controller, &core, now);
+    if drains.is_empty() {
+        core.drains.wants_room.clear();
+        return None;
+    }
+    let plan = controller.plan();
+    let ops = core.writes.allowance(now).min(plan.txn_ops);
+    let limits = Limits {
+        moves: ops.min(MOVES_MOST),
+        room_attempt: room_attempt(&core.world),
+        paused: paused(controller, &core.world),
+        now_ms: wall_ms(),
+    };
+    core.refresh_inventory(&controller.me, controller.report_every(), now);
+    let mut inventory = std::mem::take(&mut core.inventory);
+    inventory.begin();
+    let capacity = DisruptionRecord::capacity(plan.value_bytes);
+    let decision = look(controller, &core, &mut inventory, &drains, &running, &limits, capacity);
+    inventory.roll_back();
+    core.inventory = inventory;
+    core.drains.wants_room = decision.wants_room.iter().cloned().collect();
+    Some(Step { decision, ops })
+}
+
+fn look(
+    controller: &Controller,
+    core: &Core,
+    inventory: &mut sched::placement::Inventory,
+    drains: &[Drain],
+    running: &ObservedTasks,
+    limits: &Limits,
+    capacity: usize,
+) -> Decision {
+    let world = &core.world;
+    for (job, hold) in core.drains.holds.iter().filter(|(job, h)| h.is_needed(world, job)) {
+        let Some(spec) = world.jobs.get(job).and_then(|j| j.value.spec.as_deref()) else { continue };
+        inventory.reserve(&hold.machines, sched::world::Amount::of_task(spec), 1.0);
+    }
+    let budgets = &controller.operators.drains.budgets;
+    let services = view::services_concerned(world, drains, budgets);
+    let team_of = |id: &str| team_of(controller, id);
+    let mut ledger = view::ledger(world, &services, budgets, running, team_of, capacity);
+    let mut room = InventoryRoom {
+        world,
+        inventory,
+        teams: &controller.teams,
+        gang_wait_s: controller.settings.facts.workers.gang_wait_s,
+        now_ms: limits.now_ms,
+    };
+    step::decide(drains, &mut ledger, &mut room, limits)
+}
+
+/// The name of the team that an id in a key stands for.
+pub fn team_of(controller: &Inner, id: &str) -> String {
+    let found = controller.teams.iter().find(|t| key::team_id(&t.name) == id);
+    found.map_or_else(|| id.to_owned(), |t| t.name.clone())
+}
+
+/// How long an attempt to get room may take.
+fn room_attempt(world: &World) -> Duration {
+    let boot_s = world.types.values().map(|t| t.boot_s).fold(0.0, f64::max).min(BOOT_MOST_S);
+    wire::seconds(boot_s * BOOTS + ATTEMPT_REST_S)
+}
+
+/// Why nothing may be stopped at all: a controller that knows no drains, or has them switched
+/// off, could place something on a machine that is being drained.
+pub fn paused(controller: &Inner, world: &World) -> Option<Obstacle> {
+    let names =
+        controller.settings.peers.iter().map(|p| &p.node_name).chain([&controller.settings.node_name]);
+    let knows = |name: &String| world.upgraded.get(name).is_some_and(|s| *s >= DRAINS_SCHEMA_VERSION);
+    names.chain(world.members.keys()).find(|name| !knows(name)).map(|name| Obstacle {
+        kind: ObstacleKind::OldController,
+        team: String::new(),
+        job: name.clone(),
+        machine: String::new(),
+        since_ms: 0,
+    })
+}
+
+/// Commits what a step decided: moves, as many at a time as one transaction holds, then the
+/// records of drains that nothing was moved for.
+async fn carry_out(controller: &Controller, decision: Decision, ops: usize) {
+    let Decision { moves, mut records, .. } = decision;
+    let mut moves = moves.as_slice();
+    let mut moved: HashSet<String> = HashSet::new();
+    let mut left = ops;
+    while !moves.is_empty() && left > 1 {
+        let built = transactions::stop(controller, &controller.core(), moves, left);
+        let Some((transaction, taken)) = built else { break };
+        left = left.saturating_sub(transaction.puts());
+        let some = &moves[..taken];
+        if !transaction.commit(controller).await {
+            return;
+        }
+        hold_room(controller, some);
+        for m in some {
+            moved.insert(m.drain.clone());
+            let (job, task, machine) = (&*m.unit.id.job, m.unit.id.task, &*m.machine);
+            info!(drain = m.drain, job, task, machine, "stopped: its machine is being drained");
+        }
+        moves = &moves[taken..];
+    }
+    records.retain(|(name, _)| !moved.contains(name));
+    for (name, record) in records {
+        tell(controller, &name, record).await;
+    }
+}
+
+/// Keeps the room that was found for what was stopped until it is placed there.
+fn hold_room(controller: &Controller, moves: &[step::Move]) {
+    let now = clock::now();
+    let mut core = controller.core();
+    let Core { world, drains, .. } = &mut *core;
+    for m in moves {
+        let Some(job) = world.jobs.get(&*m.unit.id.job).map(|j| &j.value) else { continue };
+        let save_s = job.spec.as_ref().map_or(0.0, |s| s.save_s.min(SAVE_MOST_S));
+        let until = now + HOLD_FOR + wire::seconds(save_s);
+        let hold = drains.holds.entry(m.unit.id.job.to_string());
+        let hold = hold.or_insert_with(|| Hold { machines: Vec::new(), until });
+        hold.machines.extend(m.room.iter().cloned());
+        hold.until = until;
+    }
+}
+
+/// Writes a drain's record: at once if it ends, else every few seconds at the most.
+async fn tell(controller: &Controller, name: &str, record: DrainRecord) {
+    let transaction = {
+        let mut core = controller.core();
+        let now = clock::now();
+        let recent =
+            core.drains.told.get(name).is_some_and(|t| now.saturating_duration_since(*t) < TOLD_EVERY);
+        if recent && record.is_active() {
+            return;
+        }
+        core.drains.told.insert(name.to_owned(), now);
+        let Some(known) = core.world.drains.records.get(name) else { return };
+        let mut transaction = Transaction::new(&core.world);
+        transaction.put_drain(name, record.clone(), known.version);
+        transaction
+    };
+    if transaction.commit(controller).await
+        && let DrainPhase::Closing(end) = record.phase
+    {
+        info!(drain = name, ?end, obstacle = ?record.obstacle, "the drain ends");
+    }
+}
+
+/// Applies an event to a drain's record; None if it does not fit.
+fn after(record: &DrainRecord, event: Event) -> Option<DrainRecord> {
+    let mut record = record.clone();
+    drain::lifecycle::apply(&mut record, event, wall_ms()).ok().map(|()| record)
+}
+
+#[cfg(test)]
+#[path = "../../tests/unit/drains.rs"]
+mod tests;
--- a/crates/daemon/src/emulated.rs
+++ b/crates/daemon/src/emulated.rs
@@ -20,6 +20,9 @@
     /// The emulated site (HCL); by default a small one that is built in.
     #[arg(long, value_name = "FILE")]
     site: Option<PathBuf>,
+    /// The operators' own settings (HCL).
+    #[arg(long, value_name = "FILE")]
+    operators: Option<PathBuf>,
     /// A folder for the controllers' logs, one file each. Without it, and without
     /// LOG_LEVEL, only errors are shown.
     #[arg(long, value_name = "FOLDER")]
@@ -66,6 +69,7 @@
         Err(_) if args.logs.is_none() => tracing::Level::ERROR,
         _ => log_level()?,
     };
+    let operators = args.operators.as_deref().map(Operators::load).transpose()?.unwrap_or_default();
     if let Some(folder) = &args.logs {
         std::fs::create_dir_all(folder).map_err(failed(folder))?;
     }
@@ -78,6 +82,7 @@
         for (name, text) in site.settings(&emulation).map_err(EmulatedError::from)? {
             let settings = Settings::parse(&name, &text)?;
             let log = args.logs.as_ref().map(|folder| folder.join(format!("{name}.log")));
+            let settings = (settings, operators.clone());
             threads.push(controller(settings, level, log, stop.clone(), ends.clone())?);
         }
         let outcome = tokio::select! {
@@ -102,7 +107,7 @@
 
 /// A controller on a thread and a runtime of its own, as it would be in a process.
 fn controller(
-    settings: Settings,
+    (settings, operators): (Settings, Operators),
     level: tracing::Level,
     log: Option<PathBuf>,
     stop: CancellationToken,
@@ -116,7 +121,7 @@
     let body = move || {
         let _log = tracing::dispatcher::set_default(&subscriber(level, file));
         let stopped = async move { stop.cancelled().await };
-        let end = runtime().and_then(|r| r.block_on(run(settings, Operators::default(), stopped)));
+        let end = runtime().and_then(|r| r.block_on(run(settings, operators, stopped)));
         let _ = ends.send(end);
     };
     std::thread::Builder::new().name(name).spawn(body).map_err(Failure::Runtime)
@@ -136,6 +141,9 @@
         println!("controller {:<12}{}  zone {}", c.name, c.door, c.file.zone);
     }
     println!("cloud                  {}", emulation.cloud);
+    if let Some(c) = emulation.controllers.first() {
+        println!("state service          {}", c.state);
+    }
     println!("ready after {:.2} s; Ctrl-C ends it", begun.elapsed().as_secs_f64());
 }
 
--- a/crates/daemon/src/fleet_duty.rs
+++ b/crates/daemon/src/fleet_duty.rs
@@ -275,13 +275,6 @@
     })
 }
 
-/// Whether the view of the records is one to give machines up by: not one from before this
-/// process stood still, nor from before the state service refused it.
-fn is_view_fresh(core: &Core, now: Instant) -> bool {
-    let fresh = |t: Instant| now.saturating_duration_since(t) < Duration::from_secs(4);
-    !core.stood_still(now) && core.fresh_at.is_some_and(fresh)
-}
-
 /// Writes as the leader: nothing is written once the map has changed.
 async fn write(controller: &Controller, mut conditions: Vec<Condition>, puts: Vec<Put>) -> bool {
     {
--- a/crates/daemon/src/fleet_duty/rentals.rs
+++ b/crates/daemon/src/fleet_duty/rentals.rs
@@ -14,7 +14,7 @@
 use tracing::{debug, info};
 use wire::{Condition, JobKind, JobSpec, MachineStatus, MachineType, RentRequest};
 
-use super::{Fleet, is_view_fresh, names, names_left, spare_spec, write};
+use super::{Fleet, names, names_left, spare_spec, write};
 use crate::clock;
 use crate::controller::{Controller, wall_ms};
 use crate::load::sample_names;
@@ -76,6 +76,14 @@
     }
 }
 
+/// How many tasks of an array or a gang a drain would move if there were room for them: a gang
+/// as a whole.
+fn tasks_to_move(core: &Core, job: &JobRecord, spec: &JobSpec) -> u32 {
+    let waits = |a: &&Assignment| core.drains.wants_room.contains(&a.machine) && job.wants(a);
+    let there = job.run.iter().filter(waits).count() as u32;
+    if spec.kind == JobKind::Gang && there > 0 { spec.tasks } else { there }
+}
+
 impl Fleet {
     /// Drops rentals whose machines are all up, and gives up on those that are not.
     pub(super) async fn settle_rentals(&mut self, controller: &Controller) {
@@ -90,11 +98,34 @@
             for id in &late {
                 self.released.insert(id.clone(), clock::now());
             }
+            self.pass_over_late(controller, &late);
         }
         let put = Put::new(key::FLEET.into(), &fleet);
         write(controller, vec![Condition { key: key::FLEET.into(), version }], vec![put]).await;
     }
 
+    /// Where a drain waits for room, a kind of which machines did not come up is left alone for
+    /// a while, so that the next attempt rents another.
+    fn pass_over_late(&mut self, controller: &Controller, late: &[Name]) {
+        let kinds: Vec<Offer> = {
+            let core = controller.core();
+            if core.drains.wants_room.is_empty() {
+                return;
+            }
+            let rentals = core.world.fleet.iter().flat_map(|f| &f.value.rentals);
+            let is_late = |r: &&Rental| r.machines.iter().flatten().any(|m| late.contains(m));
+            let kind = |r: &Rental| Offer {
+                machine_type: r.machine_type.clone(),
+                zone: r.zone.clone(),
+                spot: r.spot,
+            };
+            rentals.filter(is_late).map(kind).collect()
+        };
+        for kind in kinds {
+            self.block(kind, clock::now());
+        }
+    }
+
     /// The fleet's record without what is settled, its version, and the machines that never
     /// came up. By an old view, those that are up and busy would be among them.
     pub(super) fn settled(
@@ -103,7 +134,7 @@
         now: Instant,
         now_ms: u64,
     ) -> Option<(FleetRecord, u64, Vec<Name>)> {
-        let f = core.world.fleet.as_ref().filter(|_| is_view_fresh(core, now))?;
+        let f = core.world.fleet.as_ref().filter(|_| core.is_view_fresh(now))?;
         let mut late: Vec<Name> = Vec::new();
         let mut rentals = Vec::new();
         for r in &f.value.rentals {
@@ -202,7 +233,9 @@
         now: Instant,
         now_ms: u64,
     ) -> Vec<(&'c JobRecord, Demand<'c>)> {
-        let lost = self.about_to_go(controller, core, now);
+        let mut lost = self.about_to_go(controller, core, now);
+        // Room for what is to be moved off machines that are drained, before it is stopped.
+        lost.extend(core.drains.wants_room.iter().cloned());
         let mut demands = Vec::new();
         let mut left: HashMap<&str, Amount> = HashMap::default();
         for (_, job) in core.world.open_jobs() {
@@ -212,6 +245,8 @@
             let there = |a: &&Assignment| lost.contains(&a.machine) && job.wants(a);
             let replaced = match spec.kind {
                 JobKind::Service if !lost.is_empty() => job.run.iter().filter(there).count() as u32,
+                // Only where a drain waits for room.
+                _ if !core.drains.wants_room.is_empty() => tasks_to_move(core, job, spec),
                 _ => 0,
             };
             let waiting = placement::pending_count(job);
--- a/crates/daemon/src/fleet_duty/returns.rs
+++ b/crates/daemon/src/fleet_duty/returns.rs
@@ -15,9 +15,10 @@
 use tracing::{debug, info, warn};
 use wire::{Condition, JobKind, JobSpec, MachineStatus};
 
-use super::{Fleet, Silent, is_half_full, is_view_fresh, names, names_left, spare_spec, write};
+use super::{Fleet, Silent, is_half_full, names, names_left, spare_spec, write};
 use crate::clock;
 use crate::controller::{Controller, wall_ms};
+use crate::drains;
 use crate::load::sample_names;
 use crate::state::{Core, MachineHealth, MachineView};
 
@@ -58,6 +59,15 @@
     }
 }
 
+/// The machines to give back as soon as nothing is left on them. Nothing can be placed there
+/// meanwhile, unless a controller knows no drains.
+fn drained<'c>(controller: &Controller, core: &'c Core) -> HashSet<&'c Name> {
+    if !controller.operators.drains.enabled || drains::paused(controller, &core.world).is_some() {
+        return HashSet::default();
+    }
+    core.world.drains.machines_to_give_back()
+}
+
 /// What decides whether idle machines stay.
 struct IdleRoom<'a> {
     /// Machines that services to come will take.
@@ -111,7 +121,7 @@
         now: Instant,
     ) -> Vec<(Name, &'static str)> {
         let mut out = Vec::new();
-        if !is_view_fresh(core, now) {
+        if !core.is_view_fresh(now) {
             return out;
         }
         let views: Vec<MachineView> = core.machine_views(&controller.me, now).collect();
@@ -127,6 +137,7 @@
             |id: &Name| core.world.machines.contains_key(id) && !core.world.on_machine.contains_key(id);
         self.idle_since.retain(|id, _| idle(id));
         let mut idle_room = IdleRoom::new(controller, core, &views);
+        let drained = drained(controller, core);
         for m in views.iter().filter(|m| m.current) {
             let Some(health) = m.health else { continue };
             let of_owner = hearing.get(&m.owner.incarnation).copied().unwrap_or_default();
@@ -137,6 +148,8 @@
             let patience = if health.notice { patience / 2 } else { patience };
             let reason = if m.record.release {
                 Some("marked")
+            } else if m.used.is_none() && drained.contains(m.id) {
+                Some("drained")
             } else if health.silent >= patience {
                 self.note_silent(controller, m.id, health, now);
                 Some("silent")
@@ -259,7 +272,9 @@
             let core = controller.core();
             for (id, why) in list {
                 match core.world.machines.get(&id) {
-                    Some(m) if why == "idle" && !m.value.release => marks.push((id, m.clone(), why)),
+                    Some(m) if matches!(why, "idle" | "drained") && !m.value.release => {
+                        marks.push((id, m.clone(), why));
+                    }
                     _ if self.released.contains_key(&id) => {}
                     _ => {
                         reasons.insert(id.clone(), why);
@@ -286,6 +301,7 @@
             }
             for (id, _, why) in marks {
                 debug!(machine = &*id, reason = why, "giving the machine back");
+                reasons.insert(id.clone(), why);
                 // A task may have been placed just before the mark.
                 if !controller.core().world.on_machine.contains_key(&id) {
                     ready.push(id);
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -8,6 +8,7 @@
 mod clock;
 mod commit;
 mod controller;
+mod drains;
 mod emulated;
 mod fleet_duty;
 #[cfg(test)]
@@ -34,6 +35,7 @@
 #[path = "../tests/unit/production.rs"]
 mod production;
 mod read_index;
+mod read_records;
 mod reconcile;
 mod round;
 #[cfg(test)]
@@ -78,6 +80,8 @@
     Check(Files),
     /// Submit, look at and withdraw jobs.
     Job(client::JobArgs),
+    /// Retire machines in steps, within the teams' disruption budgets.
+    Drain(drains::command::DrainArgs),
     /// Try the service: controllers on an emulated site, until Ctrl-C.
     Try(emulated::TryArgs),
     /// Run an emulated site for controllers that are started by hand, until Ctrl-C.
@@ -106,6 +110,8 @@
     #[error(transparent)]
     Client(#[from] client::ClientError),
     #[error(transparent)]
+    Drain(#[from] drains::command::DrainError),
+    #[error(transparent)]
     Emulated(#[from] emulated::EmulatedError),
     #[error("the runtime cannot start: {0}")]
     Runtime(std::io::Error),
@@ -117,6 +123,7 @@
     let outcome = match cli.command {
         Verb::Serve(files) => serve(&files),
         Verb::Job(args) => runtime().and_then(|r| Ok(r.block_on(client::run(args))?)),
+        Verb::Drain(args) => runtime().and_then(|r| Ok(r.block_on(drains::command::run(args))?)),
         Verb::Try(args) => emulated::try_out(&args),
         Verb::Emulate(args) => emulated::emulate(&args),
         Verb::Check(files) => load(&files).map(|_| println!("the settings are valid")),
@@ -231,7 +238,14 @@
     controller.spawn_duty(api::arrivals(controller.clone()));
     controller.spawn_duty(fleet_duty::fleet(controller.clone()));
     controller.spawn_duty(load::log_regularly(controller.clone()));
+    if controller.operators.drains.enabled {
+        controller.spawn_duty(drains::duty(controller.clone()));
+    }
     for peer in &controller.settings.peers {
+        if controller.operators.drains.enabled {
+            let (name, address) = (peer.node_name.clone(), peer.address.clone());
+            controller.spawn_duty(drains::observe::ask_peer(controller.clone(), name, address));
+        }
         controller.spawn_duty(peers::exchange_summaries(controller.clone(), peer.address.clone()));
     }
 }
--- a/crates/daemon/src/load.rs
+++ b/crates/daemon/src/load.rs
@@ -18,15 +18,17 @@
     Fleet,
     /// Parts of records that are larger than a value.
     Parts,
+    Drains,
 }
 
-const PURPOSES: [(Purpose, &str); 6] = [
+const PURPOSES: [(Purpose, &str); 7] = [
     (Purpose::Rounds, "rounds"),
     (Purpose::Users, "users"),
     (Purpose::Members, "members"),
     (Purpose::Machines, "machines"),
     (Purpose::Fleet, "fleet"),
     (Purpose::Parts, "parts"),
+    (Purpose::Drains, "drains"),
 ];
 
 /// Counted since the last line.
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -11,6 +11,7 @@
 use crate::api;
 use crate::clock;
 use crate::controller::Controller;
+use crate::drains::observe;
 use crate::read_index;
 use crate::reconcile;
 use crate::state::{Core, PeerView, takes_work};
@@ -163,7 +164,7 @@
 
 /// Serves the peers.
 pub async fn serve(controller: Controller, request: Request) -> Reply {
-    if !matches!(request.path.as_str(), "/peer" | read_index::PATH) {
+    if !matches!(request.path.as_str(), "/peer" | read_index::PATH | observe::PATH) {
         return Reply::error(404, "unknown path");
     }
     if request.method != "POST" {
@@ -172,6 +173,9 @@
     if request.path == read_index::PATH {
         return read_index::serve(&controller, &request.body);
     }
+    if request.path == observe::PATH {
+        return observe::serve(&controller, &request.body);
+    }
     let answer = match peer::decode(&request.body) {
         Some(Message::Summary(s)) => {
             take(&controller, s);
--- a/crates/daemon/src/placer.rs
+++ b/crates/daemon/src/placer.rs
@@ -1,5 +1,6 @@
 //! Which waiting jobs start, and what makes way for them.
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use sched::forecast;
@@ -13,6 +14,7 @@
 use wire::{JobKind, JobSpec, Priority};
 
 use crate::controller::Controller;
+use crate::drains::Hold;
 use crate::reconcile::REFUSED_FOR;
 use crate::round::{Event, Round, edit};
 use crate::state::Core;
@@ -121,7 +123,8 @@
 ) {
     let Budget { now, now_ms, .. } = budget;
     let leads = core.leads(&controller.me);
-    let Core { world, reserved, searched, refused, guaranteed, .. } = core;
+    let Core { world, reserved, searched, refused, guaranteed, drains, .. } = core;
+    let holds = &mut drains.holds;
     let world: &World = world;
     guaranteed.refresh(world, &controller.teams);
     let guaranteed = &guaranteed.jobs;
@@ -132,6 +135,7 @@
         let Some(spec) = world.jobs.get(id).and_then(|j| j.value.spec.as_deref()) else { continue };
         inventory.reserve(machines, Amount::of_task(spec), 1.0);
     }
+    hold_for_drains(world, inventory, holds, reserved, &queue, now);
     let longest: HashSet<&str> = placement::longest_waiting(world, now_ms).into_iter().collect();
     let queue = in_order(controller, world, queue, guaranteed, &longest, now_ms);
     let mut pass = Pass {
@@ -157,6 +161,29 @@
     }
 }
 
+/// Keeps the room that was found for what drains have stopped from all other jobs. For a job
+/// that waits it is like room that was made for it.
+fn hold_for_drains(
+    world: &World,
+    inventory: &mut Inventory,
+    holds: &mut BTreeMap<String, Hold>,
+    reserved: &mut std::collections::HashMap<String, (Vec<Name>, Instant)>,
+    queue: &[String],
+    now: Instant,
+) {
+    holds.retain(|job, hold| now < hold.until && hold.is_needed(world, job));
+    for (job, hold) in holds.iter() {
+        let Some(spec) = world.jobs.get(job).and_then(|j| j.value.spec.as_deref()) else { continue };
+        if reserved.contains_key(job) {
+            continue;
+        }
+        inventory.reserve(&hold.machines, Amount::of_task(spec), 1.0);
+        if queue.contains(job) {
+            reserved.insert(job.clone(), (hold.machines.clone(), hold.until));
+        }
+    }
+}
+
 /// What this round has ended is free already.
 fn free_what_ended(world: &World, inventory: &mut Inventory, round: &Round) {
     for (id, record) in &round.jobs {
--- a/crates/daemon/src/reconcile.rs
+++ b/crates/daemon/src/reconcile.rs
@@ -5,9 +5,9 @@
 use std::time::{Duration, Instant};
 
 use peer::Proof;
-use sched::drain;
 use sched::records::*;
 use sched::rescheduler;
+use sched::spot_notice;
 use sched::world::{Change, World};
 use store::{Outcome, StoreError};
 use tokio::time::{sleep, timeout};
@@ -16,6 +16,7 @@
 
 use crate::clock;
 use crate::controller::{Controller, wall_ms};
+use crate::drains;
 use crate::load::{Counts, Purpose};
 use crate::peers;
 use crate::placer;
@@ -101,7 +102,8 @@
     }
     // Ends leave some of the round for what starts: where much ends all the time,
     // nothing would ever take its place.
-    let mut round = Round { most_ended: (ops * 2 / 3).max(1), ..Round::default() };
+    let cordon_fence = controller.operators.drains.enabled;
+    let mut round = Round { most_ended: (ops * 2 / 3).max(1), cordon_fence, ..Round::default() };
     core.written_in_chunks.retain(|_, t| now.saturating_duration_since(*t) < CHUNKED_EVERY);
     core.refused.retain(|_, until| now < *until);
     round.held = core.written_in_chunks.keys().chain(core.refused.keys()).cloned().collect();
@@ -207,13 +209,17 @@
         if let Some(until) = worker.notice_until {
             let left = until.saturating_duration_since(now);
             for (job, record, a) in world.assignments(id) {
-                let stops = record.spec.as_ref().is_some_and(|s| drain::stops(s, left));
+                let stops = record.spec.as_ref().is_some_and(|s| spot_notice::stops(s, left));
                 if stops
                     && record.wants(a)
                     && let Some(record) = edit(round, world, job)
-                    && drain::mark(record, a.task)
+                    && spot_notice::mark(record, a.task)
                 {
-                    round.log.push(Event::Drained { job: job.to_owned(), task: a.task, machine: id.clone() });
+                    round.log.push(Event::SpotNotice {
+                        job: job.to_owned(),
+                        task: a.task,
+                        machine: id.clone(),
+                    });
                 }
             }
         }
@@ -371,10 +377,23 @@
 ) {
     let policy = &controller.operators.rescheduler;
     core.refresh_inventory(&controller.me, controller.report_every(), now);
-    for e in rescheduler::scan(&core.world, &core.inventory, policy, now_ms) {
-        if round.jobs.contains_key(&e.job) || round.puts() >= ops {
+    let evictions = rescheduler::scan(&core.world, &core.inventory, policy, now_ms);
+    if evictions.is_empty() {
+        return;
+    }
+    let drains_on = controller.operators.drains.enabled;
+    let mut budget = drains_on.then(|| drains::EvictionBudget::new(controller, core, &evictions));
+    for e in evictions {
+        // With its team's record of what is down by choice.
+        let changes = 1 + usize::from(drains_on);
+        let taken = round.jobs.contains_key(&e.job) || round.held.contains(&e.job);
+        if taken || round.puts() + changes > ops {
             continue;
         }
+        if let Some(budget) = &mut budget {
+            let Some(disruption) = budget.debit(&core.world, &e, now_ms) else { continue };
+            round.disruptions.insert(e.job.clone(), disruption);
+        }
         let Some(record) = edit(round, &core.world, &e.job) else { continue };
         rescheduler::evict(record, &e, policy, now_ms);
         round.log.push(Event::Evicted(e));
@@ -383,7 +402,7 @@
 
 /// Commits a round in one transaction, as far as the limits of one go.
 pub(crate) async fn commit(controller: &Controller, round: Round) {
-    let Assembled { conditions, puts, left_out, teams, chunked } = {
+    let Assembled { conditions, puts, left_out, teams, disruptions, chunked } = {
         let mut core = controller.core();
         let cautious = core.cautious.is_some_and(|until| clock::now() < until);
         let most_jobs = if cautious { 1 } else { usize::MAX };
@@ -414,6 +433,9 @@
             for (team, record) in teams {
                 core.world.apply(Change::Team(team, Some(record)), revision);
             }
+            for (team, record) in disruptions {
+                core.world.apply(Change::Disruptions(team, Some(record)), revision);
+            }
         }
         Ok(Outcome::Conflict { failed, revision }) => {
             Counts::add(&controller.counts.conflicts, 1);
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -1,8 +1,10 @@
 //! The platform's settings (TOML) and the operators' own (HCL).
 
+use std::collections::BTreeMap;
 use std::path::Path;
 use std::time::Duration;
 
+use drain::budget::{Budgets, TeamBudget};
 use sched::rescheduler::Policy;
 use sched::world::Team;
 use serde::Deserialize;
@@ -326,6 +328,57 @@
 struct HclFile {
     rescheduler: HclRescheduler,
     fleet: HclFleet,
+    drains: HclDrains,
+}
+
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct HclDrains {
+    enabled: bool,
+    replicas_per_service: u32,
+    team: BTreeMap<String, HclTeamBudget>,
+}
+
+impl Default for HclDrains {
+    fn default() -> Self {
+        Self { enabled: false, replicas_per_service: Budgets::default().per_service, team: BTreeMap::new() }
+    }
+}
+
+#[derive(Debug, Clone, PartialEq, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct HclTeamBudget {
+    count: Option<f64>,
+    share: Option<f64>,
+}
+
+impl HclTeamBudget {
+    /// The budget, or which field is wrong and why.
+    fn checked(&self) -> Result<TeamBudget, (&'static str, &'static str)> {
+        match (self.count, self.share) {
+            (Some(_), Some(_)) => Err(("share", "does not go with count")),
+            (None, None) => Err(("count", "count or share must be given")),
+            (Some(count), None) if !(0.0..=COUNT_MOST).contains(&count) || count.fract() != 0.0 => {
+                Err(("count", "must be a whole number from 0 to 1000000"))
+            }
+            (Some(count), None) => Ok(TeamBudget::Count(count as u32)),
+            (None, Some(share)) if !(0.0..=1.0).contains(&share) => {
+                Err(("share", "must be a number from 0 to 1"))
+            }
+            (None, Some(share)) => Ok(TeamBudget::Share(share)),
+        }
+    }
+}
+
+/// Largest count that a team's budget may have.
+const COUNT_MOST: f64 = 1e6;
+
+/// Whether machines can be drained, and what of a team may be down for it.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct DrainSettings {
+    /// Without it nothing of drains is read, written or asked for.
+    pub enabled: bool,
+    pub budgets: Budgets,
 }
 
 #[derive(Debug, Clone, PartialEq, Deserialize)]
@@ -368,6 +421,7 @@
     /// Room kept ready for so many tasks of the latest GPU job, if its class
     /// is expected to start in time.
     pub spare_gpu_tasks: u32,
+    pub drains: DrainSettings,
 }
 
 impl Default for Operators {
@@ -378,6 +432,7 @@
             idle: wire::seconds(fleet.idle_s),
             silent: fleet.silent_s.map(wire::seconds),
             spare_gpu_tasks: fleet.spare_gpu_tasks,
+            drains: DrainSettings::default(),
         }
     }
 }
@@ -409,7 +464,9 @@
             }
         }
         let seconds = wire::seconds;
+        let drains = drain_settings(file, &f.drains)?;
         Ok(Self {
+            drains,
             rescheduler: Policy {
                 scan: seconds(f.rescheduler.scan_s),
                 threshold: f.rescheduler.threshold,
@@ -423,6 +480,20 @@
     }
 }
 
+fn drain_settings(file: &str, drains: &HclDrains) -> Result<DrainSettings, SettingsError> {
+    let mut teams = BTreeMap::new();
+    for (team, budget) in &drains.team {
+        let budget = budget.checked().map_err(|(field, why)| SettingsError::Field {
+            file: file.to_owned(),
+            field: format!("drains.team.{team}.{field}"),
+            why: why.to_owned(),
+        })?;
+        teams.insert(team.clone(), budget);
+    }
+    let budgets = Budgets { per_service: drains.replicas_per_service, teams };
+    Ok(DrainSettings { enabled: drains.enabled, budgets })
+}
+
 #[cfg(test)]
 #[path = "../tests/unit/settings.rs"]
 pub(crate) mod tests;
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -10,6 +10,7 @@
 use sched::world::{Amount, InOrder, World};
 use store::{Budget, Reader};
 
+use crate::drains::DrainState;
 use crate::placer::Guaranteed;
 use crate::read_index::ReadIndexes;
 use crate::worker::{Key, Worker};
@@ -26,6 +27,8 @@
 /// How often each machine is looked at whether it may be used. What makes one unusable takes
 /// seconds to show.
 const USABLE_EVERY: Duration = Duration::from_millis(250);
+/// How old a view of the records may be to give machines up by.
+const VIEW_FRESH: Duration = Duration::from_secs(4);
 /// How long a peer's word of its machines counts for giving them up.
 const PEER_WORD_FOR: Duration = Duration::from_secs(4);
 
@@ -131,6 +134,7 @@
     usable_at: Option<Instant>,
     pub guaranteed: Guaranteed,
     pub given: GivenToParts,
+    pub drains: DrainState,
     /// Jobs whose records lie in parts, and when they were last written: each time costs
     /// a change for every part.
     pub written_in_chunks: HashMap<String, Instant>,
@@ -173,6 +177,7 @@
             usable_at: None,
             guaranteed: Guaranteed::default(),
             given: GivenToParts::default(),
+            drains: DrainState::default(),
             written_in_chunks: HashMap::new(),
             refused: HashMap::new(),
             cautious: None,
@@ -194,7 +199,7 @@
     /// Whether a controller is live that has not said that it has this version.
     pub fn old_is_live(&self) -> bool {
         let live = self.map().into_iter().flat_map(|m| m.live.iter().map(|m| &m.name));
-        self.world.members.keys().chain(live).any(|name| !self.world.upgraded.contains(name))
+        self.world.members.keys().chain(live).any(|name| !self.world.upgraded.contains_key(name))
     }
 
     /// Whether this controller is out of reach of all the others and of most of its
@@ -298,6 +303,13 @@
         now.saturating_duration_since(self.beat) > STOOD_STILL
     }
 
+    /// Whether the view of the records is one to give machines up by, or to stop work: not one
+    /// from before this process stood still, nor from before the state service refused it.
+    pub fn is_view_fresh(&self, now: Instant) -> bool {
+        let fresh = |t: Instant| now.saturating_duration_since(t) < VIEW_FRESH;
+        !self.stood_still(now) && self.fresh_at.is_some_and(fresh)
+    }
+
     /// The process runs. If it stood still before, nobody is blamed for it.
     pub fn beat(&mut self, now: Instant) {
         if self.stood_still(now) {
--- a/crates/daemon/src/state_duty.rs
+++ b/crates/daemon/src/state_duty.rs
@@ -4,25 +4,22 @@
 use std::time::Duration;
 
 use rmpv::Value;
-use sched::records::{MapRecord, Member, SCHEMA_VERSION, Upgraded};
+use sched::records::{DRAINS_SCHEMA_VERSION, MapRecord, Member, SCHEMA_VERSION, Upgraded};
 use sched::world::{Change, World};
-use store::{Outcome, Put, Reader, StoreError, key};
+use store::{Outcome, Put, StoreError, key};
 use tokio::time::{sleep, timeout};
-use tracing::{debug, info, warn};
+use tracing::{info, warn};
 use wire::{Changes, Condition};
 
 use crate::clock;
 use crate::controller::{Controller, MEMBER_TTL};
 use crate::load::Purpose;
+use crate::read_records::read_records;
 use crate::state::Core;
 use crate::worker::Worker;
 
 const WATCH: Duration = Duration::from_secs(8);
 const RETRY: Duration = Duration::from_millis(250);
-/// How often in a row a page of the records is asked for again. Begun anew with every
-/// refusal, thousands of records were never read while a state service refused every
-/// second request.
-const PAGE_TRIES: u32 = 12;
 /// How long those who wait for a check are kept waiting, at most.
 const CHECK: Duration = Duration::from_millis(1500);
 
@@ -50,33 +47,7 @@
 }
 
 async fn read_all(controller: &Controller) -> Result<(), StoreError> {
-    let (mut world, mut reader) = (World::default(), Reader::default());
-    let mut after: Option<String> = None;
-    loop {
-        let page = page(controller, after.as_deref()).await?;
-        if after.is_none() {
-            // Changes since the first page are followed from here, even if a
-            // later page shows them already.
-            world.revision = page.revision;
-        }
-        after = page.items.last().map(|i| i.key.clone());
-        // Machines and types come before jobs need them.
-        let mut decoded: Vec<_> =
-            page.items.into_iter().map(|i| reader.take(&i.key, Some(i.value), i.version)).collect();
-        decoded.sort_by_key(|(c, ..)| matches!(c, Change::Job(..)));
-        for (change, bad, version) in decoded {
-            if bad {
-                // One in parts is read once they are, too.
-                debug!(?change, "a record cannot be read yet");
-                world.unread(change);
-            } else {
-                world.apply(change, version);
-            }
-        }
-        if !page.more || after.is_none() {
-            break;
-        }
-    }
+    let (mut world, reader) = read_records(&controller.state).await?;
     let revision = world.revision;
     let (jobs, machines) = (world.jobs.len(), world.machines.len());
     {
@@ -112,22 +83,6 @@
     }
 }
 
-/// One page of the records. Whatever changes while it is asked for again is told by the
-/// changes since the first page.
-async fn page(controller: &Controller, after: Option<&str>) -> Result<wire::Items<Value>, StoreError> {
-    let mut tries = 0;
-    loop {
-        match controller.state.list(after).await {
-            Err(e) if after.is_some() && tries < PAGE_TRIES => {
-                debug!(error = %e, "a page of the records could not be read");
-                tries += 1;
-                sleep(RETRY).await;
-            }
-            result => return result,
-        }
-    }
-}
-
 /// Waits for changes and takes them in.
 async fn follow(controller: &Controller) -> Result<(), StoreError> {
     let after = controller.core().world.revision;
@@ -191,7 +146,7 @@
     }
     let names =
         controller.settings.peers.iter().map(|p| &p.node_name).chain([&controller.settings.node_name]);
-    let missing: Vec<&String> = names.filter(|n| !core.world.upgraded.contains(*n)).collect();
+    let missing: Vec<&String> = names.filter(|n| !core.world.upgraded.contains_key(*n)).collect();
     if missing.is_empty() {
         controller.seen.all_new.store(true, Ordering::Relaxed);
         let plan = controller.plan();
@@ -327,13 +282,14 @@
 }
 
 /// What this controller should write now for membership and leadership. `tokens_run_low`: its
-/// fencing tokens of this epoch are nearly used up.
-fn next_claim(world: &World, me: &Member, tokens_run_low: bool) -> Option<Claim> {
+/// fencing tokens of this epoch are nearly used up. `schema`: what it has, which a record of
+/// its own tells the others.
+fn next_claim(world: &World, me: &Member, schema: u32, tokens_run_low: bool) -> Option<Claim> {
     let member = match world.members.get(&me.name) {
         Some(m) if m.value == *me => m.version,
         other => {
-            let first = !world.upgraded.contains(&me.name);
-            return Some(Claim::Member(other.map_or(0, |m| m.version), first));
+            let other_schema = world.upgraded.get(&me.name) != Some(&schema);
+            return Some(Claim::Member(other.map_or(0, |m| m.version), other_schema));
         }
     };
     if tokens_run_low
@@ -357,6 +313,11 @@
     (old.live != live).then(|| Claim::Map(MapRecord { epoch: old.epoch + 1, live }, version, leader.version))
 }
 
+/// The schema that this controller has: with drains only while they are switched on.
+fn schema_of(controller: &Controller) -> u32 {
+    if controller.operators.drains.enabled { DRAINS_SCHEMA_VERSION } else { SCHEMA_VERSION }
+}
+
 /// Makes the next claim, if there is one; true if it was committed.
 async fn claim(controller: &Controller, lease: u64) -> Result<bool, StoreError> {
     let claim = {
@@ -365,21 +326,19 @@
             return Ok(false);
         }
         let tokens_run_low = core.workers.values().any(Worker::tokens_run_low);
-        next_claim(&core.world, &controller.me, tokens_run_low)
+        next_claim(&core.world, &controller.me, schema_of(controller), tokens_run_low)
     };
     let (conditions, puts) = match claim {
         None => return Ok(false),
-        Some(Claim::Member(version, first)) => {
+        Some(Claim::Member(version, other_schema)) => {
             info!(incarnation = controller.me.incarnation, "joining the members");
             // A late copy of a predecessor's request must not push this one out.
             let me = key::member(&controller.me.name);
             let mut puts = vec![Put::leased(me.clone(), &controller.me, lease)];
-            if first {
+            if other_schema {
                 // With the entry, so that no live controller passes for an old one.
-                puts.push(Put::new(
-                    key::upgraded(&controller.me.name),
-                    &Upgraded { schema_version: SCHEMA_VERSION },
-                ));
+                let schema_version = schema_of(controller);
+                puts.push(Put::new(key::upgraded(&controller.me.name), &Upgraded { schema_version }));
             }
             (vec![Condition { key: me, version }], puts)
         }
--- a/crates/daemon/src/worker.rs
+++ b/crates/daemon/src/worker.rs
@@ -181,6 +181,12 @@
         self.look_at = None;
     }
 
+    /// Whether the worker last reported that this attempt of a task runs.
+    pub fn is_running(&self, task: &str, attempt: u64) -> bool {
+        let runs = |t: &TaskReport| t.state == TaskState::Running && t.attempt == attempt && t.task == task;
+        self.trusted && self.tasks.iter().any(runs)
+    }
+
     /// Whether a round should compare this worker with the records.
     pub fn due(&self, now: Instant) -> bool {
         self.look_at.is_none_or(|t| now >= t)
--- a/crates/daemon/tests/unit/meetings_front.rs
+++ b/crates/daemon/tests/unit/meetings_front.rs
@@ -177,7 +177,7 @@
             worker.reconcile("m-1", &world, &limits, at);
         }
         let spec = JobSpec { save_s: s, checkpoint_s: s, ..spec("j-1", JobKind::Gang) };
-        sched::drain::stops(&spec, Duration::from_secs(5));
+        sched::spot_notice::stops(&spec, Duration::from_secs(5));
         let mut budget = store::Budget::new(s, s, now);
         let _ = now + budget.take(s, s, now);
     }
--- a/crates/daemon/tests/unit/state_duty.rs
+++ b/crates/daemon/tests/unit/state_duty.rs
@@ -13,18 +13,18 @@
     world.apply(Change::Member("a".into(), Some(old.clone())), 1);
     world.apply(Change::Leader(Some(old.clone())), 2);
     world.apply(Change::Map(Some(MapRecord { epoch: 7, live: vec![old] })), 3);
-    assert!(matches!(next_claim(&world, &new, false), Some(Claim::Member(1, true))));
+    assert!(matches!(next_claim(&world, &new, SCHEMA_VERSION, false), Some(Claim::Member(1, true))));
     world.apply(Change::Member("a".into(), Some(new.clone())), 4);
-    assert!(matches!(next_claim(&world, &new, false), Some(Claim::Leader(2, 4))));
+    assert!(matches!(next_claim(&world, &new, SCHEMA_VERSION, false), Some(Claim::Leader(2, 4))));
     world.apply(Change::Leader(Some(new.clone())), 5);
-    match next_claim(&world, &new, false) {
+    match next_claim(&world, &new, SCHEMA_VERSION, false) {
         Some(Claim::Map(map, 3, 5)) => {
             assert_eq!(map, MapRecord { epoch: 8, live: vec![new.clone()] });
             world.apply(Change::Map(Some(map)), 6);
         }
         _ => unreachable!("a new map"),
     }
-    assert!(next_claim(&world, &new, false).is_none());
+    assert!(next_claim(&world, &new, SCHEMA_VERSION, false).is_none());
 }
 
 /// A controller that is not the leader has nearly used up its tokens: it raises the epoch
@@ -39,15 +39,15 @@
     world.apply(Change::Member("b".into(), Some(other.clone())), 2);
     world.apply(Change::Leader(Some(leader)), 3);
     world.apply(Change::Map(Some(MapRecord { epoch: 7, live: live.clone() })), 4);
-    assert!(next_claim(&world, &other, false).is_none());
-    match next_claim(&world, &other, true) {
+    assert!(next_claim(&world, &other, SCHEMA_VERSION, false).is_none());
+    match next_claim(&world, &other, SCHEMA_VERSION, true) {
         Some(Claim::Epoch(map, 4, 2)) => assert_eq!(map, MapRecord { epoch: 8, live }),
         _ => unreachable!("a new epoch"),
     }
     // Not one that the map does not hold: it has no part, and so no tokens of this epoch.
     let stranger = member("c", 3);
     world.apply(Change::Member("c".into(), Some(stranger.clone())), 5);
-    assert!(next_claim(&world, &stranger, true).is_none());
+    assert!(next_claim(&world, &stranger, SCHEMA_VERSION, true).is_none());
 }
 
 /// Back within a fraction of a second, in the middle of an election: late
@@ -58,14 +58,22 @@
     let (old, new) = (member("a", 1), member("a", 2));
     // The predecessor joined at 5 and was about to lead.
     world.apply(Change::Member("a".into(), Some(old.clone())), 5);
-    let Some(Claim::Leader(0, 5)) = next_claim(&world, &old, false) else { unreachable!("leads") };
-    let Some(Claim::Member(5, true)) = next_claim(&world, &new, false) else { unreachable!("joins") };
+    let Some(Claim::Leader(0, 5)) = next_claim(&world, &old, SCHEMA_VERSION, false) else {
+        unreachable!("leads")
+    };
+    let Some(Claim::Member(5, true)) = next_claim(&world, &new, SCHEMA_VERSION, false) else {
+        unreachable!("joins")
+    };
     world.apply(Change::Member("a".into(), Some(new.clone())), 6);
     // Its claims were conditional on versions 0 and 5 of the entry.
     assert_eq!(world.members["a"].version, 6);
-    let Some(Claim::Leader(0, 6)) = next_claim(&world, &new, false) else { unreachable!("leads") };
+    let Some(Claim::Leader(0, 6)) = next_claim(&world, &new, SCHEMA_VERSION, false) else {
+        unreachable!("leads")
+    };
     world.apply(Change::Leader(Some(new.clone())), 7);
-    let Some(Claim::Map(map, 0, 7)) = next_claim(&world, &new, false) else { unreachable!("a map") };
+    let Some(Claim::Map(map, 0, 7)) = next_claim(&world, &new, SCHEMA_VERSION, false) else {
+        unreachable!("a map")
+    };
     assert_eq!(map.live, [new]);
 }
 
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -114,6 +114,60 @@
     pub record: Vec<u8>,
 }
 
+/// Asks a controller which tasks of some jobs it sees running on its machines. It has a path
+/// and a type of its own, as controllers without drains know neither.
+#[derive(Debug, Clone, PartialEq, Archive, Serialize, Deserialize)]
+pub struct RunningTasksRequest {
+    /// Names this request, so that a late copy of another's answer does not pass for its own.
+    pub nonce: u64,
+    /// The epoch of the newest map that the sender knows.
+    pub epoch: u64,
+    pub jobs: Vec<String>,
+}
+
+/// The tasks that its sender sees running on the machines that it owns, by reports that are
+/// not older than a worker may be silent for.
+#[derive(Debug, Clone, PartialEq, Archive, Serialize, Deserialize)]
+pub struct RunningTasks {
+    pub nonce: u64,
+    pub name: String,
+    pub incarnation: u64,
+    /// The epoch of the map by which it owns its machines.
+    pub epoch: u64,
+    pub jobs: Vec<RunningTasksOfJob>,
+}
+
+/// The running tasks of one job.
+#[derive(Debug, Clone, PartialEq, Archive, Serialize, Deserialize)]
+pub struct RunningTasksOfJob {
+    pub job: String,
+    /// Tasks and their attempts.
+    pub tasks: Vec<RunningTask>,
+}
+
+/// A task that runs, and its attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct RunningTask {
+    pub task: u32,
+    pub attempt: u64,
+}
+
+pub fn encode_running_request(request: &RunningTasksRequest) -> Vec<u8> {
+    rkyv::to_bytes::<rancor::Error>(request).map(|b| b.to_vec()).unwrap_or_default()
+}
+
+pub fn decode_running_request(bytes: &[u8]) -> Option<RunningTasksRequest> {
+    rkyv::from_bytes::<RunningTasksRequest, rancor::Error>(&aligned(bytes)).ok()
+}
+
+pub fn encode_running(running: &RunningTasks) -> Vec<u8> {
+    rkyv::to_bytes::<rancor::Error>(running).map(|b| b.to_vec()).unwrap_or_default()
+}
+
+pub fn decode_running(bytes: &[u8]) -> Option<RunningTasks> {
+    rkyv::from_bytes::<RunningTasks, rancor::Error>(&aligned(bytes)).ok()
+}
+
 pub fn encode_request(request: &ReadIndexRequest) -> Vec<u8> {
     rkyv::to_bytes::<rancor::Error>(request).map(|b| b.to_vec()).unwrap_or_default()
 }
--- a/crates/sched/src/inventory.rs
+++ b/crates/sched/src/inventory.rs
@@ -89,7 +89,7 @@
                 continue;
             }
             let used = used.get(id).copied().unwrap_or_default();
-            let usable = usable(id, owner.incarnation);
+            let usable = usable(id, owner.incarnation) && !world.drains.is_cordoned(id);
             let like = |s: &Slot| {
                 (s.owner, s.spot) == (owner.incarnation, m.spot)
                     && s.machine_type == m.machine_type
@@ -150,7 +150,7 @@
         }
         for i in 0..self.slots.len() {
             let slot = &self.slots[i];
-            let usable = usable(&slot.id, slot.owner);
+            let usable = usable(&slot.id, slot.owner) && !world.drains.is_cordoned(&slot.id);
             if usable != slot.usable {
                 self.set_usable(i, usable);
             }
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -2,7 +2,8 @@
 //! is known and what time it is.
 
 mod compact;
-pub mod drain;
+pub mod drain_records;
+pub mod drains;
 pub mod fleet;
 pub mod forecast;
 pub mod hash;
@@ -12,4 +13,5 @@
 pub mod preempt;
 pub mod records;
 pub mod rescheduler;
+pub mod spot_notice;
 pub mod world;
--- a/crates/sched/src/records.rs
+++ b/crates/sched/src/records.rs
@@ -423,6 +423,9 @@
 
 /// The schema with pipelines and chunked records.
 pub const SCHEMA_VERSION: u32 = 2;
+/// The schema with drains, of a controller that has them switched on: it places nothing on
+/// machines that are cordoned.
+pub const DRAINS_SCHEMA_VERSION: u32 = 3;
 
 /// Who is entitled to act. Every token given out carries the epoch.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/sched/src/drain.rs
+++ b/crates/sched/src/spot_notice.rs
@@ -33,5 +33,5 @@
 }
 
 #[cfg(test)]
-#[path = "../tests/unit/drain.rs"]
+#[path = "../tests/unit/spot_notice.rs"]
 mod tests;
--- a/crates/sched/src/world.rs
+++ b/crates/sched/src/world.rs
@@ -6,6 +6,8 @@
 
 use wire::{JobSpec, JobState, MachineType};
 
+use crate::drain_records::{CordonFence, CordonRecord, DisruptionRecord, DrainRecord};
+use crate::drains::{CordonId, Drains};
 use crate::hash::{HashMap, HashSet};
 use crate::pipeline::Pipelines;
 use crate::records::*;
@@ -102,9 +104,13 @@
     Map(Option<MapRecord>),
     Types(Option<TypesRecord>),
     Fleet(Option<FleetRecord>),
-    /// The controller of this name has the version that knows pipelines. Its record
-    /// lasts, whoever lives.
-    Upgraded(String, bool),
+    /// The controller of this name has the version that knows pipelines, and this schema.
+    /// Its record lasts, whoever lives.
+    Upgraded(String, Option<u32>),
+    Drain(String, Option<DrainRecord>),
+    Cordon(CordonId, Option<CordonRecord>),
+    CordonFence(Option<CordonFence>),
+    Disruptions(String, Option<DisruptionRecord>),
     Other,
 }
 
@@ -159,8 +165,9 @@
     /// When it was submitted, by the time of day.
     pub gpu_spec_ms: u64,
     pub pipelines: Pipelines,
-    /// Controllers that will not come back old.
-    pub upgraded: BTreeSet<String>,
+    /// Controllers that will not come back old, and the schema that each last had.
+    pub upgraded: BTreeMap<String, u32>,
+    pub drains: Drains,
 }
 
 impl World {
@@ -333,8 +340,10 @@
 
     /// A record that cannot be read proves nothing: what was known of it stands.
     pub fn unread(&mut self, change: Change) {
-        if let Change::Job(id, _) = change {
-            self.unreadable.insert(id);
+        match change {
+            Change::Job(id, _) => _ = self.unreadable.insert(id),
+            Change::Drain(name, _) => _ = self.drains.unreadable.insert(name),
+            _ => {}
         }
     }
 
@@ -455,10 +464,21 @@
                 }
                 self.fleet = f.map(|value| Versioned { value, version });
             }
-            Change::Upgraded(name, true) => {
-                self.upgraded.insert(name);
+            Change::Upgraded(name, Some(schema)) => {
+                self.upgraded.insert(name, schema);
+            }
+            Change::Drain(name, record) => self.drains.apply_drain(name, record, version),
+            Change::Cordon(id, record) => {
+                if self.drains.apply_cordon(id, record, version) {
+                    self.new_layout();
+                }
+            }
+            Change::CordonFence(record) => {
+                self.drains.fence = if record.is_some() { version } else { 0 };
+                self.drains.generation = record.map_or(0, |f| f.generation);
             }
-            Change::Upgraded(..) | Change::Other => {}
+            Change::Disruptions(team, record) => self.drains.apply_disruptions(team, record, version),
+            Change::Upgraded(_, None) | Change::Other => {}
         }
     }
 
--- a/crates/store/src/codec.rs
+++ b/crates/store/src/codec.rs
@@ -1,6 +1,9 @@
 //! Keys and values of the records.
 
 use rmpv::Value;
+use sched::drain_records::{DRAIN_SCHEMA, DrainRecord};
+use sched::drains::CordonId;
+use sched::records::{SCHEMA_VERSION, Upgraded};
 use sched::world::Change;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -33,6 +36,21 @@
     pub fn upgraded(name: &str) -> String {
         format!("sageloom/upgraded/{name}")
     }
+    /// Changes with every change of what is cordoned.
+    pub const CORDON_FENCE: &str = "sageloom/cordon-fence";
+
+    /// How far a drain is.
+    pub fn drain(name: &str) -> String {
+        format!("sageloom/drains/{name}")
+    }
+    /// Some of a drain's machines.
+    pub fn cordon(drain: &str, part: u32) -> String {
+        format!("sageloom/cordons/{drain}/{part}")
+    }
+    /// What of a team's work is down by choice.
+    pub fn disruptions(team: &str) -> String {
+        format!("sageloom/disruptions/{}", team_id(team))
+    }
     pub fn member(name: &str) -> String {
         format!("sageloom/members/{name}")
     }
@@ -104,6 +122,24 @@
     record
 }
 
+/// The schema that a controller had. Whatever the record says otherwise, it stands for the
+/// first version that left one.
+fn schema_of(value: Value) -> u32 {
+    parse::<Upgraded>(value).map_or(SCHEMA_VERSION, |u| u.schema_version)
+}
+
+/// A drain's record; one of a later schema cannot be read.
+fn read_drain(value: Option<Value>, bad: &mut bool) -> Option<DrainRecord> {
+    let record = read::<DrainRecord>(value, bad)?;
+    *bad = record.schema != DRAIN_SCHEMA;
+    (!*bad).then_some(record)
+}
+
+fn cordon_id(rest: &str) -> Option<CordonId> {
+    let (drain, part) = rest.rsplit_once('/')?;
+    Some((drain.to_owned(), part.parse().ok()?))
+}
+
 /// Reads a change of a key; `None` is a deletion. The second part tells that
 /// there is a value, but none that can be read.
 pub fn decode_change(key: &str, value: Option<Value>) -> (Change, bool) {
@@ -114,7 +150,16 @@
         Some(("machines", id)) => Change::Machine(id.to_owned(), read(value, &mut bad)),
         Some(("teams", id)) => Change::Team(id.to_owned(), read(value, &mut bad)),
         Some(("members", id)) => Change::Member(id.to_owned(), read(value, &mut bad)),
-        Some(("upgraded", id)) => Change::Upgraded(id.to_owned(), value.is_some()),
+        Some(("upgraded", id)) => Change::Upgraded(id.to_owned(), value.map(schema_of)),
+        Some(("drains", name)) => Change::Drain(name.to_owned(), read_drain(value, &mut bad)),
+        Some(("cordons", rest)) => match cordon_id(rest) {
+            Some(id) => Change::Cordon(id, read(value, &mut bad)),
+            None => Change::Other,
+        },
+        Some(("disruptions", team)) => Change::Disruptions(team.to_owned(), read(value, &mut bad)),
+        // Only its version matters: were one that cannot be read passed over, no placement
+        // would be conditional on the version that it has.
+        None if rest == "cordon-fence" => Change::CordonFence(value.map(|v| parse(v).unwrap_or_default())),
         None if rest == "leader" => Change::Leader(read(value, &mut bad)),
         None if rest == "map" => Change::Map(read(value, &mut bad)),
         None if rest == "types" => Change::Types(read(value, &mut bad)),
