--- a/crates/daemon/src/drains/transactions.rs
+++ b/crates/daemon/src/drains/transactions.rs
@@ -90,6 +90,12 @@
         self.changes.push(Change::Job(id.to_owned(), Some(record)));
     }
 
+    /// What it is conditional on, and what it changes.
+    #[cfg(test)]
+    pub(super) fn parts(&self) -> (&[Condition], &[Put]) {
+        (&self.conditions, &self.puts)
+    }
+
     /// Commits it. True if it surely was; what it changed is then known here.
     pub async fn commit(self, controller: &Controller) -> bool {
         let Self { conditions, puts, changes } = self;
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -335,13 +335,14 @@
 #[serde(deny_unknown_fields, default)]
 struct HclDrains {
     enabled: bool,
-    replicas_per_service: u32,
+    replicas_per_service: f64,
     team: BTreeMap<String, HclTeamBudget>,
 }
 
 impl Default for HclDrains {
     fn default() -> Self {
-        Self { enabled: false, replicas_per_service: Budgets::default().per_service, team: BTreeMap::new() }
+        let replicas_per_service = f64::from(Budgets::default().per_service);
+        Self { enabled: false, replicas_per_service, team: BTreeMap::new() }
     }
 }
 
@@ -358,10 +359,7 @@
         match (self.count, self.share) {
             (Some(_), Some(_)) => Err(("share", "does not go with count")),
             (None, None) => Err(("count", "count or share must be given")),
-            (Some(count), None) if !(0.0..=COUNT_MOST).contains(&count) || count.fract() != 0.0 => {
-                Err(("count", "must be a whole number from 0 to 1000000"))
-            }
-            (Some(count), None) => Ok(TeamBudget::Count(count as u32)),
+            (Some(count), None) => checked_count(count).map(TeamBudget::Count).ok_or(("count", COUNT_RANGE)),
             (None, Some(share)) if !(0.0..=1.0).contains(&share) => {
                 Err(("share", "must be a number from 0 to 1"))
             }
@@ -370,8 +368,13 @@
     }
 }
 
-/// Largest count that a team's budget may have.
+/// Largest count that a budget may have.
 const COUNT_MOST: f64 = 1e6;
+const COUNT_RANGE: &str = "must be a whole number from 0 to 1000000";
+
+fn checked_count(count: f64) -> Option<u32> {
+    ((0.0..=COUNT_MOST).contains(&count) && count.fract() == 0.0).then_some(count as u32)
+}
 
 /// Whether machines can be drained, and what of a team may be down for it.
 #[derive(Debug, Clone, PartialEq, Default)]
@@ -481,16 +484,19 @@
 }
 
 fn drain_settings(file: &str, drains: &HclDrains) -> Result<DrainSettings, SettingsError> {
+    let wrong = |field: String, why: &str| SettingsError::Field {
+        file: file.to_owned(),
+        field: format!("drains.{field}"),
+        why: why.to_owned(),
+    };
     let mut teams = BTreeMap::new();
     for (team, budget) in &drains.team {
-        let budget = budget.checked().map_err(|(field, why)| SettingsError::Field {
-            file: file.to_owned(),
-            field: format!("drains.team.{team}.{field}"),
-            why: why.to_owned(),
-        })?;
+        let budget = budget.checked().map_err(|(field, why)| wrong(format!("team.{team}.{field}"), why))?;
         teams.insert(team.clone(), budget);
     }
-    let budgets = Budgets { per_service: drains.replicas_per_service, teams };
+    let per_service = checked_count(drains.replicas_per_service)
+        .ok_or_else(|| wrong("replicas_per_service".into(), COUNT_RANGE))?;
+    let budgets = Budgets { per_service, teams };
     Ok(DrainSettings { enabled: drains.enabled, budgets })
 }
 
--- a/crates/daemon/tests/unit/drains.rs
+++ b/crates/daemon/tests/unit/drains.rs
@@ -1,1 +1,240 @@
+use super::*;
+use crate::round::{self, Assembled, Round};
+use crate::settings::tests::EXAMPLE;
+use crate::settings::{Operators, Peer, Settings};
+use crate::state::Core;
+use crate::worker::tests::spec;
+use crate::worker::{Worker, first_token};
+use drain::budget::UnitId;
+use drain::step::{Move, Unit, Work};
+use peer::RunningTasksRequest;
+use sched::drain_records::{CordonFence, CordonRecord, DRAIN_SCHEMA, Disruption, Stopper, UnsavedWork};
+use sched::records::*;
+use sched::rescheduler::Eviction;
+use sched::world::Change;
+use store::{Put, decode_change};
+use wire::{Condition, JobKind, Report, TaskReport, TaskState};
 
+const ON: &str = "drains {\n enabled = true\n}\n";
+
+fn controller(operators: &str) -> Controller {
+    let mut settings = Settings::parse("example", EXAMPLE).expect("valid");
+    settings.peers = vec![Peer { node_name: "n-1".into(), address: "127.0.0.1:3".into() }];
+    Controller::new(settings, Operators::parse("o.hcl", operators).expect("valid"), 1)
+}
+
+pub(super) fn record() -> DrainRecord {
+    DrainRecord {
+        schema: DRAIN_SCHEMA,
+        phase: DrainPhase::Active,
+        cordons: 1,
+        machines: 1,
+        started_ms: 1,
+        patience_ms: 1000,
+        unsaved: UnsavedWork::Leave,
+        give_up_ms: 1_000_000,
+        moved: 0,
+        room: Default::default(),
+        obstacle: None,
+    }
+}
+
+/// A service of two replicas on two machines, one of which is drained.
+fn site(core: &mut Core, me: &Member) {
+    let world = &mut core.world;
+    let other = Member { name: "n-1".into(), zone: "a".into(), incarnation: 2 };
+    let live = vec![me.clone(), other.clone()];
+    world.apply(Change::Map(Some(MapRecord { epoch: 4, live })), 1);
+    world.apply(Change::Leader(Some(me.clone())), 1);
+    for member in [me, &other] {
+        world.apply(Change::Member(member.name.clone(), Some(member.clone())), 1);
+        world.apply(Change::Upgraded(member.name.clone(), Some(DRAINS_SCHEMA_VERSION)), 1);
+    }
+    for machine in ["m-1", "m-2"] {
+        let (machine_type, zone) = ("m".into(), "a".into());
+        let record = MachineRecord { addr: "x".into(), machine_type, zone, spot: false, release: false };
+        world.apply(Change::Machine(machine.into(), Some(record)), 2);
+    }
+    let mut job = JobRecord::new(wire::JobSpec { tasks: 2, ..spec("j-1", JobKind::Service) }, None, 0);
+    let place = |(task, machine): (u32, &str)| Assignment {
+        task,
+        attempt: 1,
+        machine: machine.into(),
+        want: Want::Run,
+    };
+    job.run = [(0, "m-1"), (1, "m-2")].map(place).into();
+    job.attempt = 1;
+    world.apply(Change::Job("j-1".into(), Some(Box::new(job))), 3);
+    world.apply(Change::Cordon(("d".into(), 0), Some(CordonRecord::new(vec!["m-1".into()]))), 4);
+    world.apply(Change::CordonFence(Some(CordonFence { generation: 1 })), 4);
+    world.apply(Change::Drain("d".into(), Some(record())), 5);
+    core.ready = true;
+}
+
+fn unit() -> Unit {
+    let id = UnitId { job: "j-1".into(), task: 0 };
+    Unit { id, team: "t".into(), work: Work::Replica, stopping: false }
+}
+
+fn version_of(conditions: &[Condition], key: &str) -> Option<u64> {
+    conditions.iter().find(|c| c.key == key).map(|c| c.version)
+}
+
+fn eviction_round(controller: &Controller, core: &Core) -> Round {
+    let eviction = Eviction { job: "j-1".into(), task: 1, machine: "m-2".into(), reason: "crowded machine" };
+    let mut budget = EvictionBudget::new(controller, core, std::slice::from_ref(&eviction));
+    let disruption = budget.debit(&core.world, &eviction, 9).expect("nothing is down");
+    assert!(budget.debit(&core.world, &eviction, 9).is_none() || disruption.1.task == 1);
+    let mut round = Round::default();
+    round.jobs.insert("j-1".into(), core.world.jobs["j-1"].value.clone());
+    round.disruptions.insert("j-1".into(), disruption);
+    round
+}
+
+/// A drain and the rescheduler decide by the same view: whichever is committed second fails.
+#[test]
+fn all_that_stops_by_choice_changes_the_same_record() {
+    let controller = controller(ON);
+    let mut core = controller.core();
+    site(&mut core, &controller.me);
+    let open =
+        vec![Disruption { job: "j-9".into(), task: 0, attempt: 1, by: Stopper::Rescheduler, since_ms: 1 }];
+    core.world.apply(Change::Disruptions("t".into(), Some(DisruptionRecord { open })), 7);
+    let moves = [Move { drain: "d".into(), machine: "m-1".into(), unit: unit(), room: Vec::new() }];
+    let (transaction, taken) = transactions::stop(&controller, &core, &moves, 9).expect("one to stop");
+    assert_eq!((taken, transaction.puts()), (1, 3), "the job, the team's record and the drain's");
+    let (conditions, puts) = transaction.parts();
+    let round = eviction_round(&controller, &core);
+    let assembled = round::assemble(&core.world, &round, &controller.plan(), usize::MAX);
+    for (conditions, puts) in [(conditions, puts), (&assembled.conditions[..], &assembled.puts[..])] {
+        assert_eq!(version_of(conditions, &key::disruptions("t")), Some(7));
+        assert_eq!(version_of(conditions, &key::job("j-1")), Some(3));
+        assert_eq!(version_of(conditions, key::MAP), Some(1));
+        let put = puts.iter().find(|p| p.key == key::disruptions("t")).expect("changed");
+        let (Change::Disruptions(_, Some(record)), false) = decode_change(&put.key, put.value.clone()) else {
+            unreachable!("it is read again");
+        };
+        assert_eq!(record.open.len(), 2, "and what was there stays");
+    }
+    assert_eq!(version_of(conditions, &key::drain("d")), Some(5), "a drain that was stopped stops nothing");
+}
+
+#[test]
+fn a_round_is_conditional_on_the_cordons_only_where_drains_are_on() {
+    for (operators, fence) in [(ON, Some(4)), ("", None)] {
+        let controller = controller(operators);
+        let mut core = controller.core();
+        site(&mut core, &controller.me);
+        let cordon_fence = controller.operators.drains.enabled;
+        let mut round = Round { cordon_fence, ..Round::default() };
+        round.jobs.insert("j-1".into(), core.world.jobs["j-1"].value.clone());
+        round.placing.insert("j-1".into());
+        let Assembled { conditions, puts, .. } =
+            round::assemble(&core.world, &round, &controller.plan(), usize::MAX);
+        assert_eq!(version_of(&conditions, key::CORDON_FENCE), fence);
+        assert!(puts.iter().all(|p| p.key != key::CORDON_FENCE), "it is not written");
+    }
+}
+
+#[test]
+fn nothing_is_placed_on_a_cordoned_machine_and_all_is_paused_by_an_old_controller() {
+    let controller = controller(ON);
+    let mut core = controller.core();
+    site(&mut core, &controller.me);
+    let types = vec![crate::worker::tests::kind(40.0, 90.0, &["a"])];
+    core.world.apply(Change::Types(Some(TypesRecord { types })), 8);
+    let inventory = sched::placement::Inventory::new(&core.world, |_| true);
+    assert!(inventory.find("m-1").is_none());
+    assert!(paused(&controller, &core.world).is_none());
+    // One that comes back without drains says so with its entry among the members.
+    core.world.apply(Change::Upgraded("n-1".into(), Some(SCHEMA_VERSION)), 9);
+    let obstacle = paused(&controller, &core.world).expect("paused");
+    assert_eq!((obstacle.kind, &*obstacle.job), (ObstacleKind::OldController, "n-1"));
+}
+
+/// The version in production, and any without drains, pass the records over.
+#[test]
+fn versions_without_drains_pass_the_records_over() {
+    let puts = [
+        Put::new(key::drain("d"), &record()),
+        Put::new(key::cordon("d", 0), &CordonRecord::new(vec!["m-1".into()])),
+        Put::new(key::CORDON_FENCE.into(), &CordonFence { generation: 1 }),
+        Put::new(key::disruptions("a team"), &DisruptionRecord::default()),
+    ];
+    for put in puts {
+        let value = put.value.expect("a value");
+        let read = crate::production::read(&put.key, &value);
+        assert!(matches!(read, crate::production::Read::Ignored), "{}", put.key);
+        assert!(!put.key.contains(' '));
+    }
+}
+
+#[test]
+fn a_drain_of_a_later_schema_is_unreadable_and_its_machines_stay_cordoned() {
+    let controller = controller(ON);
+    let mut core = controller.core();
+    site(&mut core, &controller.me);
+    let later = Put::new(key::drain("d"), &DrainRecord { schema: DRAIN_SCHEMA + 1, ..record() });
+    let (change, bad) = decode_change(&later.key, later.value);
+    assert!(bad);
+    core.world.unread(change);
+    assert!(core.world.drains.unreadable.contains("d"));
+    assert!(core.world.drains.is_cordoned("m-1"));
+}
+
+/// What an owner says of its machines counts only by reports of now, only for the map that it
+/// was asked under, and only as the answer to the request.
+#[test]
+fn only_what_is_seen_now_counts_as_running() {
+    let controller = controller(ON);
+    let now = clock::now();
+    let mut core = controller.core();
+    site(&mut core, &controller.me);
+    core.drains.asked = ["j-1".to_owned()].into();
+    let mine = |m: &&str| core.world.owner_of(m) == Some(&controller.me);
+    let machine = ["m-1", "m-2"].into_iter().find(mine).expect("one of two machines is its own");
+    let task = if machine == "m-1" { 0 } else { 1 };
+    let mut worker = Worker::new("x".into(), 4, now);
+    let report = |seq, state| Report {
+        machine: machine.into(),
+        addr: "x".into(),
+        machine_type: "m".into(),
+        zone: "a".into(),
+        spot: false,
+        session: 1,
+        seq,
+        token: first_token(4),
+        notice_s: None,
+        tasks: vec![TaskReport { task: format!("j-1/{task}"), attempt: 1, state, cause: None, saved: None }],
+    };
+    worker.ingest(report(1, TaskState::Fetching), true, now);
+    core.workers.insert(machine.into(), worker);
+    let seen = |core: &Core, at| {
+        drain::view::Running::is_running(&observe::running(&controller, core, at), "j-1", task, 1)
+    };
+    assert!(!seen(&core, now), "it fetches its image");
+    let worker = core.workers.get_mut(machine).expect("there");
+    worker.ingest(report(2, TaskState::Running), true, now);
+    assert!(seen(&core, now));
+    assert!(!seen(&core, now + Duration::from_secs(9)), "nothing was heard for three reports");
+    let request = RunningTasksRequest { nonce: 7, epoch: 4, jobs: vec!["j-1".into()] };
+    let answer = |nonce, epoch, incarnation| peer::RunningTasks {
+        nonce,
+        name: "n-1".into(),
+        incarnation,
+        epoch,
+        jobs: vec![peer::RunningTasksOfJob {
+            job: "j-1".into(),
+            tasks: vec![peer::RunningTask { task: 9, attempt: 3 }],
+        }],
+    };
+    let other = |core: &Core| {
+        drain::view::Running::is_running(&observe::running(&controller, core, now), "j-1", 9, 3)
+    };
+    assert!(!observe::take(&mut core, "n-1", &request, answer(8, 4, 2), now), "another's answer");
+    assert!(!observe::take(&mut core, "n-1", &request, answer(7, 3, 2), now), "of another map");
+    assert!(observe::take(&mut core, "n-1", &request, answer(7, 4, 1), now));
+    assert!(!other(&core), "of an earlier process");
+    assert!(observe::take(&mut core, "n-1", &request, answer(7, 4, 2), now));
+    assert!(other(&core));
+}
--- a/crates/daemon/tests/unit/drains_command.rs
+++ b/crates/daemon/tests/unit/drains_command.rs
@@ -1,1 +1,138 @@
+use super::*;
+use crate::drains::tests::record;
+use sched::records::*;
+use store::decode_change;
 
+fn world(machines: usize) -> World {
+    let mut world = World::default();
+    for i in 0..machines {
+        let (machine_type, zone) = ("m".into(), "a".into());
+        let record = MachineRecord { addr: "x".into(), machine_type, zone, spot: false, release: false };
+        world.apply(sched::world::Change::Machine(format!("host-{i:06}"), Some(record)), 1);
+    }
+    world
+}
+
+fn request() -> Request {
+    Request {
+        selection: Selection::default(),
+        patience_s: 10.0,
+        give_up_s: 100.0,
+        unsaved: UnsavedWork::Leave,
+        operators: Operators::default(),
+    }
+}
+
+/// Carries out a change as the state service would; false if it met newer records.
+fn carry_out(world: &mut World, version: &mut u64, (conditions, puts): ConditionalPuts) -> bool {
+    let of = |key: &str| match decode_change(key, None).0 {
+        sched::world::Change::Drain(name, _) => world.drains.records.get(&name).map_or(0, |d| d.version),
+        sched::world::Change::Cordon(id, _) => world.drains.cordons.get(&id).map_or(0, |c| c.version),
+        _ => world.drains.fence,
+    };
+    if conditions.iter().any(|c| of(&c.key) != c.version) {
+        return false;
+    }
+    *version += 1;
+    for put in puts {
+        let (change, bad) = decode_change(&put.key, put.value);
+        assert!(!bad);
+        world.apply(change, *version);
+    }
+    true
+}
+
+/// Four thousand machines in as many cordons as they need, each within the smallest value, in
+/// transactions of two changes at the most.
+#[test]
+fn thousands_of_machines_are_cordoned_piece_by_piece() {
+    let mut world = world(4000);
+    let machines: Vec<Name> = world.machines.keys().cloned().collect();
+    let pieces = pieces(&machines);
+    assert_eq!(pieces.iter().map(Vec::len).sum::<usize>(), 4000);
+    for piece in &pieces {
+        let all = Some(piece.clone());
+        let full = CordonRecord { emptied: all.clone(), gone: all, ..CordonRecord::new(piece.clone()) };
+        assert!(Put::new(String::new(), &full).value_len() <= 2048);
+    }
+    let (mut version, mut changes) = (10, 0);
+    while let Some(step) =
+        next_cordon(&world, "d", &request(), &machines, &pieces, false).expect("nothing is wrong")
+    {
+        assert!(step.1.len() <= 2 && world.drains.records.is_empty());
+        assert!(carry_out(&mut world, &mut version, step));
+        changes += 1;
+    }
+    assert_eq!(changes, pieces.len() + 1);
+    assert!(machines.iter().all(|m| world.drains.is_cordoned(m)));
+    assert_eq!(world.drains.records["d"].value.machines, 4000);
+}
+
+/// Two commands for the same machine in the same moment: one of them has it.
+#[test]
+fn two_drains_of_one_machine_cannot_both_start() {
+    let mut world = world(2);
+    let machines: Vec<Name> = world.machines.keys().cloned().collect();
+    let pieces = pieces(&machines);
+    let first = |name: &str, world: &World| next_cordon(world, name, &request(), &machines, &pieces, false);
+    let a = first("a", &world).expect("fine").expect("a change");
+    let b = first("b", &world).expect("fine").expect("a change");
+    let mut version = 10;
+    assert!(carry_out(&mut world, &mut version, a));
+    assert!(!carry_out(&mut world, &mut version, b), "decided by the cordons before");
+    let again = first("b", &world).expect_err("it is another's");
+    assert!(again.to_string().contains("being drained by \"a\""), "{again}");
+}
+
+#[test]
+fn a_drain_is_stopped_resumed_and_forgotten_by_its_record() {
+    let mut world = world(1);
+    let mut version = 20;
+    let cordon = CordonRecord { active: false, ..CordonRecord::new(vec!["host-000000".into()]) };
+    world.apply(sched::world::Change::Cordon(("d".into(), 0), Some(cordon)), 11);
+    world.apply(sched::world::Change::Drain("d".into(), Some(record())), 12);
+    let error = next_removed(&world, "d").expect_err("active").to_string();
+    assert!(error.contains("not over"), "{error}");
+    let stop = changed(&world, "d", Event::StopRequested).expect("active");
+    assert!(carry_out(&mut world, &mut version, stop));
+    let error = next_resumed(&world, "d").map(|_| ()).expect_err("its cordons are not lifted yet");
+    assert!(error.to_string().contains("not over"), "{error}");
+    let lifted = changed(&world, "d", Event::CordonsLifted).expect("closing");
+    assert!(carry_out(&mut world, &mut version, lifted));
+    while let Some(step) = next_resumed(&world, "d").expect("over") {
+        assert!(carry_out(&mut world, &mut version, step));
+    }
+    assert!(world.drains.is_cordoned("host-000000") && world.drains.records["d"].value.is_active());
+    let closed = DrainPhase::Closed(sched::drain_records::DrainEnd::Finished);
+    let over = DrainRecord { phase: closed, ..record() };
+    world.apply(sched::world::Change::Drain("d".into(), Some(over)), 90);
+    version = 91;
+    while let Some(step) = next_removed(&world, "d").expect("over") {
+        assert!(carry_out(&mut world, &mut version, step));
+    }
+    assert!(world.drains.records.is_empty() && world.drains.cordons.is_empty());
+    assert!(matches!(record_of(&world, "d"), Err(DrainError::Unknown(_))));
+}
+
+#[test]
+fn what_is_wrong_is_told_in_one_line() {
+    for name in ["", "Rack", "rack 7", "rack/7", &"r".repeat(41)] {
+        assert!(checked(name.into()).is_err(), "{name}");
+    }
+    assert!(checked("rack-7".into()).is_ok());
+    let mut world = world(1);
+    let member = Member { name: "n-1".into(), zone: "a".into(), incarnation: 1 };
+    world.apply(sched::world::Change::Member("n-1".into(), Some(member)), 3);
+    world.apply(sched::world::Change::Upgraded("n-1".into(), Some(SCHEMA_VERSION)), 3);
+    let machines: Vec<Name> = world.machines.keys().cloned().collect();
+    let old = next_cordon(&world, "d", &request(), &machines, &pieces(&machines), false);
+    assert!(old.expect_err("it would place on the machine").to_string().contains("\"n-1\""));
+    world.drains.unreadable.insert("d".into());
+    let unreadable = known_machines(&world, "d").expect_err("unreadable").to_string();
+    assert!(unreadable.contains("sageloom/drains/d"), "{unreadable}");
+    // Nobody listens there: told within seconds, with what may have been written.
+    let runtime = crate::runtime().expect("a runtime");
+    let nowhere = StateClient::new(Client::new(1), "127.0.0.1:1".into(), 1 << 20);
+    let error = runtime.block_on(Service::new(nowhere, None).stop("d")).expect_err("nobody answers");
+    assert!(error.to_string().ends_with("nothing was written"), "{error}");
+}
