--- a/crates/emulator/src/cloud/mod.rs
+++ b/crates/emulator/src/cloud/mod.rs
@@ -225,6 +225,11 @@
         }
     }
 
+    /// From now on this share of the machines that are rented never comes up.
+    pub fn set_never_up(&mut self, share: f64) {
+        self.settings.never_up = share;
+    }
+
     /// A machine stops on its own, or is taken back.
     fn lose(&mut self, name: &str, how: End, now: Instant) {
         let Some(m) = self.machines.get_mut(name).filter(|m| m.end.is_none()) else { return };
--- a/crates/emulator/src/live/mod.rs
+++ b/crates/emulator/src/live/mod.rs
@@ -218,6 +218,23 @@
         self.live.site.lock().workers().flat_map(|w| w.tasks()).collect()
     }
 
+    /// Changes the site itself, as a test wants it.
+    pub fn change_site<T>(&self, change: impl FnOnce(&mut Site) -> T) -> T {
+        change(&mut self.live.site.lock())
+    }
+
+    /// Changes what goes wrong with the state service. The troubles of the site's file, if any
+    /// begin or end later, take its place.
+    pub fn set_state_troubles(&self, troubles: crate::troubles::Troubles) {
+        self.live.state.lock().set_troubles(troubles, Instant::now());
+        self.live.changed.notify_waiters();
+    }
+
+    /// A record in the state service.
+    pub fn record(&self, key: &str) -> Option<rmpv::Value> {
+        self.live.state.lock().data().keys.get(key).map(|e| e.value.clone())
+    }
+
     /// Closes everything.
     pub async fn stop(self) {
         self.live.stop.cancel();
--- a/crates/emulator/src/site.rs
+++ b/crates/emulator/src/site.rs
@@ -8,6 +8,7 @@
 
 use crate::cloud::{Addresses, Cloud, CloudSettings, Event};
 use crate::gang::GangRules;
+use crate::history::History;
 use crate::jobs::Jobs;
 use crate::troubles::Step;
 use crate::worker::{Faults, Heard, Ticket, Worker, WorkerRules};
@@ -36,6 +37,7 @@
 pub struct Site {
     pub cloud: Cloud,
     pub jobs: Jobs,
+    pub history: History,
     workers: BTreeMap<String, Worker>,
     rules: WorkerRules,
     controllers: Vec<String>,
@@ -51,6 +53,7 @@
         Self {
             cloud: Cloud::new(s.cloud, addresses, s.seed ^ 1, now),
             jobs: Jobs::new(gangs, s.seed ^ 2),
+            history: History::default(),
             workers: BTreeMap::new(),
             rules: WorkerRules { report: s.report, lease: s.lease },
             controllers: s.controllers,
@@ -102,6 +105,7 @@
                 Event::Gone(name) => {
                     if let Some(mut worker) = self.workers.remove(&name) {
                         worker.kill(&mut self.jobs, now);
+                        self.history.extend(worker.take_events(now));
                     }
                     self.changes.push((name, MachineStatus::Failed));
                 }
@@ -122,6 +126,7 @@
         let mut out = Vec::new();
         for (name, worker) in &mut self.workers {
             worker.poll(&mut self.jobs, now);
+            self.history.extend(worker.take_events(now));
             if let Some((ticket, report)) = worker.due(now) {
                 out.push(Sending { machine: name.clone(), to: worker.target(), ticket, report });
             }
--- a/crates/emulator/src/worker/mod.rs
+++ b/crates/emulator/src/worker/mod.rs
@@ -8,6 +8,7 @@
 use rand::{RngExt, SeedableRng};
 use wire::{Command, Commands, MachineType, Report, ReportAnswer};
 
+use crate::history::TaskEvent;
 use crate::images::Images;
 use crate::jobs::Jobs;
 use tasks::Tasks;
@@ -146,6 +147,14 @@
         self.tasks.reports()
     }
 
+    /// What happened to its tasks since the last call.
+    pub fn take_events(&mut self, now: Instant) -> Vec<TaskEvent> {
+        let machine = &self.info.name;
+        let event =
+            |(task, attempt, kind)| TaskEvent { at: now, machine: machine.clone(), task, attempt, kind };
+        self.tasks.take_events().into_iter().map(event).collect()
+    }
+
     pub fn set_notice(&mut self, gone_at: Instant) {
         self.notice = Some(gone_at);
     }
--- a/crates/emulator/src/worker/tasks.rs
+++ b/crates/emulator/src/worker/tasks.rs
@@ -9,6 +9,7 @@
 use wire::{Cause, JobKind, JobSpec, MachineType, TaskReport, TaskState};
 
 use crate::gang::Part;
+use crate::history::TaskEventKind;
 use crate::images::Images;
 use crate::jobs::Jobs;
 
@@ -50,6 +51,8 @@
     cpus: f64,
     gpus: f64,
     memory_gb: f64,
+    /// What happened since the last `take_events`: task, attempt, and what.
+    events: Vec<(String, u64, TaskEventKind)>,
 }
 
 /// Amounts are sums of decimal numbers.
@@ -58,7 +61,7 @@
 impl Tasks {
     pub fn new(machine: &MachineType, images: Images, speed: f64) -> Self {
         let (cpus, gpus, memory_gb) = (machine.cpus, machine.gpus, machine.memory_gb);
-        Self { all: BTreeMap::new(), images, speed, cpus, gpus, memory_gb }
+        Self { all: BTreeMap::new(), images, speed, cpus, gpus, memory_gb, events: Vec::new() }
     }
 
     pub fn reports(&self) -> Vec<TaskReport> {
@@ -72,6 +75,23 @@
         self.all.iter().map(report).collect()
     }
 
+    /// What happened since the last call.
+    pub fn take_events(&mut self) -> Vec<(String, u64, TaskEventKind)> {
+        std::mem::take(&mut self.events)
+    }
+
+    /// Notes what a task's new state means.
+    fn note(&mut self, key: &(String, u64), before: TaskState) {
+        let now = self.all.get(key).map_or(TaskState::Exited, |t| t.state);
+        let kind = match (before, now) {
+            (before, now) if before == now => return,
+            (_, TaskState::Running) => TaskEventKind::Running,
+            (_, TaskState::Exited) => TaskEventKind::Ended,
+            _ => return,
+        };
+        self.events.push((key.0.clone(), key.1, kind));
+    }
+
     fn fits(&self, spec: &JobSpec) -> bool {
         let on = self.all.values().filter(|t| t.state != TaskState::Exited);
         let (mut cpus, mut gpus, mut memory_gb) = (spec.cpus, spec.gpus, spec.memory_gb);
@@ -119,7 +139,18 @@
     }
 
     pub fn stop(&mut self, task: &str, attempt: u64, grace: Duration, jobs: &mut Jobs, now: Instant) {
-        let Some(t) = self.all.get_mut(&(task.to_owned(), attempt)) else { return };
+        let key = (task.to_owned(), attempt);
+        let Some(before) = self.all.get(&key).map(|t| t.state) else { return };
+        if before == TaskState::Running {
+            self.events.push((key.0.clone(), attempt, TaskEventKind::StopCommanded));
+        }
+        self.stop_one(&key, grace, jobs, now);
+        self.note(&key, before);
+    }
+
+    fn stop_one(&mut self, key: &(String, u64), grace: Duration, jobs: &mut Jobs, now: Instant) {
+        let attempt = key.1;
+        let Some(t) = self.all.get_mut(key) else { return };
         let Some(spec) = t.spec.clone().filter(|_| t.state != TaskState::Exited) else { return };
         if t.joined() {
             let notice = jobs.notice();
@@ -151,7 +182,10 @@
     }
 
     pub fn kill_all(&mut self, jobs: &mut Jobs, now: Instant) {
-        for ((_, attempt), t) in std::mem::take(&mut self.all) {
+        for ((task, attempt), t) in std::mem::take(&mut self.all) {
+            if t.state != TaskState::Exited {
+                self.events.push((task, attempt, TaskEventKind::Ended));
+            }
             if t.joined() {
                 let notice = jobs.notice();
                 if let Some(gang) = jobs.gang(&t.job, attempt, now) {
@@ -179,6 +213,15 @@
 
     pub fn poll(&mut self, faulty: bool, jobs: &mut Jobs, dt: Duration, now: Instant, rng: &mut StdRng) {
         self.fetch(dt, now);
+        let before: Vec<((String, u64), TaskState)> =
+            self.all.iter().map(|(key, t)| (key.clone(), t.state)).collect();
+        self.poll_all(faulty, jobs, dt, now, rng);
+        for (key, state) in before {
+            self.note(&key, state);
+        }
+    }
+
+    fn poll_all(&mut self, faulty: bool, jobs: &mut Jobs, dt: Duration, now: Instant, rng: &mut StdRng) {
         for ((_, attempt), t) in &mut self.all {
             let Some(spec) = t.spec.clone() else { continue };
             if t.state == TaskState::Fetching && self.images.has(&spec.image) {
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -9,6 +9,7 @@
 mod machine;
 mod order;
 
+pub mod budget;
 pub mod explore;
 pub mod mechanism;
 pub mod size;
--- a/crates/model/src/steps.rs
+++ b/crates/model/src/steps.rs
@@ -7,8 +7,10 @@
 //! second, where there is one, is a place to start on that gets what it is sent.
 
 use std::fmt;
+use std::hash::{Hash, Hasher};
 
 use crate::controller::Orders;
+use crate::explore::Model;
 use crate::mechanism::{Mechanism, Without};
 use crate::order::canonical;
 use crate::size::Size;
@@ -515,3 +517,31 @@
         Change::End(..) => Job { place: None, evict: false, ..job },
     }
 }
+
+impl Model for World {
+    type State = State;
+    type Step = Step;
+    type Rule = Rule;
+
+    fn starts(&self) -> Vec<State> {
+        self.starts()
+    }
+
+    fn next(&self, state: &State) -> Vec<(Step, State)> {
+        self.next(state)
+    }
+
+    fn broken(&self, state: &State) -> Option<Rule> {
+        state.broken(self.size.cancel)
+    }
+
+    /// Of what the size uses of a state.
+    fn hash(&self, state: &State, hasher: &mut impl Hasher) {
+        let size = &self.size;
+        state.records.hash(hasher);
+        state.controllers[..size.controllers].hash(hasher);
+        state.machines[..size.workers].hash(hasher);
+        state.transactions.hash(hasher);
+        (state.told, state.used).hash(hasher);
+    }
+}
