--- a/crates/daemon/src/drains/mod.rs
+++ b/crates/daemon/src/drains/mod.rs
@@ -19,6 +19,7 @@
 use drain::room::InventoryRoom;
 use drain::step::{self, Decision, Drain, Limits};
 use drain::view::{self, ObservedTasks};
+use drain::waves::{self, Effort};
 use sched::drain_records::{DisruptionRecord, DrainPhase, DrainRecord, Obstacle, ObstacleKind};
 use sched::hash::HashSet as NameSet;
 use sched::records::{DRAINS_SCHEMA_VERSION, Name, Phase};
@@ -81,6 +82,10 @@
     pub wants_room: NameSet<Name>,
     /// Room held for what was stopped, by job.
     pub holds: BTreeMap<String, Hold>,
+    /// The orders of drains' machines that a solver has found.
+    pub orders: view::Orders,
+    /// Drains that a solver has been asked about.
+    planned: HashSet<String>,
     /// When each drain's record was last written.
     told: HashMap<String, Instant>,
     /// Cordons that were first seen without a drain, and when.
@@ -126,6 +131,7 @@
             transaction.commit(controller).await;
         }
     }
+    plan_orders(controller);
     let begun = clock::now();
     let Some(Step { decision, ops }) = decide(controller) else { return clock::since(begun) };
     let cost = clock::since(begun);
@@ -144,6 +150,33 @@
     }
 }
 
+/// Has a solver look for an order of the machines of each new drain, on a thread of its own.
+/// Until it has one, and if it finds none in its time, the greedy order serves.
+fn plan_orders(controller: &Controller) {
+    let budgets = &controller.operators.drains.budgets;
+    let mut core = controller.core();
+    let Core { world, drains, .. } = &mut *core;
+    drains.planned.retain(|name| world.drains.records.contains_key(name));
+    let is_new = |name: &String| !drains.planned.contains(name);
+    let active = world.drains.records.iter().filter(|(name, d)| d.value.is_active() && is_new(name));
+    let Some(name) = active.map(|(name, _)| name.clone()).next() else { return };
+    drains.planned.insert(name.clone());
+    let names = view::machines_left(world, &name);
+    let machines: Vec<step::Machine> =
+        names.iter().map(|m| step::Machine { units: view::units_on(world, m), name: m.clone() }).collect();
+    let problem = waves::problem(world, &machines, budgets);
+    drop(core);
+    let controller = controller.clone();
+    let tasks = controller.tasks.clone();
+    tasks.spawn(async move {
+        let solve = move || waves::plan(&problem, &Effort::LEADER);
+        let Ok((order, planned, method)) = tokio::task::spawn_blocking(solve).await else { return };
+        info!(drain = name, machines = names.len(), waves = planned.len(), ?method, "the drain is planned");
+        let order = order.into_iter().map(|i| names[i].clone()).collect();
+        controller.core().drains.orders.insert(name, order);
+    });
+}
+
 /// What a step decided, and how many changes there are for it.
 struct Step {
     decision: Decision,
@@ -154,7 +187,7 @@
     let now = clock::now();
     let mut core = controller.core();
     let budgets = &controller.operators.drains.budgets;
-    let drains = view::active_drains(&core.world, budgets);
+    let drains = view::active_drains(&core.world, budgets, &core.drains.orders);
     core.drains.asked = view::jobs_to_ask(&core.world, &drains, budgets);
     let running = observe::running(controller, &core, now);
     if drains.is_empty() {
--- a/crates/drain/src/lib.rs
+++ b/crates/drain/src/lib.rs
@@ -23,3 +23,6 @@
 #[cfg(test)]
 #[path = "../tests/unit/site.rs"]
 mod site;
+#[cfg(test)]
+#[path = "../tests/unit/test_records.rs"]
+mod test_records;
--- a/crates/drain/src/view.rs
+++ b/crates/drain/src/view.rs
@@ -66,16 +66,27 @@
     cordons.flat_map(|(_, c)| c.value.left()).filter(there).cloned().collect()
 }
 
+/// Orders of drains' machines, by the drains' names.
+pub type Orders = HashMap<String, Vec<Name>>;
+
 /// The drains that are active, with their machines in the order in which they should be
-/// emptied.
-pub fn active_drains(world: &World, budgets: &Budgets) -> Vec<Drain> {
+/// emptied: that which is given for a drain, or the greedy one.
+pub fn active_drains(world: &World, budgets: &Budgets, orders: &Orders) -> Vec<Drain> {
     let active = world.drains.records.iter().filter(|(_, d)| d.value.is_active());
     let drains = active.map(|(name, record)| {
         let machines = machines_left(world, name).into_iter();
-        let machines: Vec<Machine> =
+        let mut machines: Vec<Machine> =
             machines.map(|name| Machine { units: units_on(world, &name), name }).collect();
-        let order = waves::greedy(&waves::problem(world, &machines, budgets));
-        let machines = order.into_iter().map(|i| machines[i].clone()).collect();
+        match orders.get(name) {
+            Some(order) => {
+                let places: HashMap<&Name, usize> = order.iter().enumerate().map(|(i, m)| (m, i)).collect();
+                machines.sort_by_key(|m| places.get(&m.name).copied().unwrap_or(usize::MAX));
+            }
+            None => {
+                let order = waves::greedy(&waves::problem(world, &machines, budgets));
+                machines = order.into_iter().map(|i| machines[i].clone()).collect();
+            }
+        }
         Drain { name: name.clone(), record: record.value.clone(), machines }
     });
     drains.collect()
--- a/crates/drain/src/waves/solver.rs
+++ b/crates/drain/src/waves/solver.rs
@@ -28,7 +28,9 @@
 
 impl Effort {
     /// For an operator who waits for the answer.
-    pub const PLAN: Self = Self { whole: 160, any: 3000, time: Duration::from_secs(3) };
+    pub const PLAN: Self = Self { whole: 160, any: 20_000, time: Duration::from_secs(3) };
+    /// For a leader beside all that it does: some milliseconds, once for each drain.
+    pub const LEADER: Self = Self { whole: 0, any: 600, time: Duration::from_millis(20) };
 }
 
 /// The machines in the order of a solution; None if it takes more than the effort allows.
--- a/crates/drain/tests/state_machine.rs
+++ b/crates/drain/tests/state_machine.rs
@@ -4,8 +4,8 @@
 //!
 //! `SAGELOOM_PROPTEST_CASES` plays more cases than CI does.
 
-#[path = "unit/site.rs"]
-mod site;
+#[path = "unit/test_records.rs"]
+mod test_records;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -193,15 +193,15 @@
             machines: vec![Tasks::new(); MACHINES.len()],
             down_by_choice: BTreeMap::new(),
         };
-        site.change(Change::Types(Some(site::types())));
+        site.change(Change::Types(Some(test_records::types())));
         for (id, zone) in MACHINES {
-            site.change(Change::Machine(id.into(), Some(site::machine(zone))));
+            site.change(Change::Machine(id.into(), Some(test_records::machine(zone))));
         }
         let live = vec![sched::records::Member { name: "n".into(), zone: "a".into(), incarnation: 1 }];
         site.change(Change::Map(Some(sched::records::MapRecord { epoch: 1, live })));
         let mut next = 0;
         for (id, replicas) in SERVICES {
-            let mut job = JobRecord::new(site::spec(id, JobKind::Service, replicas), None, 0);
+            let mut job = JobRecord::new(test_records::spec(id, JobKind::Service, replicas), None, 0);
             // Some replica has ended before: the service does not start for the first time.
             job.attempt = 2;
             for task in 0..replicas {
@@ -252,7 +252,7 @@
 
     fn decide(&mut self, n: usize) {
         let leader = &self.leaders[n];
-        let drains = view::active_drains(&leader.world, &self.budgets);
+        let drains = view::active_drains(&leader.world, &self.budgets, &view::Orders::default());
         let jobs = view::services_concerned(&leader.world, &drains, &self.budgets);
         let limits = Limits { moves: 9, room_attempt: Duration::from_secs(60), paused: None, now_ms: 2000 };
         let mut ledger = match self.without {
@@ -340,7 +340,7 @@
         let mut chosen = Vec::new();
         for (id, known) in &world.jobs {
             let mut job = known.value.clone();
-            let team = site::team(TEAM);
+            let team = test_records::team(TEAM);
             let placed = placement::place(world, &mut inventory, &mut job, &team, |_| true, limits);
             if !placed.is_empty() {
                 let (job_version, fence) = (known.version, world.drains.fence);
@@ -425,7 +425,7 @@
         self.change(Change::Cordon(id, Some(CordonRecord::new(vec![machine.into()]))));
         self.change(Change::CordonFence(Some(CordonFence { generation: self.version })));
         if !self.store.drains.records.contains_key(&name) {
-            self.change(Change::Drain(name, Some(site::drain_record(1))));
+            self.change(Change::Drain(name, Some(test_records::drain_record(1))));
         }
     }
 
@@ -558,7 +558,8 @@
         site.cordon(m);
     }
     site.read(0);
-    let drains: Vec<Drain> = view::active_drains(&site.leaders[0].world, &site.budgets);
+    let drains: Vec<Drain> =
+        view::active_drains(&site.leaders[0].world, &site.budgets, &view::Orders::default());
     assert_eq!(drains.len(), 2);
     site.decide(0);
     assert_eq!(site.leaders[0].stops.len(), TEAM_BUDGET as usize, "of different services");
--- a/crates/model/src/explore.rs
+++ b/crates/model/src/explore.rs
@@ -34,6 +34,9 @@
 /// The steps from a start to a state, with the states between.
 pub type Way<M> = Vec<(<M as Model>::Step, <M as Model>::State)>;
 
+/// The fingerprint of a state that breaks a rule, and the rule.
+type Breach<M> = (u64, <M as Model>::Rule);
+
 /// How many threads, and how many states at the most.
 #[derive(Debug, Clone, Copy)]
 pub struct Limits {
@@ -103,7 +106,7 @@
     }
 
     /// The new states after some, and the least fingerprint among those that break a rule.
-    fn expand(&self, states: &[M::State]) -> (Vec<M::State>, Option<(u64, M::Rule)>) {
+    fn expand(&self, states: &[M::State]) -> (Vec<M::State>, Option<Breach<M>>) {
         let (mut found, mut broken) = (Vec::new(), None::<(u64, M::Rule)>);
         for state in states {
             let before = self.fingerprint(state);
