Drains where a transaction has two changes, budgets of teams that there are; files split

Need: the least that a state service may take is two changes a transaction, and stopping a unit wrote three records; a drain could end before its last machine was noted as gone; a budget for a team that does not exist was taken. Found by reading. Change: the drain's record is then a condition alone; a drain is over once all that is gone is written down; the operators' file is held against the platform's teams. Measured: the drains' and settings' tests pass.

--- a/crates/daemon/benches/load/cases.rs
+++ b/crates/daemon/benches/load/cases.rs
@@ -19,10 +19,11 @@
 use crate::api;
 use crate::controller::{Controller, wall_ms};
 use crate::fleet_duty::Fleet;
+use crate::operators::Operators;
 use crate::peers;
 use crate::reconcile;
 use crate::round;
-use crate::settings::{Operators, Settings};
+use crate::settings::Settings;
 use crate::state_duty;
 use crate::worker::{Worker, first_token};
 
--- a/crates/daemon/src/controller.rs
+++ b/crates/daemon/src/controller.rs
@@ -22,7 +22,8 @@
 pub use crate::clock::wall_ms;
 use crate::limits::{self, Plan, Seen};
 use crate::load::{Counts, Purpose};
-use crate::settings::{Operators, Settings};
+use crate::operators::Operators;
+use crate::settings::Settings;
 use crate::state::Core;
 use crate::worker::Limits;
 
--- a/crates/daemon/src/drains/transactions.rs
+++ b/crates/daemon/src/drains/transactions.rs
@@ -233,6 +233,9 @@
     let mut jobs: BTreeMap<Name, Box<JobRecord>> = BTreeMap::new();
     let mut teams: BTreeMap<String, DisruptionRecord> = BTreeMap::new();
     let mut drains: BTreeMap<String, DrainRecord> = BTreeMap::new();
+    // Where a transaction has two changes only, the drain's record is a condition alone, and does
+    // not count what was moved.
+    let counts = controller.plan().txn_ops >= CHANGES_OF_A_STOP;
     let (mut taken, mut bytes) = (0, 0);
     for m in moves {
         let id = &m.unit.id;
@@ -240,8 +243,10 @@
         let (Some(old), Some(drain)) = (world.jobs.get(&*id.job), world.drains.records.get(&m.drain)) else {
             break;
         };
-        let new = [!jobs.contains_key(&id.job), !teams.contains_key(&team), !drains.contains_key(&m.drain)];
-        let puts = jobs.len() + teams.len() + drains.len() + new.into_iter().filter(|n| *n).count();
+        let new_drain = counts && !drains.contains_key(&m.drain);
+        let new = [!jobs.contains_key(&id.job), !teams.contains_key(&team), new_drain];
+        let of_drains = if counts { drains.len() } else { 0 };
+        let puts = jobs.len() + teams.len() + of_drains + new.into_iter().filter(|n| *n).count();
         let job = jobs.get(&id.job).unwrap_or(&old.value);
         let Some(attempt) = view::attempt_of(job, id) else { break };
         let mut job = job.clone();
@@ -270,11 +275,16 @@
     }
     for (name, record) in drains {
         let version = world.drains.records.get(&name)?.version;
-        transaction.put_drain(&name, record, version);
+        match counts {
+            true => transaction.put_drain(&name, record, version),
+            false => transaction.condition(key::drain(&name), version),
+        }
     }
     (taken > 0).then_some((transaction, taken))
 }
 
+/// Changes that stopping one unit takes: its job, its team's record, its drain's.
+const CHANGES_OF_A_STOP: usize = 3;
 /// What the records beside a job's take of a transaction, for each unit.
 const RECORDS_BYTES: usize = 700;
 
--- a/crates/daemon/src/emulated.rs
+++ b/crates/daemon/src/emulated.rs
@@ -9,7 +9,8 @@
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
-use crate::settings::{Operators, Settings};
+use crate::operators::Operators;
+use crate::settings::Settings;
 use crate::{Failure, log_level, run, runtime, stopped_by_signal};
 
 /// What `sageloom try` runs without a file.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -25,6 +25,7 @@
 #[cfg(test)]
 #[path = "../tests/unit/meetings_machines.rs"]
 mod meetings_machines;
+mod operators;
 mod peers;
 #[cfg(test)]
 #[path = "../tests/unit/pipelines.rs"]
@@ -62,7 +63,8 @@
 use tracing::info;
 
 use controller::Controller;
-use settings::{Operators, Settings};
+use operators::Operators;
+use settings::Settings;
 
 /// A cluster scheduler: jobs from users, machines from a cloud.
 #[derive(Parser)]
@@ -139,7 +141,14 @@
 
 fn load(files: &Files) -> Result<(Settings, Operators), Failure> {
     let settings = Settings::load(&files.config)?;
-    let operators = files.operators.as_deref().map(Operators::load).transpose()?.unwrap_or_default();
+    let operators = match &files.operators {
+        Some(file) => {
+            let operators = Operators::load(file)?;
+            operators.check_teams(&file.display().to_string(), &settings)?;
+            operators
+        }
+        None => Operators::default(),
+    };
     Ok((settings, operators))
 }
 
--- a/crates/daemon/tests/unit/drains.rs
+++ b/crates/daemon/tests/unit/drains.rs
@@ -1,7 +1,8 @@
 use super::*;
+use crate::operators::Operators;
 use crate::round::{self, Assembled, Round};
 use crate::settings::tests::EXAMPLE;
-use crate::settings::{Operators, Peer, Settings};
+use crate::settings::{Peer, Settings};
 use crate::state::Core;
 use crate::worker::tests::spec;
 use crate::worker::{Worker, first_token};
--- a/crates/daemon/tests/unit/drains_command.rs
+++ b/crates/daemon/tests/unit/drains_command.rs
@@ -1,5 +1,7 @@
+use super::changes::*;
 use super::*;
 use crate::drains::tests::record;
+use sched::drain_records::CordonRecord;
 use sched::records::*;
 use store::decode_change;
 
--- a/crates/daemon/tests/unit/meetings/controllers.rs
+++ b/crates/daemon/tests/unit/meetings/controllers.rs
@@ -10,7 +10,8 @@
 use super::state::{RPS, WRITE_RPS};
 use super::{CONTROLLERS, LIMIT, LIMIT_U, Sabotage, Site};
 use crate::controller::Controller;
-use crate::settings::{Operators, Settings};
+use crate::operators::Operators;
+use crate::settings::Settings;
 
 #[derive(Default)]
 pub(super) struct Process {
--- a/crates/daemon/tests/unit/meetings/drains.rs
+++ b/crates/daemon/tests/unit/meetings/drains.rs
@@ -20,7 +20,7 @@
 use super::users::kind_of;
 use super::*;
 use crate::drains::command::{DrainError, Request as DrainRequest, Service};
-use crate::settings::Operators;
+use crate::operators::Operators;
 
 /// How long one obstacle may stand before a drain stops by itself.
 const GIVE_UP_S: f64 = 60.0;
--- a/crates/daemon/tests/unit/meetings_front.rs
+++ b/crates/daemon/tests/unit/meetings_front.rs
@@ -12,8 +12,9 @@
 use wire::{JobKind, JobSpec, JobState, Report, TaskReport, TaskState};
 
 use crate::controller::Controller;
+use crate::operators::Operators;
 use crate::settings::tests::EXAMPLE;
-use crate::settings::{Operators, Peer, Settings};
+use crate::settings::{Peer, Settings};
 use crate::stand_in::*;
 use crate::worker::tests::spec;
 use crate::worker::{Limits, Worker, first_token};
--- a/crates/daemon/tests/unit/meetings_machines.rs
+++ b/crates/daemon/tests/unit/meetings_machines.rs
@@ -14,10 +14,11 @@
 
 use crate::api::{Disposal, take_report};
 use crate::controller::Controller;
+use crate::operators::Operators;
 use crate::reconcile;
 use crate::round;
+use crate::settings::Settings;
 use crate::settings::tests::EXAMPLE;
-use crate::settings::{Operators, Settings};
 use crate::worker::tests::spec;
 
 /// As the example settings have them.
--- /dev/null
+++ b/crates/daemon/tests/unit/operators.rs
@@ -0,0 +1,42 @@
+use super::*;
+use crate::settings::tests::EXAMPLE;
+
+#[test]
+fn operators_settings_are_checked() {
+    assert_eq!(Operators::parse("o.hcl", "").expect("empty is fine"), Operators::default());
+    let some = Operators::parse("o.hcl", "rescheduler {\n threshold = 0.4\n}\nfleet {\n idle_s = 5\n}\n")
+        .expect("valid");
+    assert_eq!((some.rescheduler.threshold, some.idle), (0.4, Duration::from_secs(5)));
+    let drains = "drains {\n enabled = true\n team \"a team\" {\n share = 0.25\n }\n}\n";
+    let some = Operators::parse("o.hcl", drains).expect("valid").drains;
+    assert_eq!((some.enabled, some.budgets.of_team("a team", 8)), (true, Some(2)));
+    for (text, field) in [
+        ("drains { enable = true }", "enable"),
+        ("drains {\n replicas_per_service = -1\n}", "replicas_per_service"),
+        ("drains {\n team \"t\" {}\n}", "drains.team.t.count"),
+        ("drains {\n team \"t\" { count = 1.5 }\n}", "drains.team.t.count"),
+        ("drains {\n team \"t\" { count = -1 }\n}", "drains.team.t.count"),
+        ("drains {\n team \"t\" { share = 1.5 }\n}", "drains.team.t.share"),
+        ("drains {\n team \"t\" {\n share = 1\n count = 1\n }\n}", "drains.team.t.share"),
+    ] {
+        let message = Operators::parse("o.hcl", text).expect_err(text).to_string();
+        assert!(message.starts_with("o.hcl: ") && !message.contains('\n'), "{message}");
+        assert!(message.contains(field), "{message}");
+    }
+    for text in
+        ["rescheduler { treshold = 1 }", "rescheduler { scan_s = 0 }", "fleet {", "fleet { idle_s = -1 }"]
+    {
+        let message = Operators::parse("o.hcl", text).expect_err(text).to_string();
+        assert!(message.starts_with("o.hcl: ") && !message.contains('\n'), "{message}");
+    }
+}
+
+#[test]
+fn a_budget_is_of_a_team_that_there_is() {
+    let settings = Settings::parse("s.toml", EXAMPLE).expect("valid");
+    let of = |team: &str| format!("drains {{\n team \"{team}\" {{\n count = 1\n }}\n}}\n");
+    assert!(Operators::parse("o.hcl", &of("t")).expect("valid").check_teams("o.hcl", &settings).is_ok());
+    let unknown = Operators::parse("o.hcl", &of("x")).expect("valid").check_teams("o.hcl", &settings);
+    let message = unknown.expect_err("there is no such team").to_string();
+    assert!(message.starts_with("o.hcl: drains.team.x: "), "{message}");
+}
--- a/crates/daemon/tests/unit/peers.rs
+++ b/crates/daemon/tests/unit/peers.rs
@@ -1,6 +1,7 @@
 use super::*;
+use crate::operators::Operators;
+use crate::settings::Settings;
 use crate::settings::tests::EXAMPLE;
-use crate::settings::{Operators, Settings};
 use sched::records::Member;
 use sched::world::Change;
 
--- a/crates/daemon/tests/unit/pipelines.rs
+++ b/crates/daemon/tests/unit/pipelines.rs
@@ -17,8 +17,9 @@
 
 use crate::commit::Sweeper;
 use crate::controller::Controller;
+use crate::operators::Operators;
+use crate::settings::Settings;
 use crate::settings::tests::EXAMPLE;
-use crate::settings::{Operators, Settings};
 use crate::worker::tests::spec;
 use crate::{api, reconcile, state_duty};
 
--- a/crates/daemon/tests/unit/placer.rs
+++ b/crates/daemon/tests/unit/placer.rs
@@ -32,8 +32,9 @@
 /// A controller that leads alone, with a machine that holds twice the team's limit and
 /// these jobs; what its first round wants, by job.
 fn placed(jobs: Vec<JobRecord>) -> BTreeMap<String, usize> {
+    use crate::operators::Operators;
+    use crate::settings::Settings;
     use crate::settings::tests::EXAMPLE;
-    use crate::settings::{Operators, Settings};
     use crate::worker::{Worker, first_token};
     use sched::world::Change;
 
--- a/crates/daemon/tests/unit/round.rs
+++ b/crates/daemon/tests/unit/round.rs
@@ -1,7 +1,8 @@
 use super::*;
 use crate::controller::Controller;
+use crate::operators::Operators;
+use crate::settings::Settings;
 use crate::settings::tests::EXAMPLE;
-use crate::settings::{Operators, Settings};
 use crate::worker::tests::spec;
 use sched::world::Change;
 use wire::JobKind;
--- a/crates/daemon/tests/unit/scale.rs
+++ b/crates/daemon/tests/unit/scale.rs
@@ -9,10 +9,11 @@
 use wire::{JobKind, JobSpec, MachineType, Priority, Report, TaskReport, TaskState};
 
 use crate::controller::Controller;
+use crate::operators::Operators;
 use crate::reconcile;
 use crate::round;
+use crate::settings::Settings;
 use crate::settings::tests::EXAMPLE;
-use crate::settings::{Operators, Settings};
 use crate::state::Core;
 use crate::worker::tests::spec;
 use crate::worker::{Worker, first_token};
--- a/crates/daemon/tests/unit/settings.rs
+++ b/crates/daemon/tests/unit/settings.rs
@@ -63,33 +63,3 @@
     let next = some.facts.state.next.expect("given");
     assert_eq!((next.value_kb, next.txn_ops, next.write_rps), (Some(2.0), Some(4), None));
 }
-
-#[test]
-fn operators_settings_are_checked() {
-    assert_eq!(Operators::parse("o.hcl", "").expect("empty is fine"), Operators::default());
-    let some = Operators::parse("o.hcl", "rescheduler {\n threshold = 0.4\n}\nfleet {\n idle_s = 5\n}\n")
-        .expect("valid");
-    assert_eq!((some.rescheduler.threshold, some.idle), (0.4, Duration::from_secs(5)));
-    let drains = "drains {\n enabled = true\n team \"a team\" {\n share = 0.25\n }\n}\n";
-    let some = Operators::parse("o.hcl", drains).expect("valid").drains;
-    assert_eq!((some.enabled, some.budgets.of_team("a team", 8)), (true, Some(2)));
-    for (text, field) in [
-        ("drains { enable = true }", "enable"),
-        ("drains {\n replicas_per_service = -1\n}", "replicas_per_service"),
-        ("drains {\n team \"t\" {}\n}", "drains.team.t.count"),
-        ("drains {\n team \"t\" { count = 1.5 }\n}", "drains.team.t.count"),
-        ("drains {\n team \"t\" { count = -1 }\n}", "drains.team.t.count"),
-        ("drains {\n team \"t\" { share = 1.5 }\n}", "drains.team.t.share"),
-        ("drains {\n team \"t\" {\n share = 1\n count = 1\n }\n}", "drains.team.t.share"),
-    ] {
-        let message = Operators::parse("o.hcl", text).expect_err(text).to_string();
-        assert!(message.starts_with("o.hcl: ") && !message.contains('\n'), "{message}");
-        assert!(message.contains(field), "{message}");
-    }
-    for text in
-        ["rescheduler { treshold = 1 }", "rescheduler { scan_s = 0 }", "fleet {", "fleet { idle_s = -1 }"]
-    {
-        let message = Operators::parse("o.hcl", text).expect_err(text).to_string();
-        assert!(message.starts_with("o.hcl: ") && !message.contains('\n'), "{message}");
-    }
-}
--- a/crates/daemon/tests/unit/sim/mod.rs
+++ b/crates/daemon/tests/unit/sim/mod.rs
@@ -24,11 +24,12 @@
 
 use crate::api;
 use crate::controller::Controller;
+use crate::operators::Operators;
 use crate::production;
 use crate::reconcile;
 use crate::round;
 use crate::settings::tests::EXAMPLE;
-use crate::settings::{NextState, Operators, Peer, Settings};
+use crate::settings::{NextState, Peer, Settings};
 use crate::worker::tests::spec;
 
 mod checker;
--- a/crates/daemon/tests/unit/stand_in.rs
+++ b/crates/daemon/tests/unit/stand_in.rs
@@ -19,8 +19,9 @@
 use wire::{Changes, Event, Item, Items, JobSpec, JobState, JobStatus, Lease, LeaseRequest, Op, Txn};
 
 use crate::controller::Controller;
+use crate::operators::Operators;
 use crate::settings::tests::EXAMPLE;
-use crate::settings::{Operators, Peer, Settings};
+use crate::settings::{Peer, Settings};
 use crate::{api, reconcile, state_duty};
 
 /// What a controller meets at the state service.
--- a/crates/drain/examples/measure.rs
+++ b/crates/drain/examples/measure.rs
@@ -278,6 +278,9 @@
             // Noted as empty, marked, given back.
             self.changes -= 2.0;
             self.outcome.changes += 2;
+            let mut cordon = self.world.drains.cordons[&("d".to_owned(), 0)].value.clone();
+            cordon.note_gone(&machine);
+            self.world.apply(Change::Cordon(("d".into(), 0), Some(cordon)), self.version);
             self.put(Change::Machine(machine.to_string(), None));
         }
     }
--- a/crates/drain/src/view.rs
+++ b/crates/drain/src/view.rs
@@ -73,7 +73,9 @@
 /// emptied: that which is given for a drain, or the greedy one.
 pub fn active_drains(world: &World, budgets: &Budgets, orders: &Orders) -> Vec<Drain> {
     let active = world.drains.records.iter().filter(|(_, d)| d.value.is_active());
-    let drains = active.map(|(name, record)| {
+    // What is gone is written down first.
+    let is_noted = |name: &str| world.drains.cordons_of(name).all(|(_, c)| c.value.left().next().is_none());
+    let drains = active.filter_map(|(name, record)| {
         let machines = machines_left(world, name).into_iter();
         let mut machines: Vec<Machine> =
             machines.map(|name| Machine { units: units_on(world, &name), name }).collect();
@@ -87,7 +89,8 @@
                 machines = order.into_iter().map(|i| machines[i].clone()).collect();
             }
         }
-        Drain { name: name.clone(), record: record.value.clone(), machines }
+        let is_known = !machines.is_empty() || is_noted(name);
+        is_known.then(|| Drain { name: name.clone(), record: record.value.clone(), machines })
     });
     drains.collect()
 }
