--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,21 +10,21 @@
 mod controller;
 mod drains;
 mod emulated;
+#[cfg(test)]
+#[path = "../tests/unit/fault_days/mod.rs"]
+mod fault_days;
+#[cfg(test)]
+#[path = "../tests/unit/faults_machines.rs"]
+mod faults_machines;
+#[cfg(test)]
+#[path = "../tests/unit/faults_users.rs"]
+mod faults_users;
 mod fleet_duty;
 #[cfg(test)]
 #[path = "../tests/unit/large_site.rs"]
 mod large_site;
 mod limits;
 mod load;
-#[cfg(test)]
-#[path = "../tests/unit/meetings/mod.rs"]
-mod meetings;
-#[cfg(test)]
-#[path = "../tests/unit/meetings_front.rs"]
-mod meetings_front;
-#[cfg(test)]
-#[path = "../tests/unit/meetings_machines.rs"]
-mod meetings_machines;
 mod operators;
 mod peers;
 #[cfg(test)]
--- a/crates/daemon/tests/unit/drains.rs
+++ b/crates/daemon/tests/unit/drains.rs
@@ -120,6 +120,21 @@
     assert_eq!(version_of(conditions, &key::drain("d")), Some(5), "a drain that was stopped stops nothing");
 }
 
+/// The least that a state service may take in a transaction is two changes.
+#[test]
+fn a_unit_is_stopped_with_two_changes_where_there_are_no_more() {
+    let mut settings = Settings::parse("example", EXAMPLE).expect("valid");
+    settings.facts.state.txn_ops = 2;
+    let controller = Controller::new(settings, Operators::parse("o.hcl", ON).expect("valid"), 1);
+    let mut core = controller.core();
+    site(&mut core, &controller.me);
+    let moves = [Move { drain: "d".into(), machine: "m-1".into(), unit: unit(), room: Vec::new() }];
+    let (transaction, taken) = transactions::stop(&controller, &core, &moves, 2).expect("one to stop");
+    let (conditions, puts) = transaction.parts();
+    assert_eq!((taken, puts.len()), (1, 2), "the job and the team's record");
+    assert_eq!(version_of(conditions, &key::drain("d")), Some(5));
+}
+
 #[test]
 fn a_round_is_conditional_on_the_cordons_only_where_drains_are_on() {
     for (operators, fence) in [(ON, Some(4)), ("", None)] {
--- a/crates/daemon/tests/unit/meetings/tests.rs
+++ b/crates/daemon/tests/unit/fault_days/tests.rs
@@ -6,12 +6,12 @@
 
 /// Days that CI plays.
 const DAYS: std::ops::Range<u64> = 0..8;
-const MEETINGS: usize = 3;
+const COMBINATIONS: usize = 3;
 
 fn day(seed: u64) -> Day {
     Day {
         seed,
-        events: troubles::draw(seed, MEETINGS),
+        events: troubles::draw(seed, COMBINATIONS),
         sabotage: Sabotage::None,
         calm_ms: CALM_MS,
         drains: false,
--- a/crates/daemon/tests/unit/meetings/troubles.rs
+++ b/crates/daemon/tests/unit/fault_days/troubles.rs
@@ -1,5 +1,5 @@
 //! Troubles: each is an event with its numbers, so that a day is a list of them. Days are
-//! drawn as meetings of two or three at close moments.
+//! drawn as combinations of two or three at close moments.
 
 use std::time::Duration;
 
@@ -223,7 +223,7 @@
     }
 }
 
-/// Meetings that have broken rules before, or that operators fear most.
+/// Combinations that have broken rules before, or that operators fear most.
 fn known(rng: &mut StdRng) -> Vec<Trouble> {
     let leader = Who::Leader;
     let lease = LEASE_MS + rng.random_range(1000..LEASE_MS);
@@ -280,12 +280,12 @@
     }
 }
 
-/// A day's meetings, by its seed.
-pub(super) fn draw(seed: u64, meetings: usize) -> Vec<Event> {
+/// A day's combinations, by its seed.
+pub(super) fn draw(seed: u64, combinations: usize) -> Vec<Event> {
     let mut rng = StdRng::seed_from_u64(seed ^ 0x5eed);
     let mut events = Vec::new();
     let mut at = rng.random_range(12_000..25_000);
-    for _ in 0..meetings {
+    for _ in 0..combinations {
         let mut meet = match rng.random_bool(0.5) {
             true => known(&mut rng),
             false => vec![Trouble::draw(&mut rng), Trouble::draw(&mut rng)],
--- a/crates/daemon/tests/unit/meetings_machines.rs
+++ b/crates/daemon/tests/unit/faults_machines.rs
@@ -1,6 +1,6 @@
-//! Meetings of two troubles on the machines' side, on a clock of their own: controllers
+//! Combinations of two faults on the machines' side, on a clock of their own: controllers
 //! with their real decisions and answers, a scripted state service, and workers as the
-//! protocol describes them. Each test brings one meeting about, by its script alone.
+//! protocol describes them. Each test brings one combination about, by its script alone.
 
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
@@ -368,7 +368,7 @@
     site.nodes.iter().position(|n| n.me.name == owner).expect("a controller")
 }
 
-#[path = "meetings_hearing.rs"]
+#[path = "faults_reports.rs"]
 mod hearing;
-#[path = "meetings_records.rs"]
+#[path = "faults_records.rs"]
 mod records;
--- a/crates/daemon/tests/unit/meetings_front.rs
+++ b/crates/daemon/tests/unit/faults_users.rs
@@ -1,5 +1,5 @@
 //! Where two troubles meet, on the users' side: answers, the state service, membership.
-//! docs/meetings.md tells what holds the rules in each of these meetings.
+//! docs/combined-faults.md tells what holds the rules in each of these combinations.
 
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex};
--- a/crates/daemon/tests/unit/placer.rs
+++ b/crates/daemon/tests/unit/placer.rs
@@ -92,7 +92,7 @@
 
 /// A gang that does not fit into its team's limit beside the team's replicas waits until
 /// they are called off, perhaps for good. Its claim kept arrays out of what they left for
-/// the whole day (found by the meetings test: no array of a team ever started).
+/// the whole day (found by the drawn days: no array of a team ever started).
 #[test]
 fn a_gang_that_cannot_fit_claims_nothing() {
     let mut service = waiting("j-1", JobKind::Service, wire::Priority::Low, 3);
