--- a/crates/cloud/src/lib.rs
+++ b/crates/cloud/src/lib.rs
@@ -1,5 +1,7 @@
 //! The cloud's interface.
 
+#![warn(missing_docs)]
+
 use std::time::Duration;
 
 use net::{Answer, Client, NetError};
@@ -7,20 +9,24 @@
 use serde::de::DeserializeOwned;
 use wire::{MachineList, MachineNames, MachineType, MachineTypes, RentRequest};
 
+/// Why a request to the cloud was not carried out, or may not have been.
 #[derive(Debug, thiserror::Error)]
 pub enum CloudError {
     /// 429 or an outage: nothing was done.
     #[error("the cloud answered {0}")]
     Refused(u16),
+    /// No machine of this type, zone and kind is available.
     #[error("no capacity")]
     NoCapacity,
     /// The request may have been carried out, or may be later.
     #[error(transparent)]
     Net(#[from] NetError),
+    /// The answer could not be read.
     #[error("answer not understood: {0}")]
     Answer(#[from] wire::DecodeError),
 }
 
+/// A client of the cloud's interface.
 #[derive(Clone)]
 pub struct CloudClient {
     client: Client,
@@ -29,6 +35,7 @@
 
 /// Most machines in one rental and names in one release.
 pub const RENT_MAX: u32 = 50;
+/// Most names in one release.
 pub const RELEASE_MAX: usize = 100;
 /// Machines in one page of the list, the most that the cloud gives.
 const LIST_PAGE: usize = 500;
@@ -37,6 +44,7 @@
 const DEADLINE: Duration = Duration::from_secs(5);
 
 impl CloudClient {
+    /// A client of the cloud at this address.
     pub fn new(client: Client, addr: String) -> Self {
         Self { client, addr }
     }
@@ -58,11 +66,13 @@
         }
     }
 
+    /// All machine types, with their present prices.
     pub async fn machine_types(&self) -> Result<Vec<MachineType>, CloudError> {
         let list: MachineTypes = Self::read(&self.call::<()>("GET", "/machine_types", None).await?)?;
         Ok(list.types)
     }
 
+    /// Rents machines; their names. The same request again gets the same answer.
     pub async fn rent(&self, request: &RentRequest) -> Result<Vec<String>, CloudError> {
         let answer = self.call("POST", "/machines", Some(request)).await?;
         if answer.status == 503 && answer.body.windows(11).any(|w| w == b"no capacity") {
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -11,6 +11,7 @@
 use tokio::sync::Semaphore;
 use tokio::time::{Instant, timeout_at};
 
+/// Why a request has no answer.
 #[derive(Debug, thiserror::Error)]
 pub enum NetError {
     /// Nothing was sent, so nothing can have been carried out.
@@ -27,9 +28,12 @@
     TooLarge(String, usize),
 }
 
+/// The answer to a request.
 #[derive(Debug)]
 pub struct Answer {
+    /// The HTTP status.
     pub status: u16,
+    /// The body.
     pub body: Bytes,
 }
 
@@ -123,6 +127,7 @@
 }
 
 impl Client {
+    /// A client that keeps so many connections open at the most.
     pub fn new(most: usize) -> Self {
         let most = most.clamp(1, Semaphore::MAX_PERMITS);
         Self { idle: Arc::default(), most, turns: Arc::new(Semaphore::new(most)), transport: None }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,6 +1,8 @@
 //! HTTP/1.1 as sageloom speaks it: whole bodies with a size limit, a deadline
 //! on everything, one request at a time on a connection.
 
+#![warn(missing_docs)]
+
 mod client;
 mod read_along;
 mod server;
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -19,23 +19,32 @@
 /// A request with its whole body.
 #[derive(Debug)]
 pub struct Request {
+    /// The HTTP method.
     pub method: String,
+    /// The path, with its query.
     pub path: String,
+    /// The body.
     pub body: Bytes,
 }
 
+/// The answer to a request.
 #[derive(Debug)]
 pub struct Reply {
+    /// The HTTP status.
     pub status: u16,
+    /// The body.
     pub body: Vec<u8>,
+    /// After how many seconds the client should ask again.
     pub retry_after: Option<u64>,
 }
 
 impl Reply {
+    /// An answer with a value as MessagePack.
     pub fn new<T: Serialize>(status: u16, body: &T) -> Self {
         Self { status, body: wire::encode(body), retry_after: None }
     }
 
+    /// An answer that says what is wrong.
     pub fn error(status: u16, message: &str) -> Self {
         Self::new(status, &wire::ErrorBody { error: message.to_owned() })
     }
--- a/crates/store/src/budget.rs
+++ b/crates/store/src/budget.rs
@@ -21,10 +21,12 @@
 const DEBT_S: f64 = 2.0;
 
 impl Budget {
+    /// A bucket that is full now and fills at this rate.
     pub fn new(per_s: f64, burst: f64, now: Instant) -> Self {
         Self { per_s, burst, level: burst, at: now, denied: None }
     }
 
+    /// The rate at which it fills.
     pub fn per_second(&self) -> f64 {
         self.per_s
     }
--- a/crates/store/src/chunks.rs
+++ b/crates/store/src/chunks.rs
@@ -32,7 +32,9 @@
 /// A record in parts: these are written first, in this order; then the head.
 #[derive(Debug)]
 pub struct Chunked {
+    /// Its parts, in the order in which they are written.
     pub parts: Vec<Put>,
+    /// The head that names them.
     pub head: Put,
 }
 
@@ -89,6 +91,7 @@
 pub struct Orphans {
     /// The record's key.
     pub of: String,
+    /// The nonce of the parts' keys.
     pub nonce: String,
     /// Their keys, the first part first: once it is gone no head can name them.
     pub keys: Vec<String>,
@@ -150,6 +153,7 @@
         self.heads.contains_key(key)
     }
 
+    /// The parts that no head names, by their records.
     pub fn orphans(&self) -> Vec<Orphans> {
         let named: HashSet<(&str, &str)> =
             self.heads.iter().map(|(k, h)| (k.as_str(), h.nonce.as_str())).collect();
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -8,11 +8,13 @@
 
 use crate::codec::{Put, key};
 
+/// Why the state service did not do what it was asked, or may not have.
 #[derive(Debug, thiserror::Error)]
 pub enum StoreError {
     /// The request was not carried out and never will be.
     #[error("refused with {0}")]
     Refused(u16),
+    /// Above the state service's requests or changes a second: nothing was carried out.
     #[error("above the rate limit")]
     Rate,
     /// It was not sent: the state service could not take it.
@@ -21,21 +23,35 @@
     /// The request may have been carried out, or may be later.
     #[error(transparent)]
     Net(#[from] NetError),
+    /// The answer could not be read.
     #[error("answer not understood: {0}")]
     Answer(#[from] wire::DecodeError),
     /// They are no longer kept that far back, or are too many to be told at once.
     #[error("the changes cannot be followed from there")]
     TooOld,
+    /// The lease is over: whatever was attached to it is deleted.
     #[error("the lease is over")]
     NoLease,
 }
 
+/// What became of a transaction.
 #[derive(Debug)]
 pub enum Outcome {
-    Committed { revision: u64 },
-    Conflict { failed: Vec<String>, revision: u64 },
+    /// It was carried out, at this revision.
+    Committed {
+        /// The state service's revision with it.
+        revision: u64,
+    },
+    /// It was not, as these keys have other versions.
+    Conflict {
+        /// The keys.
+        failed: Vec<String>,
+        /// The state service's revision.
+        revision: u64,
+    },
 }
 
+/// A client of the state service.
 #[derive(Clone)]
 pub struct StateClient {
     client: Client,
@@ -116,6 +132,7 @@
         Self::read(answer)
     }
 
+    /// Carries out changes, all or none, if every key has the version that is asked for.
     pub async fn txn(&self, conditions: Vec<Condition>, puts: Vec<Put>) -> Result<Outcome, StoreError> {
         let ops = puts
             .into_iter()
@@ -139,12 +156,14 @@
         }
     }
 
+    /// Begins a lease.
     pub async fn new_lease(&self, ttl: Duration) -> Result<u64, StoreError> {
         let body = LeaseRequest { ttl_ms: ttl.as_millis() as u64 };
         let lease: Lease = Self::read(self.call("POST", "/leases", Some(&body), DEADLINE).await?)?;
         Ok(lease.lease)
     }
 
+    /// Renews a lease.
     pub async fn touch(&self, lease: u64) -> Result<(), StoreError> {
         let answer = self
             .call::<()>("POST", &format!("/leases/{lease}/touch"), None, Duration::from_millis(1500))
@@ -156,6 +175,7 @@
         }
     }
 
+    /// Ends a lease at once, and deletes what is attached to it.
     pub async fn end_lease(&self, lease: u64) -> Result<(), StoreError> {
         self.call::<()>("DELETE", &format!("/leases/{lease}"), None, DEADLINE).await.map(|_| ())
     }
--- a/crates/store/src/codec.rs
+++ b/crates/store/src/codec.rs
@@ -10,19 +10,28 @@
 
 /// Names of keys. Everything lies under one prefix, so one watch sees it all.
 pub mod key {
+    /// The prefix of all keys.
     pub const PREFIX: &str = "sageloom/";
+    /// The prefix of the parts of records that are larger than a value.
     pub const PARTS: &str = "sageloom/parts/";
+    /// The controller that leads.
     pub const LEADER: &str = "sageloom/leader";
+    /// Which controllers are live, and the epoch.
     pub const MAP: &str = "sageloom/map";
+    /// The machine types, as last told by the cloud.
     pub const TYPES: &str = "sageloom/types";
+    /// Rentals under way, and machines that are gone.
     pub const FLEET: &str = "sageloom/fleet";
 
+    /// A job's record.
     pub fn job(id: &str) -> String {
         format!("sageloom/jobs/{id}")
     }
+    /// A machine's record.
     pub fn machine(id: &str) -> String {
         format!("sageloom/machines/{id}")
     }
+    /// The record that placements of a team change.
     pub fn team(name: &str) -> String {
         format!("sageloom/teams/{}", team_id(name))
     }
@@ -51,6 +60,7 @@
     pub fn disruptions(team: &str) -> String {
         format!("sageloom/disruptions/{}", team_id(team))
     }
+    /// A live controller's entry.
     pub fn member(name: &str) -> String {
         format!("sageloom/members/{name}")
     }
@@ -59,13 +69,16 @@
 /// One put or delete of a transaction.
 #[derive(Debug, Clone)]
 pub struct Put {
+    /// The key.
     pub key: String,
     /// None deletes the key.
     pub value: Option<Value>,
+    /// The lease that the key is attached to.
     pub lease: Option<u64>,
 }
 
 impl Put {
+    /// A put of a record.
     pub fn new<T: Serialize>(key: String, value: &T) -> Self {
         // By way of bytes, so that the value is just what a reader will see.
         let value = rmp_serde::to_vec_named(value)
@@ -75,6 +88,7 @@
         Self { key, value: Some(value), lease: None }
     }
 
+    /// A put of a record that is attached to a lease.
     pub fn leased<T: Serialize>(key: String, value: &T, lease: u64) -> Self {
         Self { lease: Some(lease), ..Self::new(key, value) }
     }
@@ -90,6 +104,7 @@
         self.value.as_ref().map_or(0, json_len)
     }
 
+    /// A deletion.
     pub fn delete(key: String) -> Self {
         Self { key, value: None, lease: None }
     }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,5 +1,7 @@
 //! The state service: client, record encoding, and the write budget.
 
+#![warn(missing_docs)]
+
 mod budget;
 mod chunks;
 mod client;
