--- a/crates/daemon/src/drains/mod.rs
+++ b/crates/daemon/src/drains/mod.rs
@@ -10,10 +10,11 @@
 mod eviction;
 pub mod observe;
 mod report;
+pub mod state;
 mod transactions;
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
-use std::time::{Duration, Instant};
+use std::collections::HashSet;
+use std::time::Duration;
 
 use drain::lifecycle::Event;
 use drain::room::InventoryRoom;
@@ -21,8 +22,7 @@
 use drain::view::{self, ObservedTasks};
 use drain::waves::{self, Effort};
 use sched::drain_records::{DisruptionRecord, DrainPhase, DrainRecord, Obstacle, ObstacleKind};
-use sched::hash::HashSet as NameSet;
-use sched::records::{DRAINS_SCHEMA_VERSION, Name, Phase};
+use sched::records::DRAINS_SCHEMA_VERSION;
 use sched::world::World;
 use store::key;
 use tokio::time::sleep;
@@ -32,6 +32,7 @@
 use crate::controller::{Controller, Inner, wall_ms};
 use crate::state::Core;
 pub use eviction::EvictionBudget;
+use state::{DrainState, Hold};
 use transactions::Transaction;
 
 /// How often the duty looks at drains.
@@ -53,47 +54,6 @@
 /// Longest time to save that room is held for.
 const SAVE_MOST_S: f64 = 600.0;
 
-/// Room that is held for a job of which something was stopped.
-#[derive(Debug, Clone)]
-pub struct Hold {
-    /// The machines, each as often as it has a place.
-    pub machines: Vec<Name>,
-    /// Until when it is held at the latest.
-    pub until: Instant,
-}
-
-impl Hold {
-    /// Whether the job has not got its places yet.
-    pub fn is_needed(&self, world: &World, job: &str) -> bool {
-        let Some(job) = world.jobs.get(job).map(|j| &j.value) else { return false };
-        let stopping = job.run.iter().any(|a| !job.wants(a));
-        job.phase == Phase::Active && (stopping || sched::placement::pending_count(job) > 0)
-    }
-}
-
-/// What a controller knows of drains beside the records.
-#[derive(Debug, Default)]
-pub struct DrainState {
-    /// The jobs whose running tasks have to be known for the next step.
-    pub asked: BTreeSet<String>,
-    /// What each peer last said of them.
-    pub answers: HashMap<String, observe::PeerAnswer>,
-    /// Machines whose work waits for room that should be rented.
-    pub wants_room: NameSet<Name>,
-    /// Room held for what was stopped, by job.
-    pub holds: BTreeMap<String, Hold>,
-    /// The orders of drains' machines that a solver has found.
-    pub orders: view::Orders,
-    /// Drains that a solver has been asked about.
-    planned: HashSet<String>,
-    /// When each drain's record was last written.
-    told: HashMap<String, Instant>,
-    /// Cordons that were first seen without a drain, and when.
-    abandoned: HashMap<String, Instant>,
-    /// Drains that cannot be read, as already told in the log.
-    unreadable: HashSet<String>,
-}
-
 /// The leader's duty.
 pub async fn duty(controller: Controller) {
     let mut cost = Duration::ZERO;
--- a/crates/daemon/src/drains/observe.rs
+++ b/crates/daemon/src/drains/observe.rs
@@ -9,6 +9,7 @@
 use rand::RngExt;
 use tokio::time::sleep;
 
+use super::state::PeerAnswer;
 use crate::clock;
 use crate::controller::{Controller, Inner};
 use crate::peers::LARGE;
@@ -21,15 +22,6 @@
 /// How long an answer counts from when it was asked for.
 const ANSWER_FOR: Duration = Duration::from_secs(4);
 
-/// What a peer said.
-#[derive(Debug)]
-pub struct PeerAnswer {
-    incarnation: u64,
-    epoch: u64,
-    asked_at: Instant,
-    tasks: ObservedTasks,
-}
-
 /// The tasks of the jobs that were asked for that are seen running, by this controller and by
 /// those of its peers whose words are of now and of the present map. What nobody sees running
 /// counts as down.
--- a/crates/daemon/src/placer.rs
+++ b/crates/daemon/src/placer.rs
@@ -14,7 +14,7 @@
 use wire::{JobKind, JobSpec, Priority};
 
 use crate::controller::Controller;
-use crate::drains::Hold;
+use crate::drains::state::Hold;
 use crate::reconcile::REFUSED_FOR;
 use crate::round::{Event, Round, edit};
 use crate::state::Core;
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -10,7 +10,7 @@
 use sched::world::{Amount, InOrder, World};
 use store::{Budget, Reader};
 
-use crate::drains::DrainState;
+use crate::drains::state::DrainState;
 use crate::placer::Guaranteed;
 use crate::read_index::ReadIndexes;
 use crate::worker::{Key, Worker};
