Evictions have no entry while a controller knows no drains; tests of the drains' view

Cause: found by reading. Entries go once a replacement is seen running, which a controller without drains never tells: they would have stayed, and kept the service's budget used up. Change: the rescheduler then goes on as without drains.

--- a/crates/daemon/src/drains/eviction.rs
+++ b/crates/daemon/src/drains/eviction.rs
@@ -17,8 +17,15 @@
 }
 
 impl<'c> EvictionBudget<'c> {
+    /// For the evictions of a round. None: drains are switched off, or some controller knows
+    /// none. What it sees running nobody would be told, and entries would stay for good.
+    pub fn of_round(controller: &'c Controller, core: &Core, evictions: &[Eviction]) -> Option<Self> {
+        let applies = controller.operators.drains.enabled && super::paused(controller, &core.world).is_none();
+        applies.then(|| Self::new(controller, core, evictions))
+    }
+
     /// For these evictions, by the records.
-    pub fn new(controller: &'c Controller, core: &Core, evictions: &[Eviction]) -> Self {
+    fn new(controller: &'c Controller, core: &Core, evictions: &[Eviction]) -> Self {
         let world = &core.world;
         let budgets = &controller.operators.drains.budgets;
         let evicted = |id: &str| evictions.iter().any(|e| e.job == id);
--- a/crates/daemon/src/reconcile.rs
+++ b/crates/daemon/src/reconcile.rs
@@ -381,11 +381,10 @@
     if evictions.is_empty() {
         return;
     }
-    let drains_on = controller.operators.drains.enabled;
-    let mut budget = drains_on.then(|| drains::EvictionBudget::new(controller, core, &evictions));
+    let mut budget = drains::EvictionBudget::of_round(controller, core, &evictions);
     for e in evictions {
         // With its team's record of what is down by choice.
-        let changes = 1 + usize::from(drains_on);
+        let changes = 1 + usize::from(budget.is_some());
         let taken = round.jobs.contains_key(&e.job) || round.held.contains(&e.job);
         if taken || round.puts() + changes > ops {
             continue;
--- a/crates/drain/src/view.rs
+++ b/crates/drain/src/view.rs
@@ -207,3 +207,7 @@
         self.0.get(job).and_then(|tasks| tasks.get(&task)) == Some(&attempt)
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/view.rs"]
+mod tests;
