--- /dev/null
+++ b/crates/daemon/src/api/reports.rs
@@ -0,0 +1,236 @@
+//! Reports of workers, and machines that report for the first time.
+
+use std::time::{Duration, Instant};
+
+use net::Reply;
+use sched::records::*;
+use sched::world::Change;
+use store::{Outcome, Put, StoreError, key};
+use tokio::time::sleep;
+use tracing::{debug, info};
+use wire::{Condition, Redirect, Report, ReportAnswer};
+
+use crate::clock;
+use crate::controller::Controller;
+use crate::load::{Counts, Purpose, sample_names};
+use crate::peers;
+use crate::state::Core;
+use crate::worker::{Worker, final_stops, first_token};
+
+fn elsewhere(report_to: Option<String>) -> Reply {
+    Reply::new(421, &Redirect { report_to })
+}
+
+/// What becomes of a report.
+pub(crate) enum Disposal {
+    Answer(Reply),
+    /// The machine's owner cannot reach it, perhaps: pass the report on.
+    Relay(String),
+    /// No record of the machine yet.
+    Adopt(u64),
+}
+
+/// A worker's report, straight from it or passed on by a peer.
+pub async fn report(controller: &Controller, body: &[u8], relayed: bool) -> Reply {
+    let report: Report = match wire::decode(body) {
+        Ok(r) => r,
+        Err(e) => return Reply::error(400, &e.to_string()),
+    };
+    if !report.is_named() {
+        return Reply::error(400, "frame: not a machine's name");
+    }
+    Counts::add(&controller.counts.reports, 1);
+    match take_report(controller, &report, relayed, clock::now()) {
+        Disposal::Answer(reply) => {
+            Counts::add(&controller.counts.turned_away, u64::from(reply.status != 200));
+            reply
+        }
+        Disposal::Relay(owner) => {
+            peers::relay(controller, &owner, body.to_vec()).await.unwrap_or_else(|| elsewhere(None))
+        }
+        Disposal::Adopt(epoch) => {
+            // Nobody knows this machine yet: it is recorded before anything is launched.
+            arrived(controller, &report);
+            Reply::new(200, &ReportAnswer { token: first_token(epoch), commands: Vec::new() })
+        }
+    }
+}
+
+/// How long a worker's reports are passed on before it is sent to its machine's owner
+/// once more. Passed on without end, hundreds of workers kept reporting to controllers
+/// in other zones after an upgrade, and a cut between the zones cost their leases. While
+/// a controller is cut off from its workers, being sent there costs each of them the
+/// better part of a lease: this is longer than such cuts mostly last.
+const RELAY_FOR: Duration = Duration::from_secs(60);
+
+/// So many more machines than there are records of may be remembered as sent on, before
+/// those are forgotten that were sent long ago.
+const MISDIRECTED_SPARE: usize = 1024;
+
+pub(crate) fn take_report(controller: &Controller, report: &Report, relayed: bool, now: Instant) -> Disposal {
+    let machine = &report.machine;
+    let mut guard = controller.core();
+    let core = &mut *guard;
+    let Some(map) = core.world.map_record() else { return Disposal::Answer(elsewhere(None)) };
+    let known = core.world.owner_of(machine);
+    let Some(owner) = known.or_else(|| map.owner(machine, &report.zone)).cloned() else {
+        return Disposal::Answer(elsewhere(None));
+    };
+    let epoch = map.epoch;
+    // Only the owner can renew the lease of a worker that has to stop something: the
+    // answers of others have no commands.
+    let must_stop = |core: &Core| !final_stops(&report.tasks, &core.world).is_empty();
+    if owner != controller.me {
+        if relayed || owner.name == controller.me.name {
+            return Disposal::Answer(elsewhere(None));
+        }
+        // The worker has seen nobody of this epoch yet: after a crash of several
+        // controllers its lease may be about to end. Any live controller renews
+        // it once, with the epoch's first token; the next report is sent on.
+        let token = first_token(epoch);
+        if report.token < token && controller.may_renew(core, now) && !must_stop(core) {
+            return Disposal::Answer(Reply::new(200, &ReportAnswer { token, commands: Vec::new() }));
+        }
+        if core.misdirected.len() > core.world.machines.len() + MISDIRECTED_SPARE {
+            core.misdirected.retain(|_, sent| now.saturating_duration_since(*sent) < RELAY_FOR);
+        }
+        let sent = core.misdirected.get(machine);
+        if sent.is_some_and(|t| now.saturating_duration_since(*t) < RELAY_FOR) {
+            // It was sent to its owner just now and came back.
+            return Disposal::Relay(owner.name);
+        }
+        core.misdirected.insert(machine.clone(), now);
+        return Disposal::Answer(elsewhere(Some(owner.name)));
+    }
+    if !controller.may_renew(core, now) {
+        return Disposal::Answer(elsewhere(None));
+    }
+    if !core.world.machines.contains_key(machine.as_str()) {
+        return if must_stop(core) { Disposal::Answer(elsewhere(None)) } else { Disposal::Adopt(epoch) };
+    }
+    let limits = controller.worker_limits(core.fresh_at);
+    let owned_since = core.world.owned_since(machine);
+    if core.workers.get(machine.as_str()).is_some_and(|w| w.lapsed(owned_since)) {
+        core.workers.remove(machine.as_str());
+    }
+    let worker = core
+        .workers
+        .entry(machine.as_str().into())
+        .or_insert_with(|| Worker::new(report.addr.clone(), epoch, now));
+    worker.enter_epoch(epoch);
+    if worker.overtaken_by(report) {
+        return Disposal::Answer(elsewhere(None));
+    }
+    let news = worker.ingest(report.clone(), true, now);
+    // A copy of an older report gets nothing new to do; it may still be the one that
+    // the worker waits to have answered.
+    worker.renew(now);
+    let commands = match news {
+        true => worker.answer(machine, &core.world, &limits, now),
+        false => worker.final_stops(&core.world),
+    };
+    let answer = ReportAnswer { token: worker.token(), commands };
+    if worker.due(now) {
+        controller.kick.notify_one();
+    }
+    Disposal::Answer(Reply::new(200, &answer))
+}
+
+fn arrived(controller: &Controller, report: &Report) {
+    let record = MachineRecord {
+        addr: report.addr.clone(),
+        machine_type: report.machine_type.as_str().into(),
+        zone: report.zone.as_str().into(),
+        spot: report.spot,
+        release: false,
+    };
+    controller.core().arrivals.insert(report.machine.as_str().into(), record);
+    controller.arrival.notify_one();
+}
+
+/// Records machines that have reported for the first time, many at once. Each
+/// is asked itself first: a late copy of a report must not bring back a machine
+/// that was returned.
+pub async fn arrivals(controller: Controller) {
+    loop {
+        controller.arrival.notified().await;
+        sleep(Duration::from_millis(150)).await;
+        loop {
+            let list: Vec<(Name, MachineRecord)> = {
+                let mut core = controller.core();
+                let Core { arrivals, world, .. } = &mut *core;
+                arrivals.retain(|id, _| !world.machines.contains_key(id));
+                let ops = controller.plan().txn_ops;
+                let some: Vec<Name> = arrivals.keys().take(ops).cloned().collect();
+                some.into_iter().filter_map(|id| arrivals.remove_entry(&id)).collect()
+            };
+            if list.is_empty() {
+                break;
+            }
+            let asked: Vec<_> = list
+                .into_iter()
+                .map(|(id, record)| {
+                    let controller = controller.clone();
+                    let tasks = controller.tasks.clone();
+                    tasks.spawn(
+                        async move { answers(&controller, &id, &record).await.then_some((id, record)) },
+                    )
+                })
+                .collect();
+            let mut there = Vec::new();
+            for a in asked {
+                there.extend(a.await.ok().flatten());
+            }
+            record_machines(&controller, there).await;
+        }
+    }
+}
+
+pub(crate) async fn answers(controller: &Controller, machine: &str, record: &MachineRecord) -> bool {
+    let deadline = Duration::from_millis(1500);
+    let answer = controller
+        .workers_http
+        .request(&record.addr, "GET", "/status", Vec::new(), wire::BODY_LIMIT * 4, deadline)
+        .await;
+    answer.is_ok_and(|a| wire::decode::<Report>(&a.body).is_ok_and(|r| r.machine == machine))
+}
+
+async fn record_machines(controller: &Controller, list: Vec<(Name, MachineRecord)>) {
+    if list.is_empty() {
+        return;
+    }
+    controller.may_write(list.len(), 0.0).await;
+    controller.counts.spend(Purpose::Machines, list.len());
+    let conditions = list.iter().map(|(id, _)| Condition { key: key::machine(id), version: 0 }).collect();
+    let puts = list.iter().map(|(id, r)| Put::new(key::machine(id), r)).collect();
+    match controller.commit(conditions, puts).await {
+        Ok(Outcome::Committed { revision }) => {
+            let mut core = controller.core();
+            let names: Vec<&Name> = list.iter().map(|(id, _)| id).collect();
+            info!(count = names.len(), machines = sample_names(&names), "machines are up");
+            for (id, record) in list {
+                debug!(
+                    machine = &*id,
+                    zone = &*record.zone,
+                    kind = &*record.machine_type,
+                    spot = record.spot,
+                    "machine is up"
+                );
+                core.world.apply(Change::Machine(id.to_string(), Some(record)), revision);
+            }
+            controller.kick.notify_one();
+            controller.summary_due.notify_one();
+        }
+        Ok(Outcome::Conflict { revision, .. }) => {
+            controller.reach(revision, Duration::from_secs(1)).await;
+        }
+        Err(e) => {
+            debug!(error = %e, "machines were not recorded");
+            controller.note_refusal(&e);
+            if matches!(e, StoreError::Rate) {
+                // Not waited for until they report again.
+                controller.core().arrivals.extend(list);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/placer/holds.rs
@@ -0,0 +1,33 @@
+//! Room that is held for what drains have stopped.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use sched::placement::Inventory;
+use sched::records::Name;
+use sched::world::{Amount, World};
+
+use crate::drains::state::Hold;
+
+/// Keeps the room that was found for what drains have stopped from all other jobs. For a job
+/// that waits it is like room that was made for it.
+pub(super) fn hold_for_drains(
+    world: &World,
+    inventory: &mut Inventory,
+    holds: &mut BTreeMap<String, Hold>,
+    reserved: &mut std::collections::HashMap<String, (Vec<Name>, Instant)>,
+    queue: &[String],
+    now: Instant,
+) {
+    holds.retain(|job, hold| now < hold.until && hold.is_needed(world, job));
+    for (job, hold) in holds.iter() {
+        let Some(spec) = world.jobs.get(job).and_then(|j| j.value.spec.as_deref()) else { continue };
+        if reserved.contains_key(job) {
+            continue;
+        }
+        inventory.reserve(&hold.machines, Amount::of_task(spec), 1.0);
+        if queue.contains(job) {
+            reserved.insert(job.clone(), (hold.machines.clone(), hold.until));
+        }
+    }
+}
--- a/crates/daemon/src/placer.rs
+++ b/crates/daemon/src/placer/mod.rs
@@ -1,10 +1,13 @@
 //! Which waiting jobs start, and what makes way for them.
 
-use std::collections::BTreeMap;
+mod claims;
+mod holds;
+mod queue;
+
 use std::time::{Duration, Instant};
 
 use sched::forecast;
-use sched::hash::{HashMap, HashSet};
+use sched::hash::HashSet;
 use sched::placement::{self, Inventory};
 use sched::preempt;
 use sched::records::*;
@@ -14,10 +17,13 @@
 use wire::{JobKind, JobSpec, Priority};
 
 use crate::controller::Controller;
-use crate::drains::state::Hold;
 use crate::reconcile::REFUSED_FOR;
 use crate::round::{Event, Round, edit};
 use crate::state::Core;
+use claims::{Claim, claim_share, claims};
+use holds::hold_for_drains;
+pub use queue::Guaranteed;
+use queue::{in_order, waiting_here};
 
 /// Most tasks of an array or service that room is made for at a time.
 const PREEMPT_MOST: u32 = 4;
@@ -33,43 +39,6 @@
 /// How long room is held beyond the time that its tasks need to save.
 const RESERVE_FOR: Duration = Duration::from_millis(1800);
 
-/// The open jobs that fit into their teams' guarantees along with the earlier unfinished
-/// jobs of the same team. Kept until the open jobs are others: a job's tasks do not matter.
-#[derive(Debug, Default)]
-pub struct Guaranteed {
-    /// Of which set of open jobs.
-    open_layout: u64,
-    jobs: HashSet<String>,
-}
-
-impl Guaranteed {
-    fn refresh(&mut self, world: &World, teams: &[Team]) {
-        if self.open_layout != world.open_layout() {
-            self.open_layout = world.open_layout();
-            self.jobs = guaranteed(world, teams);
-        }
-    }
-}
-
-fn guaranteed(world: &World, teams: &[Team]) -> HashSet<String> {
-    let mut by_age: Vec<(u64, &str, &JobSpec)> = Vec::new();
-    for (id, job) in world.open_jobs().filter(|(_, job)| job.phase == Phase::Active) {
-        by_age.extend(job.spec.as_deref().map(|spec| (job.submitted_ms, id.as_str(), spec)));
-    }
-    by_age.sort_unstable_by_key(|(submitted_ms, id, _)| (*submitted_ms, *id));
-    let mut used: HashMap<&str, Amount> = HashMap::default();
-    let mut within = HashSet::default();
-    for (_, id, spec) in by_age {
-        let Some(team) = teams.iter().find(|t| t.name == spec.team) else { continue };
-        let sum = used.entry(&spec.team).or_default();
-        *sum = sum.plus(Amount::of_task(spec).without_memory(), f64::from(spec.tasks));
-        if sum.fits(team.guarantee()) {
-            within.insert(id.to_owned());
-        }
-    }
-    within
-}
-
 /// Places what waits, in the order of priority, guarantee and age, and makes room
 /// for what finds none.
 pub(crate) fn place(
@@ -92,17 +61,6 @@
     core.inventory = inventory;
 }
 
-/// The jobs with tasks that wait and that this controller places.
-fn waiting_here(controller: &Controller, core: &Core, round: &Round) -> Vec<String> {
-    let waits = |(id, job): &(&String, &JobRecord)| {
-        let job = round.jobs.get(*id).map_or(*job, |j| j);
-        placement::pending_count(job) > 0
-            && core.world.placer_of(job) == Some(&controller.me.name)
-            && !round.held.contains(*id)
-    };
-    core.world.open_jobs().filter(waits).map(|(id, _)| id.clone()).collect()
-}
-
 /// What a round has, and when it is.
 #[derive(Clone, Copy)]
 struct Budget {
@@ -161,29 +119,6 @@
     }
 }
 
-/// Keeps the room that was found for what drains have stopped from all other jobs. For a job
-/// that waits it is like room that was made for it.
-fn hold_for_drains(
-    world: &World,
-    inventory: &mut Inventory,
-    holds: &mut BTreeMap<String, Hold>,
-    reserved: &mut std::collections::HashMap<String, (Vec<Name>, Instant)>,
-    queue: &[String],
-    now: Instant,
-) {
-    holds.retain(|job, hold| now < hold.until && hold.is_needed(world, job));
-    for (job, hold) in holds.iter() {
-        let Some(spec) = world.jobs.get(job).and_then(|j| j.value.spec.as_deref()) else { continue };
-        if reserved.contains_key(job) {
-            continue;
-        }
-        inventory.reserve(&hold.machines, Amount::of_task(spec), 1.0);
-        if queue.contains(job) {
-            reserved.insert(job.clone(), (hold.machines.clone(), hold.until));
-        }
-    }
-}
-
 /// What this round has ended is free already.
 fn free_what_ended(world: &World, inventory: &mut Inventory, round: &Round) {
     for (id, record) in &round.jobs {
@@ -202,78 +137,6 @@
     }
 }
 
-/// The queue in the order in which it is served.
-fn in_order(
-    controller: &Controller,
-    world: &World,
-    queue: Vec<String>,
-    guaranteed: &HashSet<String>,
-    longest: &HashSet<&str>,
-    now_ms: u64,
-) -> Vec<String> {
-    let with_turn = |id: String| {
-        let job = world.jobs.get(&id)?.value.as_ref();
-        let in_guarantee = guaranteed.contains(&id);
-        let turn = turn(controller, job, in_guarantee, longest.contains(id.as_str()), now_ms);
-        Some((id, job, turn))
-    };
-    let mut jobs: Vec<(String, &JobRecord, placement::Turn)> =
-        queue.into_iter().filter_map(with_turn).collect();
-    jobs.sort_by(|a, b| placement::queue_order((a.1, a.2), (b.1, b.2)).then_with(|| a.0.cmp(&b.0)));
-    jobs.into_iter().map(|(id, ..)| id).collect()
-}
-
-/// The shares of their teams' limits that services and gangs wait for. They are not for
-/// arrays, whose small tasks would take them piece by piece, for as long as one of them
-/// lasts.
-///
-/// A gang's claim ends for an array whose own deadline comes near. No claim holds
-/// against work of a higher priority: what an array has stopped to make room for itself
-/// would claim that room at once, be placed there and be stopped again, without end.
-/// Nor is more claimed than arrays could ever leave: replicas end with their jobs only,
-/// and a gang that does not fit beside them would keep arrays out of the rest for good.
-fn claims(controller: &Controller, world: &World, round: &Round, queue: &[String]) -> Vec<Claim> {
-    let is_array = |id: &String| {
-        let spec = world.jobs.get(id).and_then(|j| j.value.spec.as_ref());
-        spec.is_some_and(|s| s.kind == JobKind::Array)
-    };
-    if !queue.iter().any(is_array) {
-        return Vec::new();
-    }
-    let open: Vec<(&JobRecord, &JobSpec)> = world
-        .open_jobs()
-        .filter_map(|(id, job)| {
-            let job = round.jobs.get(id).map_or(job, |j| j);
-            Some((job, job.spec.as_deref().filter(|s| s.kind != JobKind::Array)?))
-        })
-        .collect();
-    let mut replicas: HashMap<&str, Amount> = HashMap::default();
-    for (job, spec) in open.iter().filter(|(_, s)| s.kind == JobKind::Service) {
-        let run = job.run.iter().filter(|a| job.wants(a)).count();
-        let used = replicas.entry(&spec.team).or_default();
-        *used = used.plus(Amount::of_task(spec), run as f64);
-    }
-    let mut claims: Vec<Claim> = Vec::new();
-    for (job, spec) in open {
-        let waiting = placement::pending_count(job);
-        let Some(team) = controller.team(&spec.team).filter(|_| waiting > 0) else { continue };
-        let gang = spec.kind == JobKind::Gang;
-        let size = Amount::of_task(spec).without_memory();
-        let used = replicas.get(spec.team.as_str()).copied().unwrap_or_default();
-        let most = size.times_in(team.limit().plus(used.without_memory(), -1.0));
-        let claimed = if gang && waiting > most { 0 } else { waiting.min(most) };
-        if claimed > 0 {
-            claims.push(Claim {
-                team: spec.team.clone(),
-                gang,
-                priority: job.priority().unwrap_or(spec.priority),
-                amount: Amount::default().plus(size, f64::from(claimed)),
-            });
-        }
-    }
-    claims
-}
-
 /// One pass over the queue: what it looks at, and what it leaves behind.
 struct Pass<'a, 'w> {
     controller: &'a Controller,
@@ -604,18 +467,6 @@
         && job.start_by_ms().is_some_and(|by| by > now_ms + SLACK_MS)
 }
 
-/// The job's turn, by the times that the settings state for its class.
-fn turn(
-    controller: &Controller,
-    job: &JobRecord,
-    guaranteed: bool,
-    longest: bool,
-    now_ms: u64,
-) -> placement::Turn {
-    let times = job.spec.as_ref().and_then(|s| controller.settings.start_times(&s.class));
-    placement::turn(job, guaranteed, longest, times, now_ms)
-}
-
 /// Whether room that the job could take is collected for a gang that has waited
 /// longer. Only the leader, who collects it, then places such jobs.
 pub(crate) fn collected_for(world: &World, spec: &JobSpec, now_ms: u64) -> bool {
@@ -634,22 +485,6 @@
     })
 }
 
-/// A share of its team's limit that a service or a gang waits for.
-struct Claim {
-    team: String,
-    gang: bool,
-    priority: Priority,
-    amount: Amount,
-}
-
-/// Counts a part of a team's limit as used, or gives it back.
-fn claim_share(inventory: &mut Inventory, team: &str, amount: Amount, sign: f64) {
-    if amount != Amount::default() {
-        let used = inventory.team_use.entry(team.to_owned()).or_default();
-        *used = used.plus(amount, sign);
-    }
-}
-
 #[cfg(test)]
-#[path = "../tests/unit/placer.rs"]
+#[path = "../../tests/unit/placer.rs"]
 mod tests;
--- a/crates/daemon/tests/unit/api.rs
+++ b/crates/daemon/tests/unit/api.rs
@@ -1,3 +1,4 @@
+use super::reports::{Disposal, answers, take_report};
 use super::*;
 use crate::operators::Operators;
 use crate::settings::Settings;
@@ -6,10 +7,12 @@
 use crate::worker::tests::spec;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Instant;
 use tokio::net::TcpListener;
+use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
-use wire::{Item, Items};
+use wire::{Item, Items, Report};
 
 /// A stand-in for the state service with one job waiting, one done and one
 /// record that nobody can read. It refuses while `out`.
--- a/crates/daemon/tests/unit/faults_machines.rs
+++ b/crates/daemon/tests/unit/faults_machines.rs
@@ -12,7 +12,7 @@
     TaskState,
 };
 
-use crate::api::{Disposal, take_report};
+use crate::api::reports::{Disposal, take_report};
 use crate::controller::Controller;
 use crate::operators::Operators;
 use crate::reconcile;
--- a/crates/daemon/tests/unit/large_site.rs
+++ b/crates/daemon/tests/unit/large_site.rs
@@ -8,7 +8,7 @@
 use sched::world::{Change, World};
 use wire::{JobKind, Report, TaskReport, TaskState};
 
-use crate::api::{self, Disposal};
+use crate::api::reports::{self, Disposal};
 use crate::controller::Controller;
 use crate::peers;
 use crate::reconcile;
@@ -123,7 +123,7 @@
     let later = now + Duration::from_secs(2);
     for id in machines.iter().step_by(2) {
         let report = report(&controller, id, 2, first_token(7));
-        match api::take_report(&controller, &report, false, later) {
+        match reports::take_report(&controller, &report, false, later) {
             Disposal::Answer(reply) => assert_eq!(reply.status, 200, "{id}"),
             Disposal::Relay(_) | Disposal::Adopt(_) => {
                 unreachable!("{id} has a record and its owner is here")
--- a/crates/daemon/tests/unit/worker.rs
+++ b/crates/daemon/tests/unit/worker.rs
@@ -1,7 +1,8 @@
+use super::reconcile::Plan;
 use super::*;
 use sched::records::*;
-use sched::world::Change;
-use wire::{JobKind, JobSpec, Priority};
+use sched::world::{Change, World};
+use wire::{Cause, JobKind, JobSpec, Priority};
 
 /// A machine type without GPUs that boots and fetches fast.
 pub(crate) fn kind(cpus: f64, memory_gb: f64, zones: &[&str]) -> wire::MachineType {
--- a/crates/sched/src/world.rs
+++ b/crates/sched/src/world/mod.rs
@@ -1,91 +1,21 @@
 //! A copy of the records, with what is derived from them.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque, btree_map};
-use std::iter::Peekable;
+mod amount;
+mod in_order;
+mod pipelines;
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use wire::{JobSpec, JobState, MachineType};
+use wire::{JobSpec, MachineType};
 
 use crate::drain_records::{CordonFence, CordonRecord, DisruptionRecord, DrainRecord};
 use crate::drains::{CordonId, Drains};
 use crate::hash::{HashMap, HashSet};
 use crate::pipeline::Pipelines;
 use crate::records::*;
-
-/// What tasks take and machines have.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
-pub struct Amount {
-    pub cpus: f64,
-    pub gpus: f64,
-    pub memory_gb: f64,
-}
-
-const SLACK: f64 = 1e-6;
-
-impl Amount {
-    pub fn of_task(spec: &JobSpec) -> Self {
-        Self { cpus: spec.cpus, gpus: spec.gpus, memory_gb: spec.memory_gb }
-    }
-
-    pub fn of_type(t: &MachineType) -> Self {
-        Self { cpus: t.cpus, gpus: t.gpus, memory_gb: t.memory_gb }
-    }
-
-    pub fn plus(self, o: Self, times: f64) -> Self {
-        Self {
-            cpus: self.cpus + o.cpus * times,
-            gpus: self.gpus + o.gpus * times,
-            memory_gb: self.memory_gb + o.memory_gb * times,
-        }
-    }
-
-    /// The same without memory, which teams' limits do not count.
-    pub fn without_memory(self) -> Self {
-        Self { memory_gb: 0.0, ..self }
-    }
-
-    pub fn fits(self, room: Self) -> bool {
-        self.cpus <= room.cpus + SLACK
-            && self.gpus <= room.gpus + SLACK
-            && self.memory_gb <= room.memory_gb + SLACK
-    }
-
-    /// How many tasks of this size the room holds.
-    pub fn times_in(self, room: Self) -> u32 {
-        let one = |need: f64, have: f64| {
-            if need <= 0.0 { f64::from(u32::MAX) } else { ((have + SLACK) / need).floor().max(0.0) }
-        };
-        let n =
-            one(self.cpus, room.cpus).min(one(self.gpus, room.gpus)).min(one(self.memory_gb, room.memory_gb));
-        n as u32
-    }
-
-    /// The share in use of the most-used resource.
-    pub fn share_of(self, whole: Self) -> f64 {
-        let one = |used: f64, all: f64| if all > 0.0 { used / all } else { 0.0 };
-        one(self.cpus, whole.cpus).max(one(self.gpus, whole.gpus)).max(one(self.memory_gb, whole.memory_gb))
-    }
-}
-
-/// A team's guarantee and limit. Memory is not limited.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Team {
-    pub name: String,
-    pub cpus: f64,
-    pub cpus_max: f64,
-    pub gpus: f64,
-    pub gpus_max: f64,
-}
-
-impl Team {
-    pub fn limit(&self) -> Amount {
-        Amount { cpus: self.cpus_max, gpus: self.gpus_max, memory_gb: f64::INFINITY }
-    }
-
-    pub fn guarantee(&self) -> Amount {
-        Amount { cpus: self.cpus, gpus: self.gpus, memory_gb: f64::INFINITY }
-    }
-}
+pub use amount::{Amount, Team};
+pub use in_order::InOrder;
 
 #[derive(Debug, Clone)]
 pub struct Versioned<T> {
@@ -482,95 +412,6 @@
         }
     }
 
-    /// A job's record as it counts now: one that waits and all of whose needs are
-    /// done has begun, though its record does not say so before it is next written.
-    fn enter_pipelines(
-        &mut self,
-        id: &str,
-        mut record: Box<JobRecord>,
-        old: Option<&JobRecord>,
-    ) -> Box<JobRecord> {
-        record.urgency = old.map_or_else(|| self.inherited(id), |o| o.urgency);
-        if record.phase != Phase::Waiting {
-            return record;
-        }
-        let jobs = &self.jobs;
-        let phase = |n: &Name| jobs.get(&**n).map(|j| j.value.phase);
-        if self.pipelines.enter(&id.into(), &record.needs, |n| phase(n) == Some(Phase::Done)) {
-            let ended = record.needs.iter().filter_map(|n| jobs.get(&**n)).map(|j| j.value.ended_ms).max();
-            record.begin(ended.unwrap_or(0));
-        } else if let Some(n) = record
-            .needs
-            .iter()
-            .find(|n| phase(n) == Some(Phase::Cancelled) || self.pipelines.is_doomed(n))
-            .cloned()
-        {
-            self.pipelines.cancelled(&n);
-        }
-        record
-    }
-
-    /// The last job that some waited for is done.
-    fn let_begin(&mut self, id: &str) {
-        for ready in self.pipelines.done(id) {
-            let Some(mut job) = self.jobs.remove(&*ready) else { continue };
-            let ended = job.value.needs.iter().filter_map(|n| self.jobs.get(&**n)).map(|j| j.value.ended_ms);
-            job.value.begin(ended.max().unwrap_or(0));
-            self.jobs.insert(ready.to_string(), job);
-            self.open.insert(ready.to_string());
-            self.new_open_layout();
-        }
-    }
-
-    /// What a job inherits from those that wait for it.
-    fn inherited(&self, id: &str) -> Urgency {
-        let of = |d: &Name| match self.jobs.get(&**d) {
-            Some(job) if !self.pipelines.is_doomed(d) => job.value.gives(),
-            _ => Urgency::default(),
-        };
-        self.pipelines.dependents(id).map(of).fold(Urgency::default(), Urgency::and)
-    }
-
-    /// A job waits, and makes those before it as urgent as it is.
-    fn pass_on(&mut self, id: &str) {
-        let mut next: Vec<Name> = vec![id.into()];
-        while let Some(id) = next.pop() {
-            let Some(job) = self.jobs.get(&*id) else { continue };
-            if self.pipelines.is_doomed(&id) {
-                continue;
-            }
-            let gives = job.value.gives();
-            for need in self.pipelines.needs(&id).to_vec() {
-                let Some(job) = self.jobs.get_mut(&*need) else { continue };
-                let sum = job.value.urgency.and(gives);
-                if job.value.spec.is_some() && sum != job.value.urgency {
-                    job.value.urgency = sum;
-                    next.push(need);
-                }
-            }
-        }
-    }
-
-    /// A job that needed this one is no more: what it inherits is reckoned anew, and
-    /// so for all before it.
-    fn reckon(&mut self, id: &Name) {
-        let mut next: Vec<Name> = vec![id.clone()];
-        while let Some(id) = next.pop() {
-            let now = self.inherited(&id);
-            let Some(job) = self.jobs.get_mut(&*id) else { continue };
-            if job.value.spec.is_some() && now != job.value.urgency {
-                job.value.urgency = now;
-                next.extend(self.pipelines.needs(&id).iter().cloned());
-            }
-        }
-    }
-
-    /// The job's state as its user is told: a job is cancelled with any before it.
-    pub fn state_of(&self, id: &str) -> Option<JobState> {
-        let job = self.jobs.get(id)?;
-        Some(if self.pipelines.is_doomed(id) { JobState::Cancelled } else { job.value.state() })
-    }
-
     fn drop_machine(&mut self, id: &str) -> Option<Versioned<MachineRecord>> {
         self.new_layout();
         self.owners.remove(id);
@@ -636,34 +477,6 @@
     }
 }
 
-/// Looks up names in a table in their order, each but a step from the one before: finding
-/// each machine anew in several tables cost more than what was done with them.
-pub struct InOrder<'a, V> {
-    rest: Peekable<btree_map::Iter<'a, Name, V>>,
-}
-
-impl<'a, V> InOrder<'a, V> {
-    pub fn new(table: &'a BTreeMap<Name, V>) -> Self {
-        Self { rest: table.iter().peekable() }
-    }
-
-    /// What the table has for a name, which must come after all that were asked for before.
-    pub fn get(&mut self, id: &Name) -> Option<&'a V> {
-        // Equal first: names are mostly shared, and then compared by their place in memory.
-        while let Some((other, value)) = self.rest.peek().copied() {
-            if other == id {
-                self.rest.next();
-                return Some(value);
-            }
-            if other > id {
-                return None;
-            }
-            self.rest.next();
-        }
-        None
-    }
-}
-
 #[cfg(test)]
-#[path = "../tests/unit/world.rs"]
+#[path = "../../tests/unit/world.rs"]
 mod tests;
