--- a/review/common/small_site.py
+++ b/review/common/small_site.py
@@ -1,15 +1,31 @@
-"""A site of the project's own stand-ins with three controllers, with settings like those of the
-Lianfang deployment. Every controller reaches the state service and each of its peers over links of
-its own, which can be cut."""
+"""A site of the project's own stand-ins with the settings of a deployment. Every controller reaches the
+state service and each of its peers over links of its own, which can be cut."""
 
 import asyncio
 import functools
 import os
 import re
+import shutil
 
 from harness import InspectingLink, Link, deploy_command, free_ports, wait_healthy
 
-CONTROLLERS = [("loomhost-0", "taoyuan-dc"), ("loomhost-1", "taichung-dc"), ("loomhost-2", "taoyuan-dc")]
+LIANFANG = {
+    "controllers": [("loomhost-0", "taoyuan-dc"), ("loomhost-1", "taichung-dc"), ("loomhost-2", "taoyuan-dc")],
+    "capacity": "{ taoyuan-dc = 20, taichung-dc = 20 }",
+    "report_s": 1.0, "lease_s": 10, "gang_wait_s": 30, "gang_peer_s": 5, "cancel_s": 40,
+    "rps": 200, "write_rps": 80, "value_kb": 16, "txn_ops": 12, "cloud_rps": 5, "list_lag_s": 8,
+    "cores": 0.12, "memory_mb": 56, "max_connections": 900,
+}
+AALTOMITTA = {
+    "controllers": [
+        ("loomhost-0", "espoo-hall"), ("loomhost-1", "kuopio-hall"), ("loomhost-2", "vaasa-edge"),
+        ("loomhost-3", "espoo-hall"), ("loomhost-4", "kuopio-hall"),
+    ],
+    "capacity": "{ espoo-hall = 20, kuopio-hall = 20, vaasa-edge = 20 }",
+    "report_s": 4.0, "lease_s": 24, "gang_wait_s": 30, "gang_peer_s": 5, "cancel_s": 44,
+    "rps": 80, "write_rps": 30, "value_kb": 8, "txn_ops": 16, "cloud_rps": 4, "list_lag_s": 10,
+    "cores": 0.08, "memory_mb": 104, "max_connections": 1800,
+}
 
 SITE = """
 seed = 7
@@ -26,34 +42,34 @@
   price = 0.33
   spot_price = 0.09
   boot_s = {boot_s}
-  capacity = {{ taoyuan-dc = 20, taichung-dc = 20 }}
+  capacity = {capacity}
 }}
 {teams}
 workers {{
-  report_s = 1.0
-  lease_s = 10
-  gang_wait_s = 30
-  gang_peer_s = 5
-  cancel_s = 40
+  report_s = {report_s}
+  lease_s = {lease_s}
+  gang_wait_s = {gang_wait_s}
+  gang_peer_s = {gang_peer_s}
+  cancel_s = {cancel_s}
 }}
 state {{
-  rps = 200
-  write_rps = 80
-  value_kb = 16
-  txn_ops = 12
+  rps = {rps}
+  write_rps = {write_rps}
+  value_kb = {value_kb}
+  txn_ops = {txn_ops}
 }}
 cloud {{
-  rps = 5
-  list_lag_s = 8
+  rps = {cloud_rps}
+  list_lag_s = {list_lag_s}
   slow_boots = 0
   quick_boots = 0
   never_up = 0
   notice_s = 30
 }}
 limits {{
-  cores = 0.12
-  memory_mb = 56
-  max_connections = 900
+  cores = {cores}
+  memory_mb = {memory_mb}
+  max_connections = {max_connections}
 }}
 """
 
@@ -85,30 +101,32 @@
 
 
 class Site:
-    def __init__(self, record, work, processes, boot_s=2.0, teams=TEAMS, seen=None):
+    def __init__(self, record, work, processes, boot_s=2.0, teams=TEAMS, seen=None, settings=LIANFANG):
         """`seen(controller, method, path, request, status, response)` is shown every exchange of
         users and workers with a controller."""
         self.record, self.work, self.processes, self.seen = record, work, processes, seen
-        self.boot_s, self.teams = boot_s, teams
-        self.controllers = [Controller(name, zone) for name, zone in CONTROLLERS]
-        self.users, self.cloud = free_ports(2)
+        self.boot_s, self.teams, self.settings = boot_s, teams, settings
+        self.choose_addresses()
 
-    async def start(self):
-        blocks = "".join(CONTROLLER.format(**vars(c)) for c in self.controllers)
-        text = SITE.format(
-            users=self.users, cloud=self.cloud, controllers=blocks, boot_s=self.boot_s, teams=self.teams
-        )
-        site_file, folder = os.path.join(self.work, "site.hcl"), os.path.join(self.work, "settings")
-        with open(site_file, "w") as file:
-            file.write(text)
-        program = deploy_command()[0]
-        await self.processes.start(
-            [program, "emulate", "--site", site_file, "--settings", folder], self.log("site")
-        )
+    async def start(self, cloud=None, first=None):
+        """`cloud`: the address of a cloud in place of the emulated one. `first`: the number of a
+        controller that is started two seconds before the others, so that it leads."""
+        for _ in range(5):
+            folder = await self.start_stand_ins()
+            if folder:
+                break
+            self.record("an address of the stand-ins was taken; trying others")
+            self.choose_addresses()
+        else:
+            raise RuntimeError("the stand-ins did not start")
         for c in self.controllers:
-            await self.prepare(c, folder)
+            await self.prepare(c, folder, cloud)
+        if first is not None:
+            await self.start_controller(self.controllers[first])
+            await asyncio.sleep(2.0)
         for c in self.controllers:
-            await self.start_controller(c)
+            if c.process is None:
+                await self.start_controller(c)
         for c in self.controllers:
             if not await wait_healthy(c.front):
                 raise RuntimeError(f"{c.name} did not become healthy")
@@ -116,17 +134,38 @@
                 raise RuntimeError(f"{c.name} has ended")
             self.record(f"{c.name} is healthy at {c.front}")
 
+    def choose_addresses(self):
+        self.controllers = [Controller(name, zone) for name, zone in self.settings["controllers"]]
+        self.users, self.cloud = free_ports(2)
+
+    async def start_stand_ins(self):
+        """Starts the stand-ins. Returns the folder of the settings, or None if they have ended."""
+        blocks = "".join(CONTROLLER.format(**vars(c)) for c in self.controllers)
+        text = SITE.format(
+            **{**self.settings, "controllers": blocks},
+            users=self.users, cloud=self.cloud, boot_s=self.boot_s, teams=self.teams,
+        )
+        site_file, folder = os.path.join(self.work, "site.hcl"), os.path.join(self.work, "settings")
+        shutil.rmtree(folder, ignore_errors=True)
+        with open(site_file, "w") as file:
+            file.write(text)
+        process = await self.processes.start(
+            [deploy_command()[0], "emulate", "--site", site_file, "--settings", folder], self.log("site")
+        )
+        last = os.path.join(folder, f"{self.controllers[-1].name}.toml")
+        while not os.path.exists(last):
+            if process.returncode is not None:
+                return None
+            await asyncio.sleep(0.1)
+        await asyncio.sleep(0.3)
+        return folder if process.returncode is None else None
+
     def log(self, name):
         return os.path.join(self.work, f"{name}.log")
 
-    async def prepare(self, c, folder):
+    async def prepare(self, c, folder, cloud):
         """Replaces the addresses in a controller's settings by those of its links."""
         path = os.path.join(folder, f"{c.name}.toml")
-        for _ in range(100):
-            if os.path.exists(path):
-                break
-            await asyncio.sleep(0.1)
-        await asyncio.sleep(0.1)
         with open(path) as file:
             text = file.read()
         c.state_link = Link(c.state)
@@ -139,6 +178,8 @@
         if self.seen:
             text = text.replace(f'front = "{c.front}"', f'front = "{c.listens_at}"')
             await InspectingLink(c.listens_at, functools.partial(self.seen, c)).start(c.front)
+        if cloud:
+            text = text.replace(f'cloud = "{self.cloud}"', f'cloud = "{cloud}"')
         c.settings = os.path.join(self.work, f"{c.name}.toml")
         with open(c.settings, "w") as file:
             file.write(text)
