--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -336,13 +336,15 @@
     """Runs a case: `case(record, temporary folder, processes)` returns the exit code."""
 
     async def main():
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, asyncio.current_task().cancel)
         record = Record(folder)
         record(f"TROUBLE={'1' if TROUBLE else '0'}")
         processes = Processes()
         with tempfile.TemporaryDirectory() as work:
             try:
                 code = await asyncio.wait_for(case(record, work, processes), 118)
-            except Exception as error:  # the case could not run
+            except (Exception, asyncio.CancelledError) as error:  # the case could not run, or was ended
                 record(f"the case could not run: {type(error).__name__}: {error}")
                 code = NOT_RUN
             finally:
