Review: a case whose addresses are taken tries others

The harness now records the last line of such a log, and tries other addresses if the process could not listen.

--- a/review/common/small_site.py
+++ b/review/common/small_site.py
@@ -111,16 +111,24 @@
     async def start(self, cloud=None, first=None):
         """`cloud`: the address of a cloud in place of the emulated one. `first`: the number of a
         controller that is started two seconds before the others, so that it leads."""
-        for _ in range(5):
-            folder = await self.start_stand_ins()
-            if folder:
-                break
-            self.record("an address of the stand-ins was taken; trying others")
+        for _ in range(4):
+            if await self.try_start(cloud, first):
+                return
+            await self.processes.end_all()
             self.choose_addresses()
-        else:
-            raise RuntimeError("the stand-ins did not start")
+        raise RuntimeError("no free addresses were found")
+
+    async def try_start(self, cloud, first):
+        """Starts the site. Returns False if another process has taken one of its addresses."""
+        folder = await self.start_stand_ins()
+        if not folder:
+            return self.address_taken("site")
         for c in self.controllers:
-            await self.prepare(c, folder, cloud)
+            try:
+                await self.prepare(c, folder, cloud)
+            except OSError as error:
+                self.record(f"an address of {c.name} was taken ({error}); trying others")
+                return False
         if first is not None:
             await self.start_controller(self.controllers[first])
             await asyncio.sleep(2.0)
@@ -128,11 +136,21 @@
             if c.process is None:
                 await self.start_controller(c)
         for c in self.controllers:
-            if not await wait_healthy(c.front):
-                raise RuntimeError(f"{c.name} did not become healthy")
+            if not await wait_healthy(c.front, lambda: c.process.returncode is not None):
+                return self.address_taken(c.name)
             if c.process.returncode is not None:
-                raise RuntimeError(f"{c.name} has ended")
+                return self.address_taken(c.name)
             self.record(f"{c.name} is healthy at {c.front}")
+        return True
+
+    def address_taken(self, name):
+        """Returns False if a process has ended because it could not listen; any other reason is an error."""
+        with open(self.log(name)) as file:
+            last = (file.read().strip().splitlines() or [""])[-1]
+        self.record(f"{name} did not start: {last}")
+        if "in use" not in last:
+            raise RuntimeError(f"{name} did not start")
+        return False
 
     def choose_addresses(self):
         self.controllers = [Controller(name, zone) for name, zone in self.settings["controllers"]]
