Log failed tasks, and waiting jobs whose starts keep failing

"No demand" and "demand met by other capacity" look alike.

Change: an info line "tasks failed" with a count and a few names, next to "tasks lost", and a field `failing` in "cluster load": jobs with waiting tasks and the number of their failed starts. No decision reads either.

--- a/crates/daemon/src/autoscaler/cluster_log.rs
+++ b/crates/daemon/src/autoscaler/cluster_log.rs
@@ -6,6 +6,7 @@
 use sched::replica::Replica;
 use tracing::info;
 
+use crate::load::sample_names;
 use crate::state::ControllerState;
 
 /// The open jobs of a service class.
@@ -30,8 +31,14 @@
 /// Logs the waiting jobs and tasks by service class, and the CPU usage by machine type.
 pub fn log_cluster(state: &ControllerState) {
     let waiting = waiting_by_class(&state.records.replica);
+    let failing = failed_starts_by_job(&state.records.replica);
     let machines = usage_by_type(&state.records.replica);
-    info!(waiting = waiting.join("; "), machines = machines.join("; "), "cluster load");
+    info!(
+        waiting = waiting.join("; "),
+        failing = sample_names(&failing),
+        machines = machines.join("; "),
+        "cluster load"
+    );
 }
 
 fn waiting_by_class(replica: &Replica) -> Vec<String> {
@@ -51,6 +58,13 @@
     classes.iter().map(format_line).collect()
 }
 
+/// The jobs with waiting tasks whose last starts have failed, with the number of failed starts.
+fn failed_starts_by_job(replica: &Replica) -> Vec<String> {
+    let failing =
+        replica.open_jobs().filter(|(_, job)| job.failed_starts > 0 && placement::pending_task_count(job) > 0);
+    failing.map(|(id, job)| format!("{id}: {} failed starts", job.failed_starts)).collect()
+}
+
 fn usage_by_type(replica: &Replica) -> Vec<String> {
     let mut types: BTreeMap<String, TypeUsage> = BTreeMap::new();
     for (id, machine) in &replica.machines {
--- a/crates/daemon/src/scheduler/events.rs
+++ b/crates/daemon/src/scheduler/events.rs
@@ -64,13 +64,17 @@
 /// Logs the events of a cycle: each one at debug level, and frequent kinds also as one info line
 /// with their count and a few names.
 pub(super) fn log_events<'a>(events: impl Iterator<Item = &'a SchedulingEvent>) {
-    let (mut lost, mut preempted, mut spot_noticed) = (Vec::new(), Vec::new(), Vec::new());
+    let (mut lost, mut failed) = (Vec::new(), Vec::new());
+    let (mut preempted, mut spot_noticed) = (Vec::new(), Vec::new());
     for event in events {
         event.log();
         match event {
             SchedulingEvent::Terminated { job, task, reason: TerminationReason::Lost, .. } => {
                 lost.push(format!("{job}/{task}"));
             }
+            SchedulingEvent::Terminated { job, task, reason: TerminationReason::Error, .. } => {
+                failed.push(format!("{job}/{task}"));
+            }
             SchedulingEvent::Preempted { by, victim } => {
                 preempted.push(format!("{}/{} by {by}", victim.job, victim.task));
             }
@@ -78,7 +82,12 @@
             _ => {}
         }
     }
-    let kinds = [(lost, "tasks lost"), (preempted, "preempted"), (spot_noticed, "stopping on spot notice")];
+    let kinds = [
+        (lost, "tasks lost"),
+        (failed, "tasks failed"),
+        (preempted, "preempted"),
+        (spot_noticed, "stopping on spot notice"),
+    ];
     for (tasks, message) in kinds.into_iter().filter(|(tasks, _)| !tasks.is_empty()) {
         info!(count = tasks.len(), tasks = sample_names(&tasks), "{message}");
     }
