Failed starts reduce a job's demand to one retry instead of ending it

Arrays, gangs and jobs that depend on them waited as long; a service that ran after three failed starts got nothing in place of a machine that was lost later.

Cause: demand_of counted no demand from three failed starts on, for good, and only a task that is done sets the count back. Without demand its machine was also idle during the back-off and released after 20 s.

Change: from three failed starts on a job has the demand of its next retry: one task, for a gang all. Idle machines are kept for as many tasks (RetryCapacity), not all that suit, as they are for jobs that have not failed. A job with a mistake so holds capacity for one task.

Why it works: demand is a function of the record and never ends before the job does, so a change of leader or a restart changes nothing; what the retry needs is there when its back-off ends.

--- a/crates/daemon/src/autoscaler/demand.rs
+++ b/crates/daemon/src/autoscaler/demand.rs
@@ -14,8 +14,9 @@
 use crate::controller::Controller;
 use crate::state::ControllerState;
 
-/// Jobs whose tasks have failed to start this many times get no new machines.
-const MAX_FAILED_STARTS: u32 = 3;
+/// The number of consecutive failed starts from which a job may have been submitted with a mistake,
+/// so that it would fail on any number of machines.
+const MIN_SUSPECT_FAILED_STARTS: u32 = 3;
 /// Minimum age of a job before machines are requested for it; capacity that becomes free may
 /// suffice until then.
 const MIN_WAIT_BEFORE_SCALE_OUT: Duration = Duration::from_millis(300);
@@ -26,6 +27,8 @@
     pub job: &'a JobRecord,
     /// The capacity that it needs.
     pub demand: Demand<'a>,
+    /// Whether its starts keep failing, so that the demand is for one retry only.
+    pub is_retry: bool,
 }
 
 /// A demand with no tasks on machines so far and no unsuitable machine types.
@@ -66,6 +69,15 @@
     jobs.filter_map(|(_, job)| collector.demand_of(job)).collect()
 }
 
+/// The number of tasks that show whether the starts of a job still fail: one, but all of a gang,
+/// which starts as a whole.
+fn tasks_of_retry(spec: &JobSpec) -> u32 {
+    match spec.kind {
+        JobKind::Array | JobKind::Service => 1,
+        JobKind::Gang => spec.tasks,
+    }
+}
+
 /// Machines with tasks that have been silent for longer than placement tolerates, without those
 /// whose owner is itself isolated.
 fn machines_likely_lost(controller: &Controller, state: &ControllerState, now: Instant) -> HashSet<Name> {
@@ -101,12 +113,11 @@
     fn demand_of(&mut self, job: &'a JobRecord) -> Option<JobDemand<'a>> {
         let spec = job.spec.as_deref()?;
         let tasks_to_replace = self.tasks_to_replace(job, spec);
-        let waiting = placement::pending_task_count(job);
+        let is_retry = job.failed_starts >= MIN_SUSPECT_FAILED_STARTS;
+        let pending = placement::pending_task_count(job);
+        let waiting = if is_retry { pending.min(tasks_of_retry(spec)) } else { pending };
         let waited_ms = self.now_ms.saturating_sub(job.submitted_ms);
-        if waiting + tasks_to_replace == 0
-            || job.failed_starts >= MAX_FAILED_STARTS
-            || waited_ms < MIN_WAIT_BEFORE_SCALE_OUT.as_millis() as u64
-        {
+        if waiting + tasks_to_replace == 0 || waited_ms < MIN_WAIT_BEFORE_SCALE_OUT.as_millis() as u64 {
             return None;
         }
         let admitted = self.admit(spec, waiting)?;
@@ -117,7 +128,8 @@
         }
         let tasks_by_zone = self.staying_tasks_by_zone(job);
         let unsuitable_types = unsuitable_types(self.controller, self.state, spec);
-        Some(JobDemand { job, demand: Demand { spec, tasks, tasks_by_zone, unsuitable_types } })
+        let demand = Demand { spec, tasks, tasks_by_zone, unsuitable_types };
+        Some(JobDemand { job, demand, is_retry })
     }
 
     /// How many of a job's tasks get capacity elsewhere before they lose their machines: service
--- a/crates/daemon/src/autoscaler/idle_machines.rs
+++ b/crates/daemon/src/autoscaler/idle_machines.rs
@@ -14,6 +14,7 @@
 use super::Autoscaler;
 use super::headroom::headroom_spec;
 use super::machine_offers::offer_of_machine;
+use super::retry_capacity::RetryCapacity;
 use crate::controller::{Controller, wall_ms};
 use crate::state::{ControllerState, MachineView};
 
@@ -34,19 +35,28 @@
     /// How many tasks of `headroom_spec` the machines not marked for release have free
     /// capacity for.
     free_headroom_tasks: u32,
+    /// The capacity that jobs whose starts keep failing need for their next retry, as far as this
+    /// pass has not reserved machines for it.
+    retries: Vec<RetryCapacity>,
     /// How many idle machines of each offer this pass has examined.
     idle_by_offer: HashMap<MachineOffer, u32>,
 }
 
 impl<'a> IdleRetention<'a> {
     /// Starts a pass over the machines. The inventory must be up to date.
-    pub fn new(controller: &'a Controller, state: &'a ControllerState, views: &[MachineView]) -> Self {
+    pub fn new(
+        controller: &'a Controller,
+        state: &'a ControllerState,
+        views: &[MachineView],
+        retries: Vec<RetryCapacity>,
+    ) -> Self {
         let mut idle_retention = Self {
             controller,
             state,
             reserved_for_services: reserved_for_services(state),
             headroom_spec: headroom_spec(controller, state),
             free_headroom_tasks: 0,
+            retries,
             idle_by_offer: HashMap::default(),
         };
         if idle_retention.headroom_spec.is_some() {
@@ -70,6 +80,12 @@
         }
     }
 
+    /// Whether the next retry of a job needs the machine.
+    fn reserve_for_retry(&mut self, machine: &MachineRecord) -> bool {
+        let replica = &self.state.records.replica;
+        self.retries.iter_mut().any(|retry| retry.reserve(machine, replica))
+    }
+
     /// How long a machine stays idle before it is released. Requesting it again would cost its boot
     /// time, and jobs would wait for it. Spot machines are not kept for that: they run work that
     /// can wait.
@@ -102,6 +118,7 @@
         let replica = &idle_retention.state.records.replica;
         if idle_retention.reserved_for_services.contains(view.id)
             || self.waiting_specs.iter().any(|spec| suits_machine(spec, record, replica))
+            || idle_retention.reserve_for_retry(record)
         {
             return false;
         }
@@ -137,7 +154,7 @@
 
 /// Whether an empty machine suits a job: a task fits on it, and it has GPUs only if the job uses
 /// some.
-fn suits_machine(spec: &JobSpec, machine: &MachineRecord, replica: &Replica) -> bool {
+pub fn suits_machine(spec: &JobSpec, machine: &MachineRecord, replica: &Replica) -> bool {
     is_allowed_on(spec, machine)
         && replica.machine_types.get(&*machine.machine_type).is_some_and(|machine_type| {
             Resources::of_task(spec).fits(Resources::of_type(machine_type))
--- a/crates/daemon/src/autoscaler/mod.rs
+++ b/crates/daemon/src/autoscaler/mod.rs
@@ -12,7 +12,7 @@
 //! machines are up.
 //!
 //! Scale-in: `release_candidates` selects the machines to release, with `owner_reachability` and
-//! `idle_machines`; `release_rate` limits how many are released at a time; `scale_in` releases
+//! `idle_machines`, which keeps what `retry_capacity` asks for; `release_rate` limits how many are released at a time; `scale_in` releases
 //! them, and `removed_machines` updates the records.
 
 mod capacity_backoff;
@@ -30,6 +30,7 @@
 mod release_candidates;
 mod release_rate;
 mod removed_machines;
+mod retry_capacity;
 mod scale_in;
 mod scale_out;
 mod scale_out_completion;
@@ -50,6 +51,7 @@
 use self::cluster_log::log_cluster;
 use self::leader_write::write_as_leader;
 use self::machine_types::MachineTypesRefresh;
+use self::retry_capacity::RetryCapacity;
 use crate::chunk_collector::{ChunkCollector, ChunkDeletion};
 use crate::clock;
 use crate::controller::Controller;
@@ -88,8 +90,11 @@
     silent_machine_lease_expiry: HashMap<Name, Instant>,
     /// Samples of the demand for GPU tasks, used to forecast its growth.
     gpu_demand: GpuDemand,
-    /// Specs of the jobs that wait for capacity within their team's quota, one per shape.
+    /// Specs of the jobs that wait for capacity within their team's quota, one per shape, without
+    /// those of `retries`.
     waiting_specs: Vec<JobSpec>,
+    /// The capacity that jobs whose starts keep failing need for their next retry.
+    retries: Vec<RetryCapacity>,
     /// Garbage collector of the chunks in the key-value store.
     chunk_collector: ChunkCollector,
 }
--- a/crates/daemon/src/autoscaler/release_candidates.rs
+++ b/crates/daemon/src/autoscaler/release_candidates.rs
@@ -83,7 +83,7 @@
         let views: Vec<MachineView> = state.machine_views(&controller.identity, now).collect();
         let silence_limits = SilenceLimits::new(controller.silence_limit(), &views);
         self.drop_busy_machines(&state.records.replica);
-        let mut idle_retention = IdleRetention::new(controller, state, &views);
+        let mut idle_retention = IdleRetention::new(controller, state, &views, self.retries.clone());
         let drained = drained_machines(controller, state);
         for view in views.iter().filter(|view| view.is_current) {
             let Some(health) = view.health else { continue };
--- /dev/null
+++ b/crates/daemon/src/autoscaler/retry_capacity.rs
@@ -0,0 +1,36 @@
+//! The capacity that a job whose starts keep failing needs for its next retry.
+
+use sched::records::MachineRecord;
+use sched::replica::{Replica, Resources};
+use wire::JobSpec;
+
+use super::demand::JobDemand;
+use super::idle_machines::suits_machine;
+
+/// The capacity for the next retry of a job. It is kept while the job waits out its back-off, but
+/// no more of it: a job that was submitted with a mistake must not keep all machines that suit it.
+#[derive(Debug, Clone)]
+pub struct RetryCapacity {
+    spec: JobSpec,
+    /// How many tasks still need capacity.
+    tasks: u32,
+}
+
+impl RetryCapacity {
+    /// The capacity for the next retry of a job.
+    pub fn of(job: &JobDemand) -> Self {
+        Self { spec: job.demand.spec.clone(), tasks: job.demand.tasks }
+    }
+
+    /// Reserves an empty machine for as many of the tasks as fit. Returns whether the machine is
+    /// reserved.
+    pub fn reserve(&mut self, machine: &MachineRecord, replica: &Replica) -> bool {
+        let Some(machine_type) = replica.machine_types.get(&*machine.machine_type) else { return false };
+        if self.tasks == 0 || !suits_machine(&self.spec, machine, replica) {
+            return false;
+        }
+        let fitting = Resources::of_task(&self.spec).count_fitting_in(Resources::of_type(machine_type));
+        self.tasks = self.tasks.saturating_sub(fitting);
+        true
+    }
+}
--- a/crates/daemon/src/autoscaler/scale_out_plan.rs
+++ b/crates/daemon/src/autoscaler/scale_out_plan.rs
@@ -13,6 +13,7 @@
 use super::Autoscaler;
 use super::demand::{JobDemand, demand_for, job_demands, unsuitable_types};
 use super::headroom::headroom_spec;
+use super::retry_capacity::RetryCapacity;
 use crate::controller::{Controller, wall_ms};
 use crate::state::ControllerState;
 
@@ -36,7 +37,10 @@
         let waiting = waiting_demands(controller, state, now, now_ms);
         // Jobs of pipelines that are about to become ready.
         let next_steps: Vec<&JobSpec> = forecast::next_pipeline_steps(replica).collect();
-        self.store_waiting_specs(waiting.iter().map(|job| job.demand.spec).chain(next_steps.iter().copied()));
+        let (retries, first_tries): (Vec<_>, Vec<_>) = waiting.iter().partition(|job| job.is_retry);
+        self.retries = retries.into_iter().map(RetryCapacity::of).collect();
+        let waiting_specs = first_tries.into_iter().map(|job| job.demand.spec);
+        self.store_waiting_specs(waiting_specs.chain(next_steps.iter().copied()));
         let service_count = waiting.partition_point(|job| job.demand.spec.kind == JobKind::Service);
         let mut demands: Vec<Demand> = waiting.into_iter().map(|job| job.demand).collect();
         // After the waiting jobs: the next steps of pipelines may become ready later than forecast.
--- /dev/null
+++ b/crates/daemon/tests/unit/fault_days/failing_machines.rs
@@ -0,0 +1,220 @@
+//! Jobs whose first machine fails every task that it starts, on a site without other jobs.
+
+use super::*;
+
+/// The longest time that a job may wait while it could run.
+const MAX_WAIT_MS: u64 = 90_000;
+/// When controllers end, in the tests in which they do: after the first failed tasks.
+const CONTROLLERS_END_AT_MS: u64 = 12_000;
+/// How long all controllers are down in the tests in which they end.
+const DOWNTIME_MS: u64 = 3000;
+/// More machines than are requested in a test.
+const ALL_MACHINES: u32 = 1000;
+/// Numbers of jobs whose tasks all fit on the first machine: a service of four replicas, a gang of
+/// three tasks, and an array of four.
+const SERVICE: u64 = 13;
+const GANG: u64 = 17;
+const ARRAY: u64 = 45;
+
+/// What happens to the controllers after the first failed tasks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Restart {
+    None,
+    Leader,
+    All,
+}
+
+impl Site {
+    /// A site without jobs whose first machine fails every task until `fails_until`. Every machine
+    /// boots within two seconds.
+    fn with_failing_machine(fails_until: u64) -> Self {
+        let scenario =
+            Scenario { seed: 1, faults: Vec::new(), defect: Defect::None, recovery_ms: 0, drains: false };
+        let site = Self::new(&scenario);
+        {
+            let mut simulation = site.lock();
+            simulation.cloud.fast_boots_until = u64::MAX;
+            simulation.fail_tasks_on_first(1, fails_until);
+        }
+        (0..CONTROLLERS).for_each(|n| site.start_controller(n));
+        site
+    }
+
+    async fn submit_job(&self, number: u64) -> String {
+        self.submit_spec(users::spec(number)).await
+    }
+
+    async fn submit_spec(&self, spec: wire::JobSpec) -> String {
+        let id = self.lock().add_job(spec);
+        while !self.submit(self.choose_controller(), &id).await {
+            self.advance(1000).await;
+        }
+        id
+    }
+
+    async fn advance(&self, duration_ms: u64) {
+        let until = self.ms() + duration_ms;
+        while self.ms() < until {
+            sleep(Duration::from_millis(TICK_MS)).await;
+            {
+                let mut simulation = self.lock();
+                let now = self.ms();
+                simulation.store.expire_leases(now);
+                simulation.advance_machines();
+            }
+            self.start_booted_machines();
+        }
+    }
+
+    /// Advances until the condition holds; returns whether it does before `until`.
+    async fn advance_until(&self, until: u64, condition: impl Fn(&Simulation) -> bool) -> bool {
+        while self.ms() < until {
+            self.advance(TICK_MS).await;
+            if condition(&self.lock()) {
+                return true;
+            }
+        }
+        false
+    }
+
+    async fn restart(&self, restart: Restart) {
+        match restart {
+            Restart::None => {}
+            Restart::Leader => self.restart_controller(self.leader(), false, DOWNTIME_MS).await,
+            Restart::All => {
+                (0..CONTROLLERS).for_each(|n| self.kill_controller(n));
+                self.advance(DOWNTIME_MS).await;
+                (0..CONTROLLERS).for_each(|n| self.start_controller(n));
+            }
+        }
+    }
+}
+
+impl Simulation {
+    /// Whether all tasks of the job run, or are done.
+    fn is_served(&self, id: &str) -> bool {
+        let is_running = |task: &String| {
+            let executions = self.machines.values().flat_map(|machine| machine.tasks.iter());
+            executions.into_iter().any(|((t, _), execution)| t == task && execution.is_running())
+        };
+        let mut tasks = (0..users::tasks_of(id)).map(|n| format!("{id}/{n}"));
+        tasks.all(|task| self.done_tasks.contains(&task) || is_running(&task))
+    }
+
+    /// Makes the machines that are requested first fail every task until then.
+    fn fail_tasks_on_first(&mut self, machines: u32, until: u64) {
+        self.tasks_fail_until = (1..=machines).map(|n| (format!("host-{n:06}"), until)).collect();
+    }
+
+    /// Stops all machines with tasks of the job.
+    fn remove_machines_of(&mut self, id: &str) {
+        let has_task = |machine: &Machine| machine.tasks.keys().any(|(task, _)| job_of(task) == id);
+        let busy = self.machines.iter().filter(|(_, machine)| has_task(machine));
+        let busy: Vec<String> = busy.map(|(id, _)| id.clone()).collect();
+        busy.iter().for_each(|id| self.remove_machine(id));
+    }
+}
+
+/// Runs a test on a site whose first machine fails every task until `fails_until`.
+fn on_site<F: Future<Output = ()>>(fails_until: u64, test: impl FnOnce(Site) -> F) {
+    if std::env::var("SAGELOOM_SIM_LOG").is_ok() {
+        show_log();
+    }
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
+    runtime.expect("a runtime").block_on(async {
+        let site = Site::with_failing_machine(fails_until);
+        test(site.clone()).await;
+        (0..CONTROLLERS).for_each(|n| site.kill_controller(n));
+        let violations = std::mem::take(&mut site.lock().violations);
+        assert!(violations.is_empty(), "{violations:?}");
+    });
+}
+
+fn assert_served(site: &Site, is_served: bool, context: &str) {
+    let trace = site.lock().trace.join("\n");
+    assert!(is_served, "{context}: not served at {} ms\n{trace}", site.ms());
+}
+
+/// Jobs that had failed three times got no machine ever again, and theirs was released as idle.
+#[test]
+fn a_job_runs_once_its_machine_no_longer_fails_tasks() {
+    const FAILS_UNTIL_MS: u64 = 40_000;
+    for number in [SERVICE, GANG, ARRAY] {
+        for restart in [Restart::None, Restart::Leader, Restart::All] {
+            on_site(FAILS_UNTIL_MS, async |site| {
+                let id = site.submit_job(number).await;
+                site.advance(CONTROLLERS_END_AT_MS - site.ms()).await;
+                site.restart(restart).await;
+                let until = FAILS_UNTIL_MS + MAX_WAIT_MS;
+                let is_served = site.advance_until(until, |s| s.is_served(&id)).await;
+                assert_served(&site, is_served, &format!("{id}, restart of {restart:?}"));
+            });
+        }
+    }
+}
+
+/// A service whose first starts had failed got no machine in place of one that was lost later.
+#[test]
+fn a_service_whose_first_starts_failed_replaces_a_machine_that_is_lost_later() {
+    /// After several failed starts; the machine is still there for the next one.
+    const FAILS_UNTIL_MS: u64 = 9000;
+    for restart in [Restart::None, Restart::All] {
+        on_site(FAILS_UNTIL_MS, async |site| {
+            let id = site.submit_job(SERVICE).await;
+            let is_served = site.advance_until(FAILS_UNTIL_MS + MAX_WAIT_MS, |s| s.is_served(&id)).await;
+            assert_served(&site, is_served, "before the loss");
+            site.restart(restart).await;
+            site.lock().remove_machines_of(&id);
+            let lost_at = site.ms();
+            let is_served = site.advance_until(lost_at + MAX_WAIT_MS, |s| s.is_served(&id)).await;
+            assert_served(&site, is_served, &format!("after the loss, restart of {restart:?}"));
+        });
+    }
+}
+
+/// A job that depends on one that had failed three times waited for ever, as that one did.
+#[test]
+fn a_pipeline_goes_on_once_the_machines_of_its_first_job_no_longer_fail_tasks() {
+    const FAILS_UNTIL_MS: u64 = 40_000;
+    on_site(FAILS_UNTIL_MS, async |site| {
+        site.lock().fail_tasks_on_first(ALL_MACHINES, FAILS_UNTIL_MS);
+        // The jobs suit different machines: those that are kept for one do not help the other.
+        let on_type = |name: &str| Some(vec![name.to_owned()]);
+        let first = wire::JobSpec { types: on_type("m"), ..users::spec(ARRAY) };
+        let first = site.submit_spec(first).await;
+        let dependencies = Some(vec![first.clone()]);
+        let dependent = wire::JobSpec { types: on_type("l"), dependencies, ..users::spec(GANG) };
+        let dependent = site.submit_spec(dependent).await;
+        let is_done = site.advance_until(FAILS_UNTIL_MS + MAX_WAIT_MS, |s| s.is_done(&first)).await;
+        assert_served(&site, is_done, &first);
+        let until = site.ms() + MAX_WAIT_MS;
+        let is_served = site.advance_until(until, |s| s.is_served(&dependent)).await;
+        assert_served(&site, is_served, &dependent);
+    });
+}
+
+/// A job that was submitted with a mistake would keep machines for all its tasks until its user
+/// cancels it.
+#[test]
+fn a_job_that_fails_on_every_machine_keeps_capacity_for_one_task_only() {
+    /// Each task fills a machine.
+    const TASKS: u32 = 4;
+    /// The first try is over, and its machines have been idle for longer than the idle timeout.
+    const SETTLED_AT_MS: u64 = 60_000;
+    on_site(u64::MAX, async |site| {
+        site.lock().fail_tasks_on_first(ALL_MACHINES, u64::MAX);
+        let spec =
+            wire::JobSpec { tasks: TASKS, cpus: 4.0, types: Some(vec!["m".into()]), ..users::spec(ARRAY) };
+        site.submit_spec(spec).await;
+        site.advance(SETTLED_AT_MS).await;
+        let until = site.ms() + 4 * MAX_WAIT_MS;
+        let mut counts = Vec::new();
+        while site.ms() < until {
+            site.advance(1000).await;
+            let simulation = site.lock();
+            counts.push(simulation.machines.values().filter(|m| m.gone_at.is_none()).count());
+        }
+        // One for the next retry, and those of earlier ones until the idle timeout.
+        assert!(counts.iter().all(|count| *count < TASKS as usize), "{counts:?}");
+    });
+}
--- a/crates/daemon/tests/unit/fault_days/machines.rs
+++ b/crates/daemon/tests/unit/fault_days/machines.rs
@@ -39,6 +39,10 @@
         self.state != TaskState::Exited
     }
 
+    pub(super) fn is_running(&self) -> bool {
+        self.state == TaskState::Running
+    }
+
     fn exit(&mut self, cause: ExitReason) {
         (self.state, self.cause) = (TaskState::Exited, Some(cause));
     }
@@ -167,9 +171,15 @@
                 continue;
             }
             machine.expire_lease(now, defect);
+            let fails_tasks = self.tasks_fail_until.get(id).is_some_and(|until| now < *until);
             for ((task, attempt), execution) in &mut machine.tasks {
                 let kind = super::users::kind_of(task);
                 match execution.state {
+                    TaskState::Fetching if now >= execution.ends_at && fails_tasks => {
+                        machine.has_unreported_change = true;
+                        execution.exit(ExitReason::Error);
+                        self.trace.push(format!("{now:>7} {id} fails {task}, attempt {attempt}"));
+                    }
                     TaskState::Fetching if now >= execution.ends_at => {
                         machine.has_unreported_change = true;
                         match kind {
--- a/crates/daemon/tests/unit/fault_days/mod.rs
+++ b/crates/daemon/tests/unit/fault_days/mod.rs
@@ -12,6 +12,7 @@
 mod cloud;
 mod controllers;
 mod drains;
+mod failing_machines;
 mod faults;
 mod key_value_store;
 mod machines;
@@ -133,6 +134,8 @@
     controllers: Vec<Process>,
     incarnations: u64,
     machines: BTreeMap<String, Machine>,
+    /// Machines that fail every task that they start, and until when.
+    tasks_fail_until: BTreeMap<String, u64>,
     jobs: BTreeMap<String, Job>,
     submitted_jobs: u64,
     invalid_requests: u64,
@@ -244,6 +247,7 @@
             controllers: (0..CONTROLLERS).map(|_| Process::default()).collect(),
             incarnations: 0,
             machines: BTreeMap::new(),
+            tasks_fail_until: BTreeMap::new(),
             jobs: BTreeMap::new(),
             submitted_jobs: 0,
             invalid_requests: 0,
--- a/crates/daemon/tests/unit/fault_days/users.rs
+++ b/crates/daemon/tests/unit/fault_days/users.rs
@@ -84,7 +84,8 @@
     }
 }
 
-fn spec(n: u64) -> JobSpec {
+/// The job with this number.
+pub(super) fn spec(n: u64) -> JobSpec {
     let id = format!("j-{n}");
     let kind = kind_of(&id);
     JobSpec {
@@ -130,6 +131,11 @@
                 spec.dependencies = Some(vec![eligible[index].clone()]);
             }
         }
+        self.add_job(spec)
+    }
+
+    /// Adds a job that its user is about to submit, and returns its id.
+    pub(super) fn add_job(&mut self, spec: JobSpec) -> String {
         let id = spec.id.clone();
         let answered_at = self.ms();
         let job = Job {
@@ -189,7 +195,7 @@
     }
 
     /// Chooses a running controller as the load balancer does, with up to three tries.
-    fn choose_controller(&self) -> usize {
+    pub(super) fn choose_controller(&self) -> usize {
         let mut simulation = self.lock();
         for _ in 0..3 {
             let n = simulation.rng.random_range(0..CONTROLLERS);
