The free capacity of machines that a job avoids does not count for its demand

Cause: a job avoids a machine for 60 s after a task failed there, but the plan of the scale-out counted the free capacity of this machine for this job, so none was requested; placement takes an avoided machine if there is no other. One job's failures do not condemn a machine.

Change: Demand names the machines that its job avoids now; the planner, the choice of a zone and RetryCapacity leave their capacity out. ExpectedCapacity has the machine's name in place of is_up. JobRecord::avoided_machines_at serves placement, too.

Why it works: the first failed task already makes the plan request a machine that the job does not avoid, whatever the kind of job; the avoid entries are in the record, so the next leader does the same.

Tests, before | after: a_job_gets_another_machine_when_its_first_one_fails_every_task_without_end (service, gang, array; restart of none, the leader, all) FAILED | ok; capacity_on_machines_that_a_job_avoids_is_requested_elsewhere: the plan had no such input | ok.

--- a/crates/daemon/src/autoscaler/cluster_log.rs
+++ b/crates/daemon/src/autoscaler/cluster_log.rs
@@ -60,8 +60,9 @@
 
 /// The jobs with waiting tasks whose last starts have failed, with the number of failed starts.
 fn failed_starts_by_job(replica: &Replica) -> Vec<String> {
-    let failing =
-        replica.open_jobs().filter(|(_, job)| job.failed_starts > 0 && placement::pending_task_count(job) > 0);
+    let failing = replica
+        .open_jobs()
+        .filter(|(_, job)| job.failed_starts > 0 && placement::pending_task_count(job) > 0);
     failing.map(|(id, job)| format!("{id}: {} failed starts", job.failed_starts)).collect()
 }
 
--- a/crates/daemon/src/autoscaler/demand.rs
+++ b/crates/daemon/src/autoscaler/demand.rs
@@ -31,9 +31,15 @@
     pub is_retry: bool,
 }
 
-/// A demand with no tasks on machines so far and no unsuitable machine types.
+/// A demand with no tasks on machines so far, no unsuitable machine types and no avoided machines.
 pub fn demand_for(spec: &JobSpec, tasks: u32) -> Demand<'_> {
-    Demand { spec, tasks, tasks_by_zone: HashMap::default(), unsuitable_types: Vec::new() }
+    Demand {
+        spec,
+        tasks,
+        tasks_by_zone: HashMap::default(),
+        unsuitable_types: Vec::new(),
+        avoided_machines: Vec::new(),
+    }
 }
 
 /// The machine types that fetch a gang's image too slowly; empty if all allowed types do.
@@ -128,7 +134,8 @@
         }
         let tasks_by_zone = self.staying_tasks_by_zone(job);
         let unsuitable_types = unsuitable_types(self.controller, self.state, spec);
-        let demand = Demand { spec, tasks, tasks_by_zone, unsuitable_types };
+        let avoided_machines = job.avoided_machines_at(self.now_ms).collect();
+        let demand = Demand { spec, tasks, tasks_by_zone, unsuitable_types, avoided_machines };
         Some(JobDemand { job, demand, is_retry })
     }
 
--- a/crates/daemon/src/autoscaler/expected_capacity.rs
+++ b/crates/daemon/src/autoscaler/expected_capacity.rs
@@ -30,12 +30,12 @@
         }
         expected.extend(self.listed_capacity(replica, &requested));
         expected.extend(state.scheduling.inventory.usable().map(|slot| ExpectedCapacity {
+            machine: Some(slot.id.clone()),
             machine_type: slot.machine_type.clone(),
             zone: slot.zone.clone(),
             spot: slot.spot,
             free: slot.free(),
             gpus: slot.capacity.gpus,
-            is_up: true,
         }));
         expected
     }
@@ -68,11 +68,11 @@
 fn capacity_of_new_machine(replica: &Replica, offer: MachineOffer) -> ExpectedCapacity {
     let free = replica.machine_types.get(&*offer.machine_type).map(Resources::of_type).unwrap_or_default();
     ExpectedCapacity {
+        machine: None,
         machine_type: offer.machine_type,
         zone: offer.zone,
         spot: offer.spot,
         free,
         gpus: free.gpus,
-        is_up: false,
     }
 }
--- a/crates/daemon/src/autoscaler/idle_machines.rs
+++ b/crates/daemon/src/autoscaler/idle_machines.rs
@@ -81,9 +81,9 @@
     }
 
     /// Whether the next retry of a job needs the machine.
-    fn reserve_for_retry(&mut self, machine: &MachineRecord) -> bool {
+    fn reserve_for_retry(&mut self, view: &MachineView) -> bool {
         let replica = &self.state.records.replica;
-        self.retries.iter_mut().any(|retry| retry.reserve(machine, replica))
+        self.retries.iter_mut().any(|retry| retry.reserve(view.id, view.record, replica))
     }
 
     /// How long a machine stays idle before it is released. Requesting it again would cost its boot
@@ -118,7 +118,7 @@
         let replica = &idle_retention.state.records.replica;
         if idle_retention.reserved_for_services.contains(view.id)
             || self.waiting_specs.iter().any(|spec| suits_machine(spec, record, replica))
-            || idle_retention.reserve_for_retry(record)
+            || idle_retention.reserve_for_retry(view)
         {
             return false;
         }
--- a/crates/daemon/src/autoscaler/retry_capacity.rs
+++ b/crates/daemon/src/autoscaler/retry_capacity.rs
@@ -1,5 +1,6 @@
 //! The capacity that a job whose starts keep failing needs for its next retry.
 
+use sched::autoscaling::Demand;
 use sched::records::MachineRecord;
 use sched::replica::{Replica, Resources};
 use wire::JobSpec;
@@ -14,19 +15,27 @@
     spec: JobSpec,
     /// How many tasks still need capacity.
     tasks: u32,
+    /// Machines that the job avoids; they are of no use to the retry.
+    avoided_machines: Vec<String>,
 }
 
 impl RetryCapacity {
     /// The capacity for the next retry of a job.
     pub fn of(job: &JobDemand) -> Self {
-        Self { spec: job.demand.spec.clone(), tasks: job.demand.tasks }
+        let Demand { spec, tasks, avoided_machines, .. } = &job.demand;
+        Self {
+            spec: (*spec).clone(),
+            tasks: *tasks,
+            avoided_machines: avoided_machines.iter().map(|machine| (*machine).to_owned()).collect(),
+        }
     }
 
     /// Reserves an empty machine for as many of the tasks as fit. Returns whether the machine is
     /// reserved.
-    pub fn reserve(&mut self, machine: &MachineRecord, replica: &Replica) -> bool {
+    pub fn reserve(&mut self, id: &str, machine: &MachineRecord, replica: &Replica) -> bool {
         let Some(machine_type) = replica.machine_types.get(&*machine.machine_type) else { return false };
-        if self.tasks == 0 || !suits_machine(&self.spec, machine, replica) {
+        let is_avoided = self.avoided_machines.iter().any(|avoided| avoided == id);
+        if self.tasks == 0 || is_avoided || !suits_machine(&self.spec, machine, replica) {
             return false;
         }
         let fitting = Resources::of_task(&self.spec).count_fitting_in(Resources::of_type(machine_type));
--- a/crates/daemon/tests/unit/fault_days/failing_machines.rs
+++ b/crates/daemon/tests/unit/fault_days/failing_machines.rs
@@ -218,3 +218,21 @@
         assert!(counts.iter().all(|count| *count < TASKS as usize), "{counts:?}");
     });
 }
+
+/// The free capacity of the machine on which all its tasks had failed was the capacity for its next
+/// try, so a job that was alone on the site never got another machine.
+#[test]
+fn a_job_gets_another_machine_when_its_first_one_fails_every_task_without_end() {
+    for number in [SERVICE, GANG, ARRAY] {
+        for restart in [Restart::None, Restart::Leader, Restart::All] {
+            on_site(u64::MAX, async |site| {
+                let id = site.submit_job(number).await;
+                site.advance(CONTROLLERS_END_AT_MS - site.ms()).await;
+                site.restart(restart).await;
+                let until = site.ms() + MAX_WAIT_MS;
+                let is_served = site.advance_until(until, |s| s.is_served(&id)).await;
+                assert_served(&site, is_served, &format!("{id}, restart of {restart:?}"));
+            });
+        }
+    }
+}
--- a/crates/sched/src/autoscaling/mod.rs
+++ b/crates/sched/src/autoscaling/mod.rs
@@ -7,6 +7,7 @@
 use wire::{JobSpec, MachineType};
 
 use crate::hash::HashMap;
+use crate::placement::is_allowed;
 use crate::records::Name;
 use crate::replica::Resources;
 pub use admission::{fits_some_machine_type, within_quota};
@@ -23,11 +24,30 @@
     pub tasks_by_zone: HashMap<Name, u32>,
     /// Machine types that the job allows but that do not suit it.
     pub unsuitable_types: Vec<Name>,
+    /// Machines that the job avoids, for example because its tasks have failed there. Their free
+    /// capacity does not count for this demand.
+    pub avoided_machines: Vec<&'a str>,
+}
+
+impl Demand<'_> {
+    /// Whether the job allows a machine type in a zone and purchase option, and the type suits it.
+    fn suits_offer(&self, machine_type: &Name, zone: &str, spot: bool) -> bool {
+        !self.unsuitable_types.contains(machine_type) && is_allowed(self.spec, machine_type, zone, spot)
+    }
+
+    /// Whether the job may use this capacity, as far as it is free.
+    fn suits_capacity(&self, capacity: &ExpectedCapacity) -> bool {
+        let is_avoided = |machine: &Name| self.avoided_machines.iter().any(|avoided| *avoided == &**machine);
+        self.suits_offer(&capacity.machine_type, &capacity.zone, capacity.spot)
+            && !capacity.machine.as_ref().is_some_and(is_avoided)
+    }
 }
 
 /// The capacity of a machine that is up or is expected to be.
 #[derive(Debug, Clone)]
 pub struct ExpectedCapacity {
+    /// The machine's name; `None` if it is not up yet.
+    pub machine: Option<Name>,
     /// The machine type.
     pub machine_type: Name,
     /// The zone.
@@ -38,8 +58,13 @@
     pub free: Resources,
     /// The number of GPUs of the machine, in use or not.
     pub gpus: f64,
+}
+
+impl ExpectedCapacity {
     /// Whether the machine is up already.
-    pub is_up: bool,
+    fn is_up(&self) -> bool {
+        self.machine.is_some()
+    }
 }
 
 /// An offer of the cloud: a machine type in a zone, on demand or as a spot instance.
--- a/crates/sched/src/autoscaling/planner.rs
+++ b/crates/sched/src/autoscaling/planner.rs
@@ -167,8 +167,7 @@
     fn suits_capacity(&self, capacity: &ExpectedCapacity, open_demand: &OpenDemand) -> bool {
         let ExpectedCapacity { machine_type, zone, spot, free, .. } = capacity;
         open_demand.size.fits(*free)
-            && !open_demand.demand.unsuitable_types.contains(machine_type)
-            && is_allowed(open_demand.spec, machine_type, zone, *spot)
+            && open_demand.demand.suits_capacity(capacity)
             && !self.is_reserved_for_gpu_jobs(
                 open_demand.spec,
                 free.gpus,
@@ -183,9 +182,8 @@
         open_demand: &OpenDemand,
     ) -> bool {
         let MachineOffer { machine_type, zone, spot } = offer;
-        is_allowed(open_demand.spec, machine_type, zone, *spot)
+        open_demand.demand.suits_offer(machine_type, zone, *spot)
             && open_demand.size.fits(Resources::of_type(offered_type))
-            && !open_demand.demand.unsuitable_types.contains(machine_type)
             && !self.is_reserved_for_gpu_jobs(
                 open_demand.spec,
                 offered_type.gpus,
@@ -204,12 +202,12 @@
             suiting.min_by(|a, b| OfferRank::new(a, open_demand).cmp(&OfferRank::new(b, open_demand)))?;
         let TypedOffer { offer, machine_type } = best;
         self.pool.push(ExpectedCapacity {
+            machine: None,
             machine_type: offer.machine_type.clone(),
             zone: offer.zone.clone(),
             spot: offer.spot,
             free: Resources::of_type(machine_type),
             gpus: machine_type.gpus,
-            is_up: false,
         });
         *self.planned_per_offer.entry(offer.clone()).or_default() += 1;
         self.plan.push(offer.clone());
@@ -228,7 +226,7 @@
             .max(1);
         capacity.free = capacity.free.plus_scaled(open_demand.size, -f64::from(tasks));
         let served = tasks.min(open_demand.remaining);
-        if !capacity.is_up && open_demand.spec.kind == JobKind::Service && open_demand.spec.gpus == 0.0 {
+        if !capacity.is_up() && open_demand.spec.kind == JobKind::Service && open_demand.spec.gpus == 0.0 {
             // Services do not wait for a machine to boot: they use capacity of GPU machines that is
             // free now, which GPU jobs then cannot use.
             take_from_gpu_machines(&mut self.pool, open_demand.spec, served);
@@ -272,7 +270,7 @@
 fn take_from_gpu_machines(pool: &mut [ExpectedCapacity], spec: &JobSpec, tasks: u32) {
     let size = Resources::of_task(spec);
     let mut remaining = tasks;
-    for capacity in pool.iter_mut().filter(|capacity| capacity.is_up && capacity.gpus > 0.0) {
+    for capacity in pool.iter_mut().filter(|capacity| capacity.is_up() && capacity.gpus > 0.0) {
         if remaining == 0 {
             return;
         }
--- a/crates/sched/src/autoscaling/zone_choice.rs
+++ b/crates/sched/src/autoscaling/zone_choice.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 
 use super::{Demand, ExpectedCapacity, MachineOffer, TypedOffer};
-use crate::placement::is_allowed;
 use crate::records::Name;
 use crate::replica::Resources;
 
@@ -49,22 +48,16 @@
     offers: &[TypedOffer],
     is_blocked: &impl Fn(&MachineOffer) -> bool,
 ) -> BTreeMap<Name, ZoneCapacity> {
-    let spec = demand.spec;
-    let size = Resources::of_task(spec);
+    let size = Resources::of_task(demand.spec);
     let mut zones: BTreeMap<Name, ZoneCapacity> = BTreeMap::new();
     for TypedOffer { offer, machine_type } in offers {
-        if !demand.unsuitable_types.contains(&offer.machine_type)
-            && is_allowed(spec, &offer.machine_type, &offer.zone, offer.spot)
+        if demand.suits_offer(&offer.machine_type, &offer.zone, offer.spot)
             && size.fits(Resources::of_type(machine_type))
         {
             zones.entry(offer.zone.clone()).or_default().can_scale_out |= !is_blocked(offer);
         }
     }
-    let suits = |capacity: &&ExpectedCapacity| {
-        is_allowed(spec, &capacity.machine_type, &capacity.zone, capacity.spot)
-            && !demand.unsuitable_types.contains(&capacity.machine_type)
-    };
-    for capacity in pool.iter().filter(suits) {
+    for capacity in pool.iter().filter(|capacity| demand.suits_capacity(capacity)) {
         if let Some(zone) = zones.get_mut(&capacity.zone) {
             zone.tasks = zone.tasks.saturating_add(size.count_fitting_in(capacity.free));
             zone.fits_all = zone.tasks >= demand.tasks;
--- a/crates/sched/src/placement/choice.rs
+++ b/crates/sched/src/placement/choice.rs
@@ -218,12 +218,11 @@
         }
         let price = ordered_bits(machine.price / machine.capacity.cpus.max(1.0));
         let usage = ordered_bits(used.share_of(machine.capacity));
-        let is_avoided =
-            |(avoided, until_ms): &(String, u64)| **avoided == *machine.id && *until_ms > limits.now_ms;
+        let is_avoided = job.avoided_machines_at(limits.now_ms).any(|avoided| *avoided == *machine.id);
         let has_image = || chosen.is_some() || replica.has_image(&machine.id, &spec.image);
         Some(Rank {
             before_spread: RankBeforeSpread {
-                is_avoided: job.avoided_machines.iter().any(is_avoided),
+                is_avoided,
                 strands_gpu_tasks,
                 price_if_stranding: if strands_gpu_tasks { price } else { 0 },
                 has_unneeded_gpus: spec.gpus == 0.0 && has_gpus,
--- a/crates/sched/src/records/job.rs
+++ b/crates/sched/src/records/job.rs
@@ -293,6 +293,12 @@
         }
     }
 
+    /// The machines that placement avoids now.
+    pub fn avoided_machines_at(&self, now_ms: u64) -> impl Iterator<Item = &str> {
+        let is_avoided = move |(_, until_ms): &&(String, u64)| *until_ms > now_ms;
+        self.avoided_machines.iter().filter(is_avoided).map(|(machine, _)| machine.as_str())
+    }
+
     /// Makes placement avoid a machine for `duration_ms`. The oldest entries are dropped if there
     /// are more than [`MAX_AVOIDED_MACHINES`].
     pub(crate) fn avoid_machine(&mut self, machine: &str, now_ms: u64, duration_ms: u64) {
--- a/crates/sched/tests/unit/autoscaling.rs
+++ b/crates/sched/tests/unit/autoscaling.rs
@@ -4,7 +4,13 @@
 use crate::placement::tests::{replica_with, spec, team};
 
 fn demand(spec: &JobSpec, tasks: u32) -> Demand<'_> {
-    Demand { spec, tasks, tasks_by_zone: HashMap::default(), unsuitable_types: Vec::new() }
+    Demand {
+        spec,
+        tasks,
+        tasks_by_zone: HashMap::default(),
+        unsuitable_types: Vec::new(),
+        avoided_machines: Vec::new(),
+    }
 }
 
 #[test]
@@ -12,12 +18,12 @@
     let machine_types = replica_with(&[]).machine_types;
     let array = spec("j-1", JobKind::Array, 6);
     let booting = ExpectedCapacity {
+        machine: None,
         machine_type: "m".into(),
         zone: "a".into(),
         spot: false,
         free: Resources::of_type(&machine_types["m"]),
         gpus: 0.0,
-        is_up: false,
     };
     let planned = |booting: &[ExpectedCapacity]| {
         plan_scale_out(&[demand(&array, 6)], booting, &machine_types, None, |_| false, 9).len()
@@ -28,6 +34,29 @@
     );
 }
 
+/// The free capacity of a machine on which a job's tasks had failed counted as capacity for it.
+#[test]
+fn capacity_on_machines_that_a_job_avoids_is_requested_elsewhere() {
+    let machine_types = replica_with(&[]).machine_types;
+    let up = ExpectedCapacity {
+        machine: Some("a1".into()),
+        machine_type: "m".into(),
+        zone: "a".into(),
+        spot: false,
+        free: Resources::of_type(&machine_types["m"]),
+        gpus: 0.0,
+    };
+    for (kind, one_zone) in [(JobKind::Array, false), (JobKind::Service, false), (JobKind::Gang, true)] {
+        let spec = JobSpec { one_zone, ..spec("j-1", kind, 2) };
+        let planned = |avoided: &[&'static str]| {
+            let demand = Demand { avoided_machines: avoided.to_vec(), ..demand(&spec, 2) };
+            let expected = std::slice::from_ref(&up);
+            plan_scale_out(&[demand], expected, &machine_types, None, |_| false, 9).len()
+        };
+        assert_eq!((planned(&[]), planned(&["a2"]), planned(&["a1"])), (0, 0, 1), "{kind:?}");
+    }
+}
+
 #[test]
 fn the_plan_spreads_tasks_and_skips_blocked_offers() {
     let machine_types = replica_with(&[]).machine_types;
@@ -48,12 +77,12 @@
 fn gpu_capacity_that_services_take_now_is_requested_again_for_gangs() {
     let machine_types = replica_with(&[]).machine_types;
     let gpu = ExpectedCapacity {
+        machine: Some("a1".into()),
         machine_type: "g".into(),
         zone: "a".into(),
         spot: false,
         free: Resources::of_type(&machine_types["g"]),
         gpus: 2.0,
-        is_up: true,
     };
     let service = spec("j-1", JobKind::Service, 4);
     let mut gang = spec("j-2", JobKind::Gang, 1);
