Failed starts of a service no longer count after a long run

Seen by callers: a replica that failed once was started again only 32 s later if its service had failed starts at any time before; since such a service also gets capacity for one replica at a time when it loses several.

Cause: failed_starts is the number of consecutive failed starts, but only a task that is done sets it back, which a replica never is. retry_at_ms and the autoscaler's demand read it.

Change: records/failed_starts.rs has what belongs to failed starts (retry_at_ms moves there from placement/eligibility.rs). They no longer count once tasks have been on machines for 64 s without another one; end_assignment stores that with what it writes anyway. The log's `failing` uses it, too.

No new field, no new write; a restart changes nothing.

--- a/crates/daemon/src/autoscaler/cluster_log.rs
+++ b/crates/daemon/src/autoscaler/cluster_log.rs
@@ -6,6 +6,7 @@
 use sched::replica::Replica;
 use tracing::info;
 
+use crate::controller::wall_ms;
 use crate::load::sample_names;
 use crate::state::ControllerState;
 
@@ -31,7 +32,7 @@
 /// Logs the waiting jobs and tasks by service class, and the CPU usage by machine type.
 pub fn log_cluster(state: &ControllerState) {
     let waiting = waiting_by_class(&state.records.replica);
-    let failing = failed_starts_by_job(&state.records.replica);
+    let failing = failed_starts_by_job(&state.records.replica, wall_ms());
     let machines = usage_by_type(&state.records.replica);
     info!(
         waiting = waiting.join("; "),
@@ -59,11 +60,14 @@
 }
 
 /// The jobs with waiting tasks whose last starts have failed, with the number of failed starts.
-fn failed_starts_by_job(replica: &Replica) -> Vec<String> {
-    let failing = replica
-        .open_jobs()
-        .filter(|(_, job)| job.failed_starts > 0 && placement::pending_task_count(job) > 0);
-    failing.map(|(id, job)| format!("{id}: {} failed starts", job.failed_starts)).collect()
+fn failed_starts_by_job(replica: &Replica, now_ms: u64) -> Vec<String> {
+    let waiting = replica.open_jobs().filter(|(_, job)| placement::pending_task_count(job) > 0);
+    waiting
+        .filter_map(|(id, job)| match job.consecutive_failed_starts(now_ms) {
+            0 => None,
+            failed_starts => Some(format!("{id}: {failed_starts} failed starts")),
+        })
+        .collect()
 }
 
 fn usage_by_type(replica: &Replica) -> Vec<String> {
--- a/crates/daemon/src/autoscaler/demand.rs
+++ b/crates/daemon/src/autoscaler/demand.rs
@@ -119,7 +119,7 @@
     fn demand_of(&mut self, job: &'a JobRecord) -> Option<JobDemand<'a>> {
         let spec = job.spec.as_deref()?;
         let tasks_to_replace = self.tasks_to_replace(job, spec);
-        let is_retry = job.failed_starts >= MIN_SUSPECT_FAILED_STARTS;
+        let is_retry = job.consecutive_failed_starts(self.now_ms) >= MIN_SUSPECT_FAILED_STARTS;
         let pending = placement::pending_task_count(job);
         let waiting = if is_retry { pending.min(tasks_of_retry(spec)) } else { pending };
         let waited_ms = self.now_ms.saturating_sub(job.submitted_ms);
--- a/crates/daemon/src/scheduler/placement/pass.rs
+++ b/crates/daemon/src/scheduler/placement/pass.rs
@@ -100,7 +100,7 @@
         if !candidate.is_in_shard {
             self.preempt_for(&candidate, &job, attempt.may_displace_gpu_jobs);
             self.collect_capacity(&candidate);
-        } else if placement::retry_at_ms(&job) <= self.context.now_ms {
+        } else if job.retry_at_ms() <= self.context.now_ms {
             self.escalate(id, job);
         }
     }
--- a/crates/daemon/src/scheduler/placement/preemption.rs
+++ b/crates/daemon/src/scheduler/placement/preemption.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use sched::placement::{Slot, pending_task_count, retry_at_ms, stranded_gpu_tasks};
+use sched::placement::{Slot, pending_task_count, stranded_gpu_tasks};
 use sched::preempt::{self, RunningTasks, Victim};
 use sched::records::{JobRecord, Name};
 use sched::replica::Replica;
@@ -98,7 +98,7 @@
         let is_gang = candidate.spec.kind == JobKind::Gang;
         let interval = if is_gang { VICTIM_SEARCH_INTERVAL } else { VICTIM_SEARCH_INTERVAL / 3 };
         let is_recent = |at: &Instant| now.saturating_duration_since(*at) < interval;
-        retry_at_ms(job) <= now_ms
+        job.retry_at_ms() <= now_ms
             && (!is_gang || job.assignments.is_empty())
             && !waits_instead_of_preempting(job, now_ms)
             && self.cycle.victim_searches < MAX_VICTIM_SEARCHES
--- a/crates/sched/src/placement/eligibility.rs
+++ b/crates/sched/src/placement/eligibility.rs
@@ -7,13 +7,6 @@
 use crate::records::{JobRecord, Phase};
 use crate::replica::Resources;
 
-/// The number of consecutive failed starts after which the next attempt is not yet delayed.
-const FAILED_STARTS_WITHOUT_BACKOFF: u32 = 2;
-/// The first retry delay; it doubles with each further failed start.
-const FIRST_RETRY_BACKOFF_MS: u64 = 1000;
-/// The most times that the delay doubles.
-const MAX_BACKOFF_DOUBLINGS: u32 = 5;
-
 /// Whether the job may use machines of this type, zone and purchase option (on demand or spot).
 pub fn is_allowed(spec: &JobSpec, machine_type: &str, zone: &str, spot: bool) -> bool {
     spec.types.as_ref().is_none_or(|types| types.iter().any(|allowed| allowed == machine_type))
@@ -53,17 +46,6 @@
     }
 }
 
-/// The time of day, in milliseconds, from which a job whose starts keep failing may be retried. A
-/// job that was submitted with a mistake fails on every machine and must not keep machines busy.
-pub fn retry_at_ms(job: &JobRecord) -> u64 {
-    let failures_with_backoff = job.failed_starts.saturating_sub(FAILED_STARTS_WITHOUT_BACKOFF);
-    let backoff_ms = match failures_with_backoff {
-        0 => 0,
-        n => FIRST_RETRY_BACKOFF_MS << (n - 1).min(MAX_BACKOFF_DOUBLINGS),
-    };
-    job.last_failure_ms + backoff_ms
-}
-
 /// Whether all tasks of the job fit into the free capacity of the machines. Each machine comes with
 /// the number of equivalent machines that it represents.
 pub fn fits_entire_job<'a>(spec: &JobSpec, machines: impl Iterator<Item = (&'a Slot, u32)>) -> bool {
--- a/crates/sched/src/placement/mod.rs
+++ b/crates/sched/src/placement/mod.rs
@@ -11,9 +11,7 @@
 pub use crate::inventory::{Inventory, Slot};
 pub use choice::simulate_placement;
 pub(crate) use eligibility::is_allowed_on;
-pub use eligibility::{
-    fits_entire_job, is_allowed, pending_task_count, pending_tasks, retry_at_ms, zone_limit,
-};
+pub use eligibility::{fits_entire_job, is_allowed, pending_task_count, pending_tasks, zone_limit};
 pub use gang::{collectable_capacity, competes_for_capacity, longest_waiting};
 pub use gpu_capacity::{stranded_gpu_tasks, stranded_gpu_tasks_at_usage};
 pub use image_fetch::image_fetch_too_slow;
--- a/crates/sched/src/placement/place.rs
+++ b/crates/sched/src/placement/place.rs
@@ -5,7 +5,7 @@
 use wire::{JobKind, JobSpec};
 
 use super::choice::{Choice, Request, choose};
-use super::eligibility::{is_allowed_on, pending_task_count, pending_tasks, retry_at_ms};
+use super::eligibility::{is_allowed_on, pending_task_count, pending_tasks};
 use super::image_fetch::sets_ready_together;
 use super::queue::waited_s;
 use crate::inventory::{Candidates, Inventory, Slot};
@@ -94,7 +94,7 @@
 
 /// Whether any task of the job may be placed now.
 fn may_place(job: &JobRecord, spec: &JobSpec, now_ms: u64) -> bool {
-    if job.phase != Phase::Active || retry_at_ms(job) > now_ms {
+    if job.phase != Phase::Active || job.retry_at_ms() > now_ms {
         return false;
     }
     // A gang whose tasks wait for one another may get another machine for a lost task within the
--- a/crates/sched/src/records/job.rs
+++ b/crates/sched/src/records/job.rs
@@ -81,7 +81,8 @@
     /// When the rescheduler last used the job's disruption budget, in Unix milliseconds.
     #[serde(rename = "evicted_ms", default)]
     pub last_eviction_ms: u64,
-    /// The number of consecutive starts that failed with an error.
+    /// The number of consecutive starts that failed with an error, as of the last change of the
+    /// record; see [`JobRecord::consecutive_failed_starts`].
     #[serde(rename = "errors", default)]
     pub failed_starts: u32,
     /// When the last start failed, in Unix milliseconds.
@@ -236,6 +237,8 @@
         let Some(i) = found.filter(|i| self.assignments[*i].attempt == attempt) else {
             return;
         };
+        // Before the removal: a job that loses its last tasks has recovered if these ran for long.
+        self.failed_starts = self.consecutive_failed_starts(now_ms);
         let ended = self.assignments.remove(i);
         let Some(spec) = self.spec.as_deref() else { return };
         let (kind, tasks) = (spec.kind, spec.tasks);
--- a/crates/sched/src/records/mod.rs
+++ b/crates/sched/src/records/mod.rs
@@ -2,6 +2,7 @@
 //! machine exactly as long as its job's record contains the assignment.
 
 mod cluster_map;
+mod failed_starts;
 mod fleet;
 mod job;
 mod machine;
--- a/crates/sched/tests/unit/placement.rs
+++ b/crates/sched/tests/unit/placement.rs
@@ -163,11 +163,11 @@
 fn a_job_with_failed_starts_is_retried_with_growing_delay() {
     let mut job = JobRecord::new(spec("j-1", JobKind::Array, 1), None, 0);
     (job.failed_starts, job.last_failure_ms) = (2, 100);
-    assert_eq!(retry_at_ms(&job), 100);
+    assert_eq!(job.retry_at_ms(), 100);
     job.failed_starts = 4;
-    assert_eq!(retry_at_ms(&job), 2100);
+    assert_eq!(job.retry_at_ms(), 2100);
     job.failed_starts = 400;
-    assert_eq!(retry_at_ms(&job), 32_100);
+    assert_eq!(job.retry_at_ms(), 32_100);
 }
 
 /// Small gangs that keep arriving must not keep a large gang waiting forever: capacity that becomes
