Avoid entries of a job are written in one place

Cause: scheduler/terminations.rs had its own copy of JobRecord::avoid_machine for machines that reject a task; it differed in keeping expired entries.

Change: the method serves both; the bound on the entries is private to the record.

Expired entries have no effect on placement.

--- a/crates/daemon/src/scheduler/terminations.rs
+++ b/crates/daemon/src/scheduler/terminations.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Instant;
 
-use sched::records::{JobRecord, MAX_AVOIDED_MACHINES, TerminationReason};
+use sched::records::{JobRecord, TerminationReason};
 use sched::replica::Replica;
 use wire::{JobKind, Priority};
 
@@ -44,7 +44,8 @@
     let Some(record) = record_for_update(cycle, replica, job) else { return };
     record.end_assignment(*task, *attempt, reason, now_ms, FAILED_MACHINE_BACKOFF_S);
     if reason == TerminationReason::Rejected {
-        avoid_machine(record, machine, now_ms + REJECTING_MACHINE_BACKOFF_MS);
+        // Something runs there that the records do not show yet.
+        record.avoid_machine(machine, now_ms, REJECTING_MACHINE_BACKOFF_MS);
     }
     cycle.events.push(SchedulingEvent::Terminated {
         job: job.clone(),
@@ -54,15 +55,6 @@
     });
 }
 
-/// Makes a job avoid a machine that rejected its task: something runs there that the records do not
-/// show yet.
-fn avoid_machine(record: &mut JobRecord, machine: &str, until_ms: u64) {
-    record.avoided_machines.retain(|(avoided, _)| avoided != machine);
-    record.avoided_machines.push((machine.to_owned(), until_ms));
-    let surplus = record.avoided_machines.len().saturating_sub(MAX_AVOIDED_MACHINES);
-    record.avoided_machines.drain(..surplus);
-}
-
 /// Ends assignments on machines without a record. Such assignments are certainly over: the record
 /// of a machine is deleted only after the cloud has confirmed the release, and no task is launched
 /// on a machine without a record.
--- a/crates/sched/src/records/job.rs
+++ b/crates/sched/src/records/job.rs
@@ -114,7 +114,7 @@
 const MAX_DURATION_S: f64 = 1e9;
 
 /// Maximum number of avoided machines in a job's record.
-pub const MAX_AVOIDED_MACHINES: usize = 8;
+const MAX_AVOIDED_MACHINES: usize = 8;
 
 /// Maximum number of machines that tasks of one attempt of a gang may vacate before the gang is
 /// restarted.
@@ -302,8 +302,8 @@
     }
 
     /// Makes placement avoid a machine for `duration_ms`. The oldest entries are dropped if there
-    /// are more than [`MAX_AVOIDED_MACHINES`].
-    pub(crate) fn avoid_machine(&mut self, machine: &str, now_ms: u64, duration_ms: u64) {
+    /// are too many for the record.
+    pub fn avoid_machine(&mut self, machine: &str, now_ms: u64, duration_ms: u64) {
         self.avoided_machines.retain(|(m, until_ms)| *until_ms > now_ms && **m != *machine);
         self.avoided_machines.push((machine.to_owned(), now_ms + duration_ms));
         let surplus = self.avoided_machines.len().saturating_sub(MAX_AVOIDED_MACHINES);
--- a/crates/sched/src/records/mod.rs
+++ b/crates/sched/src/records/mod.rs
@@ -14,7 +14,7 @@
 pub use crate::assignment::{Assignment, DesiredState, Name};
 pub use cluster_map::{ClusterMap, Member};
 pub use fleet::{FleetRecord, ScaleOut};
-pub use job::{JobRecord, MAX_AVOIDED_MACHINES, MAX_VACATED_MACHINES, Phase, Urgency};
+pub use job::{JobRecord, MAX_VACATED_MACHINES, Phase, Urgency};
 pub use machine::{MachineRecord, MachineTypesRecord};
 pub use ranges::Ranges;
 pub use schema::{DRAINS_SCHEMA_VERSION, SCHEMA_VERSION, SchemaMarker};
