--- a/crates/daemon/src/autoscaler/mod.rs
+++ b/crates/daemon/src/autoscaler/mod.rs
@@ -12,8 +12,8 @@
 //! machines are up.
 //!
 //! Scale-in: `release_candidates` selects the machines to release, with `owner_reachability` and
-//! `idle_machines`, which keeps what `retry_capacity` asks for; `release_rate` limits how many are released at a time; `scale_in` releases
-//! them, and `removed_machines` updates the records.
+//! `idle_machines`, which keeps what `retry_capacity` asks for; `release_rate` limits how many are
+//! released at a time; `scale_in` releases them, and `removed_machines` updates the records.
 
 mod capacity_backoff;
 mod cloud_listing;
