Log overdue machines, and releases of them that the cloud does not confirm

`cluster load` now has the number of requested machines that are not up (`requested`) and how many of them should be (`overdue`). A release of overdue machines that is not confirmed is logged as any other, with its number of names. What is overdue is decided in one place, `boot_timeout`.

--- a/crates/daemon/src/autoscaler/cluster_log.rs
+++ b/crates/daemon/src/autoscaler/cluster_log.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use sched::placement;
+use sched::records::ScaleOut;
 use sched::replica::Replica;
 use tracing::info;
 
@@ -29,14 +30,17 @@
     cpus: f64,
 }
 
-/// Logs the waiting jobs and tasks by service class, and the CPU usage by machine type.
-pub fn log_cluster(state: &ControllerState) {
+/// Logs the waiting jobs and tasks by service class, the requested machines that are not up yet,
+/// `overdue` of which should be by now, and the CPU usage by machine type.
+pub fn log_cluster(state: &ControllerState, overdue: usize) {
     let waiting = waiting_by_class(&state.records.replica);
     let failing = failed_starts_by_job(&state.records.replica, wall_ms());
     let machines = usage_by_type(&state.records.replica);
     info!(
         waiting = waiting.join("; "),
         failing = sample_names(&failing),
+        requested = requested_machines(&state.records.replica),
+        overdue,
         machines = machines.join("; "),
         "cluster load"
     );
@@ -70,6 +74,16 @@
         .collect()
 }
 
+/// The number of machines of all scale-outs that are not up yet.
+fn requested_machines(replica: &Replica) -> usize {
+    let scale_outs = replica.fleet.iter().flat_map(|fleet| fleet.value.scale_outs.iter());
+    let not_up = |scale_out: &ScaleOut| match &scale_out.machines {
+        Some(machines) => machines.iter().filter(|id| !replica.machines.contains_key(*id)).count(),
+        None => scale_out.count as usize,
+    };
+    scale_outs.map(not_up).sum()
+}
+
 fn usage_by_type(replica: &Replica) -> Vec<String> {
     let mut types: BTreeMap<String, TypeUsage> = BTreeMap::new();
     for (id, machine) in &replica.machines {
--- a/crates/daemon/src/autoscaler/mod.rs
+++ b/crates/daemon/src/autoscaler/mod.rs
@@ -9,12 +9,13 @@
 //!
 //! Scale-out: `scale_out_plan` compares `demand` with `expected_capacity`, `scale_out` sends the
 //! requests, `scale_out_records` records them, and `scale_out_completion` removes them once their
-//! machines are up.
+//! machines are up. `boot_timeout` tells which machines are overdue.
 //!
 //! Scale-in: `release_candidates` selects the machines to release, with `owner_reachability` and
 //! `idle_machines`, which keeps what `retry_capacity` asks for; `release_rate` limits how many are
 //! released at a time; `scale_in` releases them, and `removed_machines` updates the records.
 
+mod boot_timeout;
 mod capacity_backoff;
 mod cloud_listing;
 mod cluster_log;
@@ -54,7 +55,7 @@
 use self::retry_capacity::RetryCapacity;
 use crate::chunk_collector::{ChunkCollector, ChunkDeletion};
 use crate::clock;
-use crate::controller::Controller;
+use crate::controller::{Controller, wall_ms};
 
 /// Minimum pause between two steps.
 const MIN_STEP_INTERVAL: Duration = Duration::from_millis(300);
@@ -144,7 +145,9 @@
     fn log_cluster_if_due(&mut self, controller: &Controller) {
         if is_due(self.cluster_logged_at, CLUSTER_LOG_INTERVAL) {
             self.cluster_logged_at = Some(clock::now());
-            log_cluster(&controller.state());
+            let state = controller.state();
+            let overdue = self.overdue_machines(&state, clock::now(), wall_ms()).len();
+            log_cluster(&state, overdue);
         }
     }
 
--- a/crates/daemon/src/autoscaler/release_candidates.rs
+++ b/crates/daemon/src/autoscaler/release_candidates.rs
@@ -8,9 +8,9 @@
 use wire::{ListedMachine, MachineStatus};
 
 use super::Autoscaler;
+use super::boot_timeout::usual_boot_s;
 use super::idle_machines::IdleRetention;
 use super::owner_reachability::SilenceLimits;
-use super::scale_out_completion::DEFAULT_BOOT_S;
 use crate::controller::Controller;
 use crate::drains;
 use crate::state::{ControllerState, MachineHealth, MachineView};
@@ -161,8 +161,7 @@
 
     /// Whether a listed machine should have registered by now.
     fn is_overdue(&self, replica: &Replica, id: &Name, machine: &ListedMachine, listing_age_s: f64) -> bool {
-        let machine_type = replica.machine_types.get(&machine.machine_type);
-        let boot_s = machine_type.map_or(DEFAULT_BOOT_S, |machine_type| machine_type.boot_s);
+        let boot_s = usual_boot_s(replica, &machine.machine_type);
         let age_s = machine.age_s + listing_age_s;
         age_s > boot_s * REGISTRATION_TIMEOUT_FACTOR + REGISTRATION_TIMEOUT_EXTRA_S
             && self.listing.listed_for_s(id) > MIN_LISTED_S
--- a/crates/daemon/src/autoscaler/scale_in.rs
+++ b/crates/daemon/src/autoscaler/scale_in.rs
@@ -124,7 +124,7 @@
     async fn release(&mut self, controller: &Controller, batch: ReleaseBatch, now: Instant) {
         let ReleaseBatch { ready, reasons, .. } = batch;
         if let Err(error) = controller.cloud.release(to_strings(&ready)).await {
-            warn!(%error, "the cloud did not confirm the release of machines");
+            warn!(%error, count = ready.len(), "the cloud did not confirm the release of machines");
             sleep(RELEASE_FAILURE_BACKOFF).await;
             return;
         }
--- a/crates/daemon/src/autoscaler/scale_out_completion.rs
+++ b/crates/daemon/src/autoscaler/scale_out_completion.rs
@@ -6,9 +6,10 @@
 use sched::records::{FleetRecord, Name, ScaleOut};
 use sched::replica::Replica;
 use store::{KeyWrite, key};
-use tracing::info;
+use tracing::{info, warn};
 use wire::Condition;
 
+use super::boot_timeout::{age_s, is_overdue};
 use super::leader_write::write_as_leader;
 use super::machine_offers::offer_of_scale_out;
 use super::{Autoscaler, to_strings};
@@ -20,12 +21,6 @@
 /// How long a request without an answer stays recorded, in seconds. Machines that the cloud starts
 /// for it later register without the record.
 const MAX_REQUEST_AGE_S: f64 = 30.0;
-/// A machine is overdue after this many times the usual boot time of its type …
-const BOOT_TIMEOUT_FACTOR: f64 = 3.0;
-/// … plus this many seconds.
-const BOOT_TIMEOUT_EXTRA_S: f64 = 15.0;
-/// Boot time assumed for machines of an unknown type, in seconds.
-pub(super) const DEFAULT_BOOT_S: f64 = 60.0;
 
 /// A change of the fleet's record that removes ended scale-outs.
 #[derive(Debug)]
@@ -44,10 +39,11 @@
         let completion = self.scale_out_completion(&controller.state(), clock::now(), wall_ms());
         let Some(ScaleOutCompletion { record, version, overdue }) = completion else { return };
         if !overdue.is_empty() {
-            if controller.cloud.release(to_strings(&overdue)).await.is_err() {
+            let machines = sample_names(&overdue.iter().collect::<Vec<&Name>>());
+            if let Err(error) = controller.cloud.release(to_strings(&overdue)).await {
+                warn!(%error, count = overdue.len(), machines, "the cloud did not confirm the release of machines");
                 return;
             }
-            let machines = sample_names(&overdue.iter().collect::<Vec<&Name>>());
             info!(count = overdue.len(), machines, "machines released after boot timeout");
             for machine in &overdue {
                 self.released.insert(machine.clone(), clock::now());
@@ -108,17 +104,13 @@
         now_ms: u64,
         overdue: &mut Vec<Name>,
     ) -> Option<ScaleOut> {
-        let machine_type = replica.machine_types.get(&*scale_out.machine_type);
-        let boot_s = machine_type.map_or(DEFAULT_BOOT_S, |machine_type| machine_type.boot_s);
-        let age_s = now_ms.saturating_sub(scale_out.requested_ms) as f64 / 1000.0;
+        let age_s = age_s(scale_out, now_ms);
         let mut scale_out = scale_out.clone();
         let Some(machines) = &mut scale_out.machines else {
             return (age_s <= MAX_REQUEST_AGE_S).then_some(scale_out);
         };
-        machines.retain(|machine| {
-            !replica.machines.contains_key(machine) && !self.released.contains_key(machine)
-        });
-        if age_s > boot_s * BOOT_TIMEOUT_FACTOR + BOOT_TIMEOUT_EXTRA_S {
+        machines.retain(|machine| !self.has_come_up_or_is_released(replica, machine));
+        if is_overdue(replica, &scale_out.machine_type, age_s) {
             overdue.append(machines);
         }
         (!machines.is_empty()).then_some(scale_out)
