Tests: sites without drawn jobs have fixtures of their own

`failing_machines` kept the fixtures of a site with a single job to itself; tests of overdue machines need the same. They move to `single_job`, and a test can set the limit of team "t". `is_served` takes the number of tasks from the job's spec.

--- a/crates/daemon/tests/unit/fault_days/checker.rs
+++ b/crates/daemon/tests/unit/fault_days/checker.rs
@@ -6,7 +6,7 @@
 
 use super::machines::{CANCEL_MS, Machine};
 use super::users::{Job, UNKNOWN_JOB, cpus_of, is_reverted};
-use super::{Simulation, TEAM_T_MAX_CPUS, TEAM_U_MAX_CPUS, cpus, job_of};
+use super::{Simulation, TEAM_U_MAX_CPUS, cpus, job_of};
 
 /// The longest time that queries of a job may remain unanswered while there are faults.
 const MAX_UNANSWERED_MS: u64 = 90_000;
@@ -92,7 +92,7 @@
             *used.entry(job.spec.team.as_str()).or_default() += cpus_of(task);
         }
         let exceeds = |team: &str, limit: f64| used.get(team).is_some_and(|u| *u > limit + 1e-6);
-        if exceeds("t", TEAM_T_MAX_CPUS) || exceeds("u", TEAM_U_MAX_CPUS) {
+        if exceeds("t", self.team_t_max_cpus) || exceeds("u", TEAM_U_MAX_CPUS) {
             let detail = format!("{used:?}");
             self.record_violation("quota", detail);
         }
@@ -259,7 +259,7 @@
     fn has_capacity(&self, job: &Job, used: &BTreeMap<String, f64>) -> bool {
         let now = self.ms();
         let spec = &job.spec;
-        let limit = if spec.team == "t" { TEAM_T_MAX_CPUS } else { TEAM_U_MAX_CPUS };
+        let limit = if spec.team == "t" { self.team_t_max_cpus } else { TEAM_U_MAX_CPUS };
         let min_tasks = if spec.kind == JobKind::Gang { spec.tasks } else { 1 };
         let free_cpus = limit - used.get(&spec.team).copied().unwrap_or_default();
         if free_cpus + 1e-6 < f64::from(min_tasks) * spec.cpus {
--- a/crates/daemon/tests/unit/fault_days/controllers.rs
+++ b/crates/daemon/tests/unit/fault_days/controllers.rs
@@ -9,7 +9,7 @@
 use super::key_value_store::{RPS, WRITE_RPS};
 use super::machines::{CANCEL_MS, GANG_PEER_MS, GANG_WAIT_MS, HEARTBEAT_INTERVAL_MS, LEASE_MS};
 use super::network::{CLOUD_ADDRESS, STORE_ADDRESS, controller_transport, peer_address};
-use super::{CONTROLLERS, Defect, Site, TEAM_T_MAX_CPUS, TEAM_U_MAX_CPUS};
+use super::{CONTROLLERS, Defect, Simulation, Site, TEAM_U_MAX_CPUS};
 use crate::controller::{Controller, HttpClients};
 use crate::operators::OperatorSettings;
 use crate::settings::Settings;
@@ -30,7 +30,8 @@
     if n == 1 { "b" } else { "a" }
 }
 
-fn settings(n: usize, defect: Defect, drains: bool) -> Settings {
+fn settings(n: usize, simulation: &Simulation) -> Settings {
+    let Simulation { defect, drains, team_t_max_cpus, .. } = *simulation;
     let seconds = |ms: u64| ms as f64 / 1000.0;
     let peers: String = (0..CONTROLLERS)
         .filter(|peer| *peer != n)
@@ -53,7 +54,7 @@
         [facts.limits]\ncores = 1.0\nmemory_mb = 100.0\nmax_connections = 1800\n",
         zone(n),
         peer_address(n),
-        team("t", if drains { 0.0 } else { 8.0 }, TEAM_T_MAX_CPUS),
+        team("t", if drains { 0.0 } else { 8.0 }, team_t_max_cpus),
         team("u", if drains { 0.0 } else { 4.0 }, TEAM_U_MAX_CPUS),
         seconds(HEARTBEAT_INTERVAL_MS),
         seconds(LEASE_MS),
@@ -74,7 +75,7 @@
         let incarnation = simulation.incarnations * 1000 + n as u64;
         let client = || Client::with_transport(controller_transport(self, n, incarnation));
         let clients = HttpClients { key_value_store: client(), peers_and_cloud: client(), workers: client() };
-        let settings = settings(n, simulation.defect, simulation.drains);
+        let settings = settings(n, &simulation);
         let operators =
             if simulation.drains { super::drains::operators() } else { OperatorSettings::default() };
         let controller = Controller::with_clients(settings, operators, incarnation, clients);
--- a/crates/daemon/tests/unit/fault_days/failing_machines.rs
+++ b/crates/daemon/tests/unit/fault_days/failing_machines.rs
@@ -1,13 +1,10 @@
 //! Jobs whose first machine fails every task that it starts, on a site without other jobs.
 
+use super::single_job::*;
 use super::*;
 
-/// The longest time that a job may wait while it could run.
-const MAX_WAIT_MS: u64 = 90_000;
 /// When controllers end, in the tests in which they do: after the first failed tasks.
 const CONTROLLERS_END_AT_MS: u64 = 12_000;
-/// How long all controllers are down in the tests in which they end.
-const DOWNTIME_MS: u64 = 3000;
 /// More machines than are requested in a test.
 const ALL_MACHINES: u32 = 1000;
 /// Numbers of jobs whose tasks all fit on the first machine: a service of four replicas, a gang of
@@ -16,91 +13,13 @@
 const GANG: u64 = 17;
 const ARRAY: u64 = 45;
 
-/// What happens to the controllers after the first failed tasks.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Restart {
-    None,
-    Leader,
-    All,
-}
-
 impl Site {
-    /// A site without jobs whose first machine fails every task until `fails_until`. Every machine
-    /// boots within two seconds.
-    fn with_failing_machine(fails_until: u64) -> Self {
-        let scenario =
-            Scenario { seed: 1, faults: Vec::new(), defect: Defect::None, recovery_ms: 0, drains: false };
-        let site = Self::new(&scenario);
-        {
-            let mut simulation = site.lock();
-            simulation.cloud.fast_boots_until = u64::MAX;
-            simulation.fail_tasks_on_first(1, fails_until);
-        }
-        (0..CONTROLLERS).for_each(|n| site.start_controller(n));
-        site
-    }
-
     async fn submit_job(&self, number: u64) -> String {
         self.submit_spec(users::spec(number)).await
     }
-
-    async fn submit_spec(&self, spec: wire::JobSpec) -> String {
-        let id = self.lock().add_job(spec);
-        while !self.submit(self.choose_controller(), &id).await {
-            self.advance(1000).await;
-        }
-        id
-    }
-
-    async fn advance(&self, duration_ms: u64) {
-        let until = self.ms() + duration_ms;
-        while self.ms() < until {
-            sleep(Duration::from_millis(TICK_MS)).await;
-            {
-                let mut simulation = self.lock();
-                let now = self.ms();
-                simulation.store.expire_leases(now);
-                simulation.advance_machines();
-            }
-            self.start_booted_machines();
-        }
-    }
-
-    /// Advances until the condition holds; returns whether it does before `until`.
-    async fn advance_until(&self, until: u64, condition: impl Fn(&Simulation) -> bool) -> bool {
-        while self.ms() < until {
-            self.advance(TICK_MS).await;
-            if condition(&self.lock()) {
-                return true;
-            }
-        }
-        false
-    }
-
-    async fn restart(&self, restart: Restart) {
-        match restart {
-            Restart::None => {}
-            Restart::Leader => self.restart_controller(self.leader(), false, DOWNTIME_MS).await,
-            Restart::All => {
-                (0..CONTROLLERS).for_each(|n| self.kill_controller(n));
-                self.advance(DOWNTIME_MS).await;
-                (0..CONTROLLERS).for_each(|n| self.start_controller(n));
-            }
-        }
-    }
 }
 
 impl Simulation {
-    /// Whether all tasks of the job run, or are done.
-    fn is_served(&self, id: &str) -> bool {
-        let is_running = |task: &String| {
-            let executions = self.machines.values().flat_map(|machine| machine.tasks.iter());
-            executions.into_iter().any(|((t, _), execution)| t == task && execution.is_running())
-        };
-        let mut tasks = (0..users::tasks_of(id)).map(|n| format!("{id}/{n}"));
-        tasks.all(|task| self.done_tasks.contains(&task) || is_running(&task))
-    }
-
     /// Makes the machines that are requested first fail every task until then.
     fn fail_tasks_on_first(&mut self, machines: u32, until: u64) {
         self.tasks_fail_until = (1..=machines).map(|n| (format!("host-{n:06}"), until)).collect();
@@ -117,22 +36,7 @@
 
 /// Runs a test on a site whose first machine fails every task until `fails_until`.
 fn on_site<F: Future<Output = ()>>(fails_until: u64, test: impl FnOnce(Site) -> F) {
-    if std::env::var("SAGELOOM_SIM_LOG").is_ok() {
-        show_log();
-    }
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
-    runtime.expect("a runtime").block_on(async {
-        let site = Site::with_failing_machine(fails_until);
-        test(site.clone()).await;
-        (0..CONTROLLERS).for_each(|n| site.kill_controller(n));
-        let violations = std::mem::take(&mut site.lock().violations);
-        assert!(violations.is_empty(), "{violations:?}");
-    });
-}
-
-fn assert_served(site: &Site, is_served: bool, context: &str) {
-    let trace = site.lock().trace.join("\n");
-    assert!(is_served, "{context}: not served at {} ms\n{trace}", site.ms());
+    on_empty_site(|simulation| simulation.fail_tasks_on_first(1, fails_until), test);
 }
 
 /// Jobs that had failed three times got no machine ever again, and theirs was released as idle.
--- a/crates/daemon/tests/unit/fault_days/mod.rs
+++ b/crates/daemon/tests/unit/fault_days/mod.rs
@@ -17,6 +17,7 @@
 mod key_value_store;
 mod machines;
 mod network;
+mod single_job;
 mod tests;
 mod users;
 
@@ -38,7 +39,7 @@
 use users::Job;
 
 const CONTROLLERS: usize = 3;
-/// CPU limits of the teams "t" and "u".
+/// CPU limits of the teams "t", unless a test sets another, and "u".
 const TEAM_T_MAX_CPUS: f64 = 16.0;
 const TEAM_U_MAX_CPUS: f64 = 8.0;
 const TICK_MS: u64 = 100;
@@ -128,6 +129,8 @@
     rng: StdRng,
     defect: Defect,
     drains: bool,
+    /// CPU limit of team "t".
+    team_t_max_cpus: f64,
     voluntary_disruptions: drains::VoluntaryDisruptions,
     store: key_value_store::KeyValueStore,
     cloud: cloud::Cloud,
@@ -241,6 +244,7 @@
             rng: StdRng::seed_from_u64(scenario.seed),
             defect: scenario.defect,
             drains: scenario.drains,
+            team_t_max_cpus: TEAM_T_MAX_CPUS,
             voluntary_disruptions: drains::VoluntaryDisruptions::default(),
             store: key_value_store::KeyValueStore::default(),
             cloud: cloud::Cloud::default(),
--- /dev/null
+++ b/crates/daemon/tests/unit/fault_days/single_job.rs
@@ -0,0 +1,114 @@
+//! Sites without drawn jobs and faults: a test submits its jobs itself, and decides what the cloud
+//! and the machines do.
+
+use super::*;
+
+/// The longest time that a job may wait while it could run.
+pub(super) const MAX_WAIT_MS: u64 = 90_000;
+/// How long all controllers are down in the tests in which they end.
+const DOWNTIME_MS: u64 = 3000;
+
+/// What happens to the controllers in the course of a test.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Restart {
+    None,
+    Leader,
+    All,
+}
+
+impl Site {
+    /// A site without jobs and machines, whose machines boot within two seconds.
+    fn empty(set_up: impl FnOnce(&mut Simulation)) -> Self {
+        let scenario =
+            Scenario { seed: 1, faults: Vec::new(), defect: Defect::None, recovery_ms: 0, drains: false };
+        let site = Self::new(&scenario);
+        {
+            let mut simulation = site.lock();
+            simulation.cloud.fast_boots_until = u64::MAX;
+            set_up(&mut simulation);
+        }
+        (0..CONTROLLERS).for_each(|n| site.start_controller(n));
+        site
+    }
+
+    pub(super) async fn submit_spec(&self, spec: wire::JobSpec) -> String {
+        let id = self.lock().add_job(spec);
+        while !self.submit(self.choose_controller(), &id).await {
+            self.advance(1000).await;
+        }
+        id
+    }
+
+    pub(super) async fn advance(&self, duration_ms: u64) {
+        let until = self.ms() + duration_ms;
+        while self.ms() < until {
+            sleep(Duration::from_millis(TICK_MS)).await;
+            {
+                let mut simulation = self.lock();
+                let now = self.ms();
+                simulation.store.expire_leases(now);
+                simulation.advance_machines();
+            }
+            self.start_booted_machines();
+        }
+    }
+
+    /// Advances until the condition holds; returns whether it does before `until`.
+    pub(super) async fn advance_until(&self, until: u64, condition: impl Fn(&Simulation) -> bool) -> bool {
+        while self.ms() < until {
+            self.advance(TICK_MS).await;
+            if condition(&self.lock()) {
+                return true;
+            }
+        }
+        false
+    }
+
+    pub(super) async fn restart(&self, restart: Restart) {
+        match restart {
+            Restart::None => {}
+            Restart::Leader => self.restart_controller(self.leader(), false, DOWNTIME_MS).await,
+            Restart::All => {
+                (0..CONTROLLERS).for_each(|n| self.kill_controller(n));
+                self.advance(DOWNTIME_MS).await;
+                (0..CONTROLLERS).for_each(|n| self.start_controller(n));
+            }
+        }
+    }
+}
+
+impl Simulation {
+    /// Whether all tasks of the job run, or are done.
+    pub(super) fn is_served(&self, id: &str) -> bool {
+        let is_running = |task: &String| {
+            let executions = self.machines.values().flat_map(|machine| machine.tasks.iter());
+            executions.into_iter().any(|((t, _), execution)| t == task && execution.is_running())
+        };
+        let tasks = self.jobs.get(id).map_or(0, |job| job.spec.tasks);
+        let mut tasks = (0..tasks).map(|n| format!("{id}/{n}"));
+        tasks.all(|task| self.done_tasks.contains(&task) || is_running(&task))
+    }
+}
+
+/// Runs a test on a site without jobs and machines.
+pub(super) fn on_empty_site<F: Future<Output = ()>>(
+    set_up: impl FnOnce(&mut Simulation),
+    test: impl FnOnce(Site) -> F,
+) {
+    if std::env::var("SAGELOOM_SIM_LOG").is_ok() {
+        show_log();
+    }
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
+    runtime.expect("a runtime").block_on(async {
+        let site = Site::empty(set_up);
+        test(site.clone()).await;
+        (0..CONTROLLERS).for_each(|n| site.kill_controller(n));
+        let violations = std::mem::take(&mut site.lock().violations);
+        assert!(violations.is_empty(), "{violations:?}");
+    });
+}
+
+pub(super) fn assert_served(site: &Site, is_served: bool, context: &str) {
+    let trace = site.lock().trace.join("\n");
+    assert!(is_served, "{context}: not served at {} ms\n{trace}", site.ms());
+}
