Overdue machines are released by scale-in, at most 100 a call

Cause: machines were released in two places. The removal of ended scale-outs released all overdue machines in one call, without the bound that scale-in keeps; the cloud refuses more than 100 names. The call was repeated every step, the scale-outs stayed in the fleet's record, and their machines counted as capacity to come.

Why it works: overdue machines are candidates for release with a reason of their own, so one place sends releases, with one bound. The removal of scale-outs only drops machines that are up or released. Machines with a record come first in a call, as tasks may wait for their release. The back-off of the offer ends with the release as it does for other machines, or starts if a drain waits for capacity, as before (once for each offer, not once for each call).

`no_machine_is_overdue_when_the_replica_is_stale` moved with what it tests; its assertions are the same. The simulated cloud refuses more than 100 names in a release, and calls above its rate limit.

--- a/crates/daemon/src/autoscaler/boot_timeout.rs
+++ b/crates/daemon/src/autoscaler/boot_timeout.rs
@@ -50,3 +50,7 @@
         replica.machines.contains_key(machine) || self.released.contains_key(machine)
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/autoscaler_boot_timeout.rs"]
+mod tests;
--- a/crates/daemon/src/autoscaler/mod.rs
+++ b/crates/daemon/src/autoscaler/mod.rs
@@ -9,7 +9,7 @@
 //!
 //! Scale-out: `scale_out_plan` compares `demand` with `expected_capacity`, `scale_out` sends the
 //! requests, `scale_out_records` records them, and `scale_out_completion` removes them once their
-//! machines are up. `boot_timeout` tells which machines are overdue.
+//! machines are up or released. `boot_timeout` tells which machines are overdue.
 //!
 //! Scale-in: `release_candidates` selects the machines to release, with `owner_reachability` and
 //! `idle_machines`, which keeps what `retry_capacity` asks for; `release_rate` limits how many are
--- a/crates/daemon/src/autoscaler/release_candidates.rs
+++ b/crates/daemon/src/autoscaler/release_candidates.rs
@@ -11,7 +11,7 @@
 use super::boot_timeout::usual_boot_s;
 use super::idle_machines::IdleRetention;
 use super::owner_reachability::SilenceLimits;
-use crate::controller::Controller;
+use crate::controller::{Controller, wall_ms};
 use crate::drains;
 use crate::state::{ControllerState, MachineHealth, MachineView};
 
@@ -38,6 +38,8 @@
     Idle,
     /// The cloud lists it as failed.
     Failed,
+    /// It belongs to a scale-out but has not come up in time.
+    Overdue,
     /// The cloud lists it, but it has never registered.
     NeverRegistered,
 }
@@ -52,6 +54,7 @@
             Self::Unhealthy => "sick",
             Self::Idle => "idle",
             Self::Failed => "failed",
+            Self::Overdue => "overdue",
             Self::NeverRegistered => "never came up",
         }
     }
@@ -68,8 +71,8 @@
 
 impl Autoscaler {
     /// The machines to release: first those with a record, sorted by name, then those that the
-    /// cloud lists as failed or that have never registered. A machine may be in both parts. The
-    /// inventory must be up to date.
+    /// cloud lists as failed or that have never registered, then overdue ones. A machine may be in
+    /// several parts. The inventory must be up to date.
     pub(crate) fn release_candidates(
         &mut self,
         controller: &Controller,
@@ -105,6 +108,9 @@
         }
         self.drop_lease_expiry_of_responsive(&candidates);
         candidates.extend(self.lost_listed_machines(&state.records.replica));
+        let overdue = self.overdue_machines(state, now, wall_ms()).into_iter();
+        candidates
+            .extend(overdue.map(|machine| ReleaseCandidate { machine, reason: ReleaseReason::Overdue }));
         candidates
     }
 
--- a/crates/daemon/src/autoscaler/scale_in.rs
+++ b/crates/daemon/src/autoscaler/scale_in.rs
@@ -4,15 +4,17 @@
 use std::time::{Duration, Instant};
 
 use cloud::MAX_MACHINES_PER_RELEASE;
+use sched::autoscaling::MachineOffer;
 use sched::hash::HashMap;
 use sched::records::{MachineRecord, Name};
+use sched::replica::Replica;
 use store::{KeyWrite, key};
 use tokio::time::sleep;
 use tracing::{debug, info, warn};
 use wire::Condition;
 
 use super::leader_write::write_as_leader;
-use super::machine_offers::offer_of_machine;
+use super::machine_offers::{offer_of_machine, offer_of_scale_out};
 use super::release_candidates::{ReleaseCandidate, ReleaseReason};
 use super::{Autoscaler, to_strings};
 use crate::clock;
@@ -47,8 +49,15 @@
 impl ReleaseBatch {
     /// Adds a machine that is ready for release.
     fn add_ready(&mut self, id: Name, reason: ReleaseReason) {
-        self.reasons.insert(id.clone(), reason);
-        self.ready.push(id);
+        if self.reasons.insert(id.clone(), reason).is_none() {
+            self.ready.push(id);
+        }
+    }
+
+    /// Orders the machines that are ready: those with a record come first, as tasks may wait for
+    /// their release.
+    fn put_unrecorded_last(&mut self, replica: &Replica) {
+        self.ready.sort_by_cached_key(|id| !replica.machines.contains_key(id));
     }
 }
 
@@ -63,6 +72,7 @@
         }
         let mut batch = self.divide_candidates(&controller.state(), candidates);
         self.limit_release_rate(controller, &controller.state(), &mut batch.ready, now);
+        batch.put_unrecorded_last(&controller.state().records.replica);
         batch.to_mark.truncate(controller.state_limits().txn_ops);
         if !batch.to_mark.is_empty() && !mark_for_release(controller, &mut batch).await {
             return;
@@ -130,22 +140,38 @@
         }
         log_releases(&ready, &reasons);
         for id in &ready {
-            self.handle_released(controller, id, now);
+            let is_overdue = reasons.get(id) == Some(&ReleaseReason::Overdue);
+            self.handle_released(controller, id, is_overdue, now);
         }
         self.record_removal(controller, ready).await;
     }
 
     /// Remembers a release that the cloud has confirmed, and ends the back-off of the machine's
-    /// offer: the cloud has capacity for one more machine of it.
-    fn handle_released(&mut self, controller: &Controller, id: &Name, now: Instant) {
+    /// offer: the cloud has capacity for one more machine of it. If the machine was overdue and a
+    /// drain waits for capacity, a back-off starts instead, so that the next attempt is made with
+    /// another offer.
+    fn handle_released(&mut self, controller: &Controller, id: &Name, was_overdue: bool, now: Instant) {
         self.released.insert(id.clone(), now);
         let state = controller.state();
-        if let Some(machine) = state.records.replica.machines.get(id) {
-            self.backoffs.clear(&offer_of_machine(&machine.value));
+        let Some(offer) = offer_of(&state.records.replica, id) else { return };
+        if !was_overdue || state.drains.machines_awaiting_capacity.is_empty() {
+            self.backoffs.clear(&offer);
+        } else if !self.backoffs.is_active(&offer, now) {
+            self.backoffs.start(offer, now);
         }
     }
 }
 
+/// The offer of a machine that has a record or belongs to a scale-out.
+fn offer_of(replica: &Replica, id: &Name) -> Option<MachineOffer> {
+    if let Some(machine) = replica.machines.get(id) {
+        return Some(offer_of_machine(&machine.value));
+    }
+    let mut scale_outs = replica.fleet.iter().flat_map(|fleet| fleet.value.scale_outs.iter());
+    let scale_out = scale_outs.find(|scale_out| scale_out.machines.iter().flatten().any(|m| m == id))?;
+    Some(offer_of_scale_out(scale_out))
+}
+
 /// Marks machines in their records so that no more tasks are placed there, and adds those without
 /// tasks to the machines that are ready. Returns whether the marks were committed.
 async fn mark_for_release(controller: &Controller, batch: &mut ReleaseBatch) -> bool {
@@ -181,7 +207,12 @@
         by_reason.entry(reason).or_default().push(id);
     }
     for (reason, machines) in by_reason {
-        info!(count = machines.len(), machines = sample_names(&machines), reason, "machines released");
+        let (count, machines) = (machines.len(), sample_names(&machines));
+        if reason == ReleaseReason::Overdue.as_str() {
+            info!(count, machines, "machines released after boot timeout");
+        } else {
+            info!(count, machines, reason, "machines released");
+        }
     }
     debug!(machines = ?released, "the cloud confirmed the release of machines");
 }
--- a/crates/daemon/tests/unit/autoscaler_scale_out_completion.rs
+++ b/crates/daemon/tests/unit/autoscaler_boot_timeout.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use sched::records::FleetRecord;
 use sched::replica::RecordChange;
 
 use super::*;
@@ -25,7 +26,7 @@
     state.records.replica.apply(RecordChange::Fleet(Some(record)), 1 << 40);
     let autoscaler = Autoscaler::default();
     let overdue_count = |state: &ControllerState, now: Instant, now_ms: u64| {
-        autoscaler.scale_out_completion(state, now, now_ms).map_or(0, |completion| completion.overdue.len())
+        autoscaler.overdue_machines(state, now, now_ms).len()
     };
     (state.records.fresh_at, state.pauses) = (Some(now), crate::state::PauseDetector::new(now));
     assert_eq!(overdue_count(&state, now, 60_000), 0, "the machine may still come up");
--- a/crates/daemon/tests/unit/fault_days/cloud.rs
+++ b/crates/daemon/tests/unit/fault_days/cloud.rs
@@ -9,16 +9,62 @@
 use super::machines::Machine;
 use super::{Defect, Simulation, Site};
 
-/// The maximum number of machines of one type in one zone, for spot and on-demand each.
+/// The capacity of each offer, unless a test sets another.
 const CAPACITY: usize = 6;
+/// The most names in one call to release machines.
+pub(super) const MAX_RELEASED_NAMES: usize = 100;
+/// Calls that the cloud admits per second.
+pub(super) const RPS: f64 = 5.0;
+/// Largest burst of calls, in seconds of the rate.
+const BURST_S: f64 = 2.0;
+/// The boot time of a machine that never boots.
+const NEVER_MS: u64 = u64::MAX / 2;
 pub(super) const LIST_LAG_MS: u64 = 4000;
 
-#[derive(Default)]
 pub(super) struct Cloud {
     rentals_by_request: HashMap<String, Vec<String>>,
-    rented_count: usize,
+    pub(super) rented_count: usize,
+    /// The maximum number of machines of one type in one zone, for spot and on-demand each.
+    pub(super) capacity: usize,
     /// Until then, machines boot within two seconds.
     pub(super) fast_boots_until: u64,
+    /// Until then, machines that are requested never boot.
+    pub(super) no_boots_until: u64,
+    /// The HTTP status of each call to release machines.
+    pub(super) release_statuses: Vec<u16>,
+    /// Calls that the rate limit still admits, at most [`BURST_S`] seconds' worth.
+    rate_budget: f64,
+    /// When `rate_budget` was last increased.
+    refilled_at: u64,
+}
+
+impl Default for Cloud {
+    fn default() -> Self {
+        Self {
+            rentals_by_request: HashMap::new(),
+            rented_count: 0,
+            capacity: CAPACITY,
+            fast_boots_until: 0,
+            no_boots_until: 0,
+            release_statuses: Vec::new(),
+            rate_budget: RPS * BURST_S,
+            refilled_at: 0,
+        }
+    }
+}
+
+impl Cloud {
+    /// Counts a call; false if it exceeds the rate limit.
+    fn admits_call(&mut self, now: u64) -> bool {
+        let elapsed_s = (now - self.refilled_at) as f64 / 1000.0;
+        self.refilled_at = now;
+        self.rate_budget = (self.rate_budget + elapsed_s * RPS).min(RPS * BURST_S);
+        if self.rate_budget < 1.0 {
+            return false;
+        }
+        self.rate_budget -= 1.0;
+        true
+    }
 }
 
 pub(super) fn machine_types() -> Vec<MachineType> {
@@ -50,7 +96,7 @@
                 && m.spot == rent_request.spot
         };
         let existing = self.machines.values().filter(is_same_kind).count();
-        let count = (rent_request.count as usize).min(CAPACITY.saturating_sub(existing));
+        let count = (rent_request.count as usize).min(self.cloud.capacity.saturating_sub(existing));
         if count == 0 {
             return None;
         }
@@ -58,11 +104,12 @@
         for _ in 0..count {
             self.cloud.rented_count += 1;
             let id = format!("host-{:06}", self.cloud.rented_count);
-            let boot_delay_ms = if now < self.cloud.fast_boots_until {
+            let boot_delay_ms = if now < self.cloud.no_boots_until {
+                NEVER_MS
+            } else if now < self.cloud.fast_boots_until {
                 self.rng.random_range(200..2000)
             } else if self.rng.random_bool(0.02) {
-                // This machine never boots.
-                u64::MAX / 2
+                NEVER_MS
             } else {
                 self.rng.random_range(2400..6400)
             };
@@ -79,6 +126,18 @@
         Some(names)
     }
 
+    /// Releases machines; returns the HTTP status.
+    fn release(&mut self, names: &[String]) -> u16 {
+        let now = self.ms();
+        let status = if names.len() > MAX_RELEASED_NAMES { 400 } else { 200 };
+        self.trace.push(format!("{now:>7} release of {} machines -> {status}", names.len()));
+        self.cloud.release_statuses.push(status);
+        if status == 200 && !matches!(self.defect, Defect::ReleasesIgnored | Defect::LeasesIgnored) {
+            names.iter().for_each(|id| self.remove_machine(id));
+        }
+        status
+    }
+
     fn listed_machines(&self, after: &str) -> Vec<ListedMachine> {
         let now = self.ms();
         let listed_as_of = now.saturating_sub(LIST_LAG_MS);
@@ -101,6 +160,9 @@
 impl Site {
     pub(super) async fn serve_cloud(&self, request: Request) -> (u16, Vec<u8>) {
         let (path, query) = request.path.split_once('?').unwrap_or((&request.path, ""));
+        if !self.lock().cloud.admits_call(self.ms()) {
+            return (429, wire::encode(&wire::ErrorBody { error: "too many requests".into() }));
+        }
         let malformed = || (400, wire::encode(&"malformed"));
         match (request.method.as_str(), path) {
             ("GET", "/machine_types") => (200, wire::encode(&MachineTypes { types: machine_types() })),
@@ -117,13 +179,10 @@
                 Err(_) => malformed(),
             },
             _ => match wire::decode::<MachineNames>(&request.body) {
-                Ok(names) => {
-                    let mut simulation = self.lock();
-                    if !matches!(simulation.defect, Defect::ReleasesIgnored | Defect::LeasesIgnored) {
-                        names.machines.iter().for_each(|id| simulation.remove_machine(id));
-                    }
-                    (200, wire::encode(&serde_json::json!({})))
-                }
+                Ok(names) => match self.lock().release(&names.machines) {
+                    200 => (200, wire::encode(&serde_json::json!({}))),
+                    status => (status, wire::encode(&wire::ErrorBody { error: "refused".into() })),
+                },
                 Err(_) => malformed(),
             },
         }
--- a/crates/daemon/tests/unit/fault_days/controllers.rs
+++ b/crates/daemon/tests/unit/fault_days/controllers.rs
@@ -6,6 +6,7 @@
 use net::Client;
 use tokio::time::{sleep, timeout};
 
+use super::cloud::RPS as CLOUD_RPS;
 use super::key_value_store::{RPS, WRITE_RPS};
 use super::machines::{CANCEL_MS, GANG_PEER_MS, GANG_WAIT_MS, HEARTBEAT_INTERVAL_MS, LEASE_MS};
 use super::network::{CLOUD_ADDRESS, STORE_ADDRESS, controller_transport, peer_address};
@@ -50,7 +51,7 @@
         [external]\ncloud = \"{CLOUD_ADDRESS}\"\nstate = \"{STORE_ADDRESS}\"\n[facts]\n{}{}
         [facts.workers]\nreport_s = {:.1}\nlease_s = {:.1}\ngang_wait_s = {:.1}\ngang_peer_s = {:.1}\ncancel_s = {:.1}
         [facts.state]\nrps = {RPS:.1}\nwrite_rps = {WRITE_RPS:.1}\nvalue_kb = 8.0\ntxn_ops = 16
-        [facts.cloud]\nrps = 5.0\nlist_lag_s = {:.1}
+        [facts.cloud]\nrps = {CLOUD_RPS:.1}\nlist_lag_s = {:.1}
         [facts.limits]\ncores = 1.0\nmemory_mb = 100.0\nmax_connections = 1800\n",
         zone(n),
         peer_address(n),
--- a/crates/daemon/tests/unit/fault_days/mod.rs
+++ b/crates/daemon/tests/unit/fault_days/mod.rs
@@ -17,6 +17,7 @@
 mod key_value_store;
 mod machines;
 mod network;
+mod overdue_machines;
 mod single_job;
 mod tests;
 mod users;
--- /dev/null
+++ b/crates/daemon/tests/unit/fault_days/overdue_machines.rs
@@ -0,0 +1,89 @@
+//! Machines that are requested while none comes up, in greater numbers than one call releases.
+
+use super::cloud::MAX_RELEASED_NAMES;
+use super::single_job::*;
+use super::*;
+
+/// Machines that are requested until then never come up.
+const NO_BOOTS_UNTIL_MS: u64 = 10_000;
+/// After the boot timeout of the machine types of the tests, 27 s.
+const OVERDUE_AT_MS: u64 = 40_000;
+/// More machines than one call releases.
+const MACHINES: u32 = 150;
+/// The number of a job that is an array.
+const ARRAY: u64 = 45;
+
+/// A job each of whose tasks needs a machine of its own.
+fn job_on(machines: u32) -> wire::JobSpec {
+    wire::JobSpec {
+        team: "t".into(),
+        tasks: machines,
+        cpus: 4.0,
+        types: Some(vec!["m".into()]),
+        ..users::spec(ARRAY)
+    }
+}
+
+/// A site with capacity for a job on so many machines, where none comes up at first.
+fn without_boots(simulation: &mut Simulation, machines: u32) {
+    simulation.team_t_max_cpus = f64::from(machines) * 4.0;
+    simulation.cloud.capacity = machines as usize;
+    simulation.cloud.no_boots_until = NO_BOOTS_UNTIL_MS;
+}
+
+impl Simulation {
+    /// Machines that have been requested and not released.
+    fn existing_machines(&self) -> impl Iterator<Item = (&String, &Machine)> {
+        self.machines.iter().filter(|(_, machine)| machine.gone_at.is_none())
+    }
+
+    /// The existing machines that were requested before then.
+    fn requested_before(&self, at: u64) -> usize {
+        self.existing_machines().filter(|(_, machine)| machine.rented_at < at).count()
+    }
+}
+
+/// All overdue machines were released in one call, which the cloud refuses if it names more than
+/// 100, and no machine was requested in their place.
+#[test]
+fn more_overdue_machines_than_one_call_takes_are_released_and_replaced() {
+    for restart in [Restart::None, Restart::Leader, Restart::All] {
+        let set_up = |simulation: &mut Simulation| without_boots(simulation, MACHINES);
+        on_empty_site(set_up, async |site| {
+            let id = site.submit_spec(job_on(MACHINES)).await;
+            site.advance(NO_BOOTS_UNTIL_MS).await;
+            assert!(site.lock().requested_before(NO_BOOTS_UNTIL_MS) > MAX_RELEASED_NAMES);
+            site.restart(restart).await;
+            let is_served = site.advance_until(OVERDUE_AT_MS + MAX_WAIT_MS, |s| s.is_served(&id)).await;
+            assert_served(&site, is_served, &format!("restart of {restart:?}"));
+            let simulation = site.lock();
+            assert_eq!(simulation.requested_before(NO_BOOTS_UNTIL_MS), 0, "machines that never came up");
+            assert!(!simulation.cloud.release_statuses.contains(&400), "releases with too many names");
+        });
+    }
+}
+
+/// With 4,000 overdue machines, releases and new requests share the cloud's rate limit.
+#[test]
+fn thousands_of_overdue_machines_are_released_and_replaced_within_the_longest_wait() {
+    const MACHINES: u32 = 4000;
+    /// On demand and spot, in two zones.
+    const OFFERS: u32 = 4;
+    const BOOT_TIMEOUT_MS: u64 = 27_000;
+    let set_up = |simulation: &mut Simulation| {
+        without_boots(simulation, MACHINES);
+        simulation.cloud.capacity = (MACHINES / OFFERS) as usize;
+        simulation.cloud.no_boots_until = u64::MAX;
+    };
+    on_empty_site(set_up, async |site| {
+        site.submit_spec(wire::JobSpec { spot: true, ..job_on(MACHINES) }).await;
+        let all_requested = |s: &Simulation| s.cloud.rented_count as u32 == MACHINES;
+        assert!(site.advance_until(BOOT_TIMEOUT_MS, all_requested).await, "machines are requested");
+        let requested_at = site.ms();
+        let until = requested_at + BOOT_TIMEOUT_MS + MAX_WAIT_MS;
+        let is_replaced = |s: &Simulation| {
+            s.requested_before(requested_at) == 0 && s.existing_machines().count() as u32 == MACHINES
+        };
+        assert!(site.advance_until(until, is_replaced).await, "machines are released and replaced");
+    });
+}
