Overdue machines no longer count as capacity to come

What callers saw: jobs stayed queued for as long as the cloud did not confirm the release of the machines that had been requested for them and never came up.

Cause: a requested machine counted as capacity until its scale-out left the fleet's record, which needs a confirmed release; a listed machine without a record and a scale-out counted for as long as it was listed.

Why it works: `machines_to_come` and the listed capacity leave out what is past its boot timeout, by the same rule that makes a machine a candidate for release. A request without an answer counts as long as its record is kept.

--- a/crates/daemon/src/autoscaler/expected_capacity.rs
+++ b/crates/daemon/src/autoscaler/expected_capacity.rs
@@ -7,24 +7,21 @@
 use wire::MachineStatus;
 
 use super::Autoscaler;
+use super::boot_timeout::is_overdue;
 use super::machine_offers::offer_of_scale_out;
 use crate::state::ControllerState;
 
 impl Autoscaler {
     /// All usable capacity: that of requested machines that are not up yet, that of machines that
-    /// the cloud lists but that have not registered, and the free capacity of machines that are up.
-    pub(super) fn expected_capacity(&self, state: &ControllerState) -> Vec<ExpectedCapacity> {
+    /// the cloud lists but that have not registered, both unless they are overdue, and the free
+    /// capacity of machines that are up.
+    pub(super) fn expected_capacity(&self, state: &ControllerState, now_ms: u64) -> Vec<ExpectedCapacity> {
         let replica = &state.records.replica;
         let mut expected = Vec::with_capacity(state.scheduling.inventory.slots.len());
         let mut requested: HashSet<&Name> = HashSet::default();
         for scale_out in replica.fleet.iter().flat_map(|fleet| fleet.value.scale_outs.iter()) {
-            let count = match &scale_out.machines {
-                Some(machines) => {
-                    requested.extend(machines);
-                    machines.iter().filter(|machine| !replica.machines.contains_key(*machine)).count()
-                }
-                None => scale_out.count as usize,
-            };
+            requested.extend(scale_out.machines.iter().flatten());
+            let count = self.machines_to_come(replica, scale_out, now_ms);
             let machine = capacity_of_new_machine(replica, offer_of_scale_out(scale_out));
             expected.extend(std::iter::repeat_n(machine, count));
         }
@@ -41,7 +38,7 @@
     }
 
     /// The capacity of machines that the cloud lists, except machines that have a record, belong to
-    /// a scale-out, have been released or have failed.
+    /// a scale-out, have been released, have failed or are overdue.
     fn listed_capacity<'a>(
         &'a self,
         replica: &'a Replica,
@@ -51,7 +48,8 @@
         self.listing.machines().iter().filter_map(move |(id, machine)| {
             let is_known =
                 recorded.get(id).is_some() || requested.contains(id) || self.released.contains_key(id);
-            if is_known || machine.status == MachineStatus::Failed {
+            let is_overdue = is_overdue(replica, &machine.machine_type, self.listed_age_s(machine));
+            if is_known || is_overdue || machine.status == MachineStatus::Failed {
                 return None;
             }
             let offer = MachineOffer {
--- a/crates/daemon/src/autoscaler/release_candidates.rs
+++ b/crates/daemon/src/autoscaler/release_candidates.rs
@@ -144,7 +144,6 @@
         let scale_outs = replica.fleet.iter().flat_map(|fleet| fleet.value.scale_outs.iter());
         let requested: HashSet<&Name> =
             scale_outs.filter_map(|scale_out| scale_out.machines.as_ref()).flatten().collect();
-        let listing_age_s = self.listing.age_s();
         let mut recorded = SortedLookup::new(&replica.machines);
         let mut lost = Vec::new();
         for (id, machine) in self.listing.machines() {
@@ -155,7 +154,7 @@
             }
             let reason = if has_failed {
                 ReleaseReason::Failed
-            } else if !requested.contains(id) && self.is_overdue(replica, id, machine, listing_age_s) {
+            } else if !requested.contains(id) && self.should_have_registered(replica, id, machine) {
                 ReleaseReason::NeverRegistered
             } else {
                 continue;
@@ -166,10 +165,9 @@
     }
 
     /// Whether a listed machine should have registered by now.
-    fn is_overdue(&self, replica: &Replica, id: &Name, machine: &ListedMachine, listing_age_s: f64) -> bool {
+    fn should_have_registered(&self, replica: &Replica, id: &Name, machine: &ListedMachine) -> bool {
         let boot_s = usual_boot_s(replica, &machine.machine_type);
-        let age_s = machine.age_s + listing_age_s;
-        age_s > boot_s * REGISTRATION_TIMEOUT_FACTOR + REGISTRATION_TIMEOUT_EXTRA_S
+        self.listed_age_s(machine) > boot_s * REGISTRATION_TIMEOUT_FACTOR + REGISTRATION_TIMEOUT_EXTRA_S
             && self.listing.listed_for_s(id) > MIN_LISTED_S
     }
 }
--- a/crates/daemon/src/autoscaler/scale_out_completion.rs
+++ b/crates/daemon/src/autoscaler/scale_out_completion.rs
@@ -8,16 +8,12 @@
 use wire::Condition;
 
 use super::Autoscaler;
-use super::boot_timeout::age_s;
+use super::boot_timeout::may_be_answered;
 use super::leader_write::write_as_leader;
 use crate::clock;
 use crate::controller::{Controller, wall_ms};
 use crate::state::ControllerState;
 
-/// How long a request without an answer stays recorded, in seconds. Machines that the cloud starts
-/// for it later register without the record.
-const MAX_REQUEST_AGE_S: f64 = 30.0;
-
 impl Autoscaler {
     /// Removes the scale-outs that have ended: their machines are all up or released.
     pub(super) async fn complete_scale_outs(&mut self, controller: &Controller) {
@@ -52,7 +48,7 @@
     fn still_pending(&self, replica: &Replica, scale_out: &ScaleOut, now_ms: u64) -> Option<ScaleOut> {
         let mut scale_out = scale_out.clone();
         let Some(machines) = &mut scale_out.machines else {
-            return (age_s(&scale_out, now_ms) <= MAX_REQUEST_AGE_S).then_some(scale_out);
+            return may_be_answered(&scale_out, now_ms).then_some(scale_out);
         };
         machines.retain(|machine| !self.has_come_up_or_is_released(replica, machine));
         (!machines.is_empty()).then_some(scale_out)
--- a/crates/daemon/src/autoscaler/scale_out_plan.rs
+++ b/crates/daemon/src/autoscaler/scale_out_plan.rs
@@ -61,7 +61,7 @@
         }
         plan_scale_out(
             &demands,
-            &self.expected_capacity(state),
+            &self.expected_capacity(state, now_ms),
             &replica.machine_types,
             replica.latest_gpu_job.as_deref(),
             |offer| self.backoffs.is_active(offer, now),
--- a/crates/daemon/tests/unit/fault_days/cloud.rs
+++ b/crates/daemon/tests/unit/fault_days/cloud.rs
@@ -30,6 +30,8 @@
     pub(super) fast_boots_until: u64,
     /// Until then, machines that are requested never boot.
     pub(super) no_boots_until: u64,
+    /// Until then, releases are refused with 503.
+    pub(super) releases_refused_until: u64,
     /// The HTTP status of each call to release machines.
     pub(super) release_statuses: Vec<u16>,
     /// Calls that the rate limit still admits, at most [`BURST_S`] seconds' worth.
@@ -46,6 +48,7 @@
             capacity: CAPACITY,
             fast_boots_until: 0,
             no_boots_until: 0,
+            releases_refused_until: 0,
             release_statuses: Vec::new(),
             rate_budget: RPS * BURST_S,
             refilled_at: 0,
@@ -84,7 +87,7 @@
 }
 
 impl Simulation {
-    fn rent(&mut self, rent_request: &RentRequest) -> Option<Vec<String>> {
+    pub(super) fn rent(&mut self, rent_request: &RentRequest) -> Option<Vec<String>> {
         if let Some(names) = self.cloud.rentals_by_request.get(&rent_request.request) {
             return Some(names.clone());
         }
@@ -129,7 +132,13 @@
     /// Releases machines; returns the HTTP status.
     fn release(&mut self, names: &[String]) -> u16 {
         let now = self.ms();
-        let status = if names.len() > MAX_RELEASED_NAMES { 400 } else { 200 };
+        let status = if now < self.cloud.releases_refused_until {
+            503
+        } else if names.len() > MAX_RELEASED_NAMES {
+            400
+        } else {
+            200
+        };
         self.trace.push(format!("{now:>7} release of {} machines -> {status}", names.len()));
         self.cloud.release_statuses.push(status);
         if status == 200 && !matches!(self.defect, Defect::ReleasesIgnored | Defect::LeasesIgnored) {
--- a/crates/daemon/tests/unit/fault_days/overdue_machines.rs
+++ b/crates/daemon/tests/unit/fault_days/overdue_machines.rs
@@ -87,3 +87,50 @@
         assert!(site.advance_until(until, is_replaced).await, "machines are released and replaced");
     });
 }
+
+/// Overdue machines counted as capacity to come until their release was confirmed, so that nothing
+/// was requested in their place.
+#[test]
+fn overdue_machines_are_replaced_while_the_cloud_refuses_all_releases() {
+    for restart in [Restart::None, Restart::Leader, Restart::All] {
+        let set_up = |simulation: &mut Simulation| {
+            without_boots(simulation, MACHINES);
+            // The machines that are not released take up as much as the job needs.
+            simulation.cloud.capacity *= 2;
+            simulation.cloud.releases_refused_until = u64::MAX;
+        };
+        on_empty_site(set_up, async |site| {
+            let id = site.submit_spec(job_on(MACHINES)).await;
+            site.advance(NO_BOOTS_UNTIL_MS).await;
+            site.restart(restart).await;
+            let is_served = site.advance_until(OVERDUE_AT_MS + MAX_WAIT_MS, |s| s.is_served(&id)).await;
+            assert_served(&site, is_served, &format!("restart of {restart:?}"));
+        });
+    }
+}
+
+/// Listed machines that no request is known of, as after one that was carried out late, counted as
+/// capacity to come for as long as the cloud refused their release.
+#[test]
+fn listed_machines_that_never_register_are_replaced_while_the_cloud_refuses_all_releases() {
+    let set_up = |simulation: &mut Simulation| {
+        without_boots(simulation, MACHINES);
+        simulation.cloud.capacity *= 2;
+        simulation.cloud.releases_refused_until = u64::MAX;
+        for zone in ["a", "b"] {
+            let request = wire::RentRequest {
+                request: format!("late-{zone}"),
+                machine_type: "m".into(),
+                zone: zone.into(),
+                spot: false,
+                count: MACHINES,
+            };
+            simulation.rent(&request);
+        }
+    };
+    on_empty_site(set_up, async |site| {
+        let id = site.submit_spec(job_on(MACHINES)).await;
+        let is_served = site.advance_until(OVERDUE_AT_MS + MAX_WAIT_MS, |s| s.is_served(&id)).await;
+        assert_served(&site, is_served, "listed machines");
+    });
+}
