A release that the cloud refuses is divided, not repeated unchanged

What callers saw: nothing yet. A machine whose release the cloud refuses would have kept all others from being released, and the same call would have been repeated about once a second.

Cause: scale-in treated every unconfirmed release alike: it paused the whole step for 0.7 s and named the same first 100 machines again.

Why it works: `ReleaseBackoff` chooses what the next call names.

--- a/crates/cloud/src/lib.rs
+++ b/crates/cloud/src/lib.rs
@@ -26,6 +26,14 @@
     InvalidResponse(#[from] wire::DecodeError),
 }
 
+impl CloudError {
+    /// Whether the cloud refused the request for its content, so that it would refuse the same
+    /// request again. Not so during an outage or above the rate limit.
+    pub fn is_refusal_of_content(&self) -> bool {
+        matches!(self, Self::Refused(status) if (400..500).contains(status) && *status != 429)
+    }
+}
+
 /// A client of the cloud API.
 #[derive(Clone)]
 pub struct CloudClient {
--- a/crates/daemon/src/autoscaler/mod.rs
+++ b/crates/daemon/src/autoscaler/mod.rs
@@ -13,7 +13,8 @@
 //!
 //! Scale-in: `release_candidates` selects the machines to release, with `owner_reachability` and
 //! `idle_machines`, which keeps what `retry_capacity` asks for; `release_rate` limits how many are
-//! released at a time; `scale_in` releases them, and `removed_machines` updates the records.
+//! released at a time, `release_backoff` what is named again after a call that the cloud did not
+//! confirm; `scale_in` releases them, and `removed_machines` updates the records.
 
 mod boot_timeout;
 mod capacity_backoff;
@@ -28,6 +29,7 @@
 mod machine_offers;
 mod machine_types;
 mod owner_reachability;
+mod release_backoff;
 mod release_candidates;
 mod release_rate;
 mod removed_machines;
@@ -52,6 +54,7 @@
 use self::cluster_log::log_cluster;
 use self::leader_write::write_as_leader;
 use self::machine_types::MachineTypesRefresh;
+use self::release_backoff::ReleaseBackoff;
 use self::retry_capacity::RetryCapacity;
 use crate::chunk_collector::{ChunkCollector, ChunkDeletion};
 use crate::clock;
@@ -87,6 +90,8 @@
     /// When the cloud confirmed the release of each machine. The cloud's list may contain such a
     /// machine for some time; it must not be counted as a new one.
     released: HashMap<Name, Instant>,
+    /// The releases that the cloud did not confirm.
+    release_backoff: ReleaseBackoff,
     /// For each silent machine, the time by which the leases of all its tasks have expired.
     silent_machine_lease_expiry: HashMap<Name, Instant>,
     /// Samples of the demand for GPU tasks, used to forecast its growth.
--- a/crates/daemon/src/autoscaler/scale_in.rs
+++ b/crates/daemon/src/autoscaler/scale_in.rs
@@ -1,15 +1,13 @@
 //! Scale-in: releases machines to the cloud.
 
 use std::collections::BTreeMap;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
-use cloud::MAX_MACHINES_PER_RELEASE;
 use sched::autoscaling::MachineOffer;
 use sched::hash::HashMap;
 use sched::records::{MachineRecord, Name};
 use sched::replica::Replica;
 use store::{KeyWrite, key};
-use tokio::time::sleep;
 use tracing::{debug, info, warn};
 use wire::Condition;
 
@@ -22,9 +20,6 @@
 use crate::load::sample_names;
 use crate::state::ControllerState;
 
-/// Pause after a release that the cloud did not confirm.
-const RELEASE_FAILURE_BACKOFF: Duration = Duration::from_millis(700);
-
 /// A machine to be marked in its record before it is released.
 struct MachineToMark {
     id: Name,
@@ -77,9 +72,10 @@
         if !batch.to_mark.is_empty() && !mark_for_release(controller, &mut batch).await {
             return;
         }
-        batch.ready.truncate(MAX_MACHINES_PER_RELEASE);
-        if !batch.ready.is_empty() {
-            self.release(controller, batch, now).await;
+        self.release_backoff.retain(|id| batch.reasons.contains_key(id));
+        let call = self.release_backoff.next_call(&batch.ready, now);
+        if !call.is_empty() {
+            self.release(controller, call, &batch.reasons, now).await;
         }
     }
 
@@ -130,20 +126,27 @@
         batch
     }
 
-    /// Releases the machines that are ready, and records their removal if the cloud confirms it.
-    async fn release(&mut self, controller: &Controller, batch: ReleaseBatch, now: Instant) {
-        let ReleaseBatch { ready, reasons, .. } = batch;
-        if let Err(error) = controller.cloud.release(to_strings(&ready)).await {
-            warn!(%error, count = ready.len(), "the cloud did not confirm the release of machines");
-            sleep(RELEASE_FAILURE_BACKOFF).await;
+    /// Releases machines in one call, and records their removal if the cloud confirms it.
+    async fn release(
+        &mut self,
+        controller: &Controller,
+        machines: Vec<Name>,
+        reasons: &HashMap<Name, ReleaseReason>,
+        now: Instant,
+    ) {
+        if let Err(error) = controller.cloud.release(to_strings(&machines)).await {
+            let (count, names) = (machines.len(), sample_names(&machines));
+            warn!(%error, count, machines = names, "the cloud did not confirm the release of machines");
+            self.release_backoff.failed(&machines, &error, clock::now());
             return;
         }
-        log_releases(&ready, &reasons);
-        for id in &ready {
+        self.release_backoff.confirmed(&machines, clock::now());
+        log_releases(&machines, reasons);
+        for id in &machines {
             let is_overdue = reasons.get(id) == Some(&ReleaseReason::Overdue);
             self.handle_released(controller, id, is_overdue, now);
         }
-        self.record_removal(controller, ready).await;
+        self.record_removal(controller, machines).await;
     }
 
     /// Remembers a release that the cloud has confirmed, and ends the back-off of the machine's
--- a/crates/daemon/tests/unit/fault_days/cloud.rs
+++ b/crates/daemon/tests/unit/fault_days/cloud.rs
@@ -1,6 +1,6 @@
 //! The simulated cloud: machine types, rentals, releases and a lagging list of machines.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 use net::Request;
 use rand::RngExt;
@@ -32,14 +32,23 @@
     pub(super) no_boots_until: u64,
     /// Until then, releases are refused with 503.
     pub(super) releases_refused_until: u64,
-    /// The HTTP status of each call to release machines.
-    pub(super) release_statuses: Vec<u16>,
+    /// Machines that the cloud cannot release: a call that names one of them gets 400.
+    pub(super) unreleasable: BTreeSet<String>,
+    /// All calls to release machines.
+    pub(super) release_calls: Vec<ReleaseCall>,
     /// Calls that the rate limit still admits, at most [`BURST_S`] seconds' worth.
     rate_budget: f64,
     /// When `rate_budget` was last increased.
     refilled_at: u64,
 }
 
+/// A call to release machines.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct ReleaseCall {
+    pub(super) at: u64,
+    pub(super) status: u16,
+}
+
 impl Default for Cloud {
     fn default() -> Self {
         Self {
@@ -49,7 +58,8 @@
             fast_boots_until: 0,
             no_boots_until: 0,
             releases_refused_until: 0,
-            release_statuses: Vec::new(),
+            unreleasable: BTreeSet::new(),
+            release_calls: Vec::new(),
             rate_budget: RPS * BURST_S,
             refilled_at: 0,
         }
@@ -57,6 +67,12 @@
 }
 
 impl Cloud {
+    /// Calls to release machines that were refused in a period, per second.
+    pub(super) fn refused_releases_per_second(&self, from: u64, until: u64) -> f64 {
+        let is_refused = |call: &&ReleaseCall| (from..until).contains(&call.at) && call.status != 200;
+        self.release_calls.iter().filter(is_refused).count() as f64 * 1000.0 / (until - from) as f64
+    }
+
     /// Counts a call; false if it exceeds the rate limit.
     fn admits_call(&mut self, now: u64) -> bool {
         let elapsed_s = (now - self.refilled_at) as f64 / 1000.0;
@@ -134,13 +150,15 @@
         let now = self.ms();
         let status = if now < self.cloud.releases_refused_until {
             503
-        } else if names.len() > MAX_RELEASED_NAMES {
+        } else if names.len() > MAX_RELEASED_NAMES
+            || names.iter().any(|id| self.cloud.unreleasable.contains(id))
+        {
             400
         } else {
             200
         };
         self.trace.push(format!("{now:>7} release of {} machines -> {status}", names.len()));
-        self.cloud.release_statuses.push(status);
+        self.cloud.release_calls.push(ReleaseCall { at: now, status });
         if status == 200 && !matches!(self.defect, Defect::ReleasesIgnored | Defect::LeasesIgnored) {
             names.iter().for_each(|id| self.remove_machine(id));
         }
--- a/crates/daemon/tests/unit/fault_days/overdue_machines.rs
+++ b/crates/daemon/tests/unit/fault_days/overdue_machines.rs
@@ -1,15 +1,19 @@
 //! Machines that are requested while none comes up, in greater numbers than one call releases.
 
-use super::cloud::MAX_RELEASED_NAMES;
+use super::cloud::{self, MAX_RELEASED_NAMES};
 use super::single_job::*;
 use super::*;
 
 /// Machines that are requested until then never come up.
 const NO_BOOTS_UNTIL_MS: u64 = 10_000;
-/// After the boot timeout of the machine types of the tests, 27 s.
-const OVERDUE_AT_MS: u64 = 40_000;
+/// The boot timeout of the machine types of the tests.
+const BOOT_TIMEOUT_MS: u64 = 27_000;
+/// All machines that were requested before [`NO_BOOTS_UNTIL_MS`] are overdue by then.
+const OVERDUE_AT_MS: u64 = NO_BOOTS_UNTIL_MS + BOOT_TIMEOUT_MS + 3000;
 /// More machines than one call releases.
 const MACHINES: u32 = 150;
+/// The share of the cloud's rate limit that repeated releases may take.
+const MAX_RETRY_SHARE: f64 = 0.1;
 /// The number of a job that is an array.
 const ARRAY: u64 = 45;
 
@@ -58,7 +62,10 @@
             assert_served(&site, is_served, &format!("restart of {restart:?}"));
             let simulation = site.lock();
             assert_eq!(simulation.requested_before(NO_BOOTS_UNTIL_MS), 0, "machines that never came up");
-            assert!(!simulation.cloud.release_statuses.contains(&400), "releases with too many names");
+            assert!(
+                simulation.cloud.release_calls.iter().all(|call| call.status != 400),
+                "releases with too many names"
+            );
         });
     }
 }
@@ -69,7 +76,6 @@
     const MACHINES: u32 = 4000;
     /// On demand and spot, in two zones.
     const OFFERS: u32 = 4;
-    const BOOT_TIMEOUT_MS: u64 = 27_000;
     let set_up = |simulation: &mut Simulation| {
         without_boots(simulation, MACHINES);
         simulation.cloud.capacity = (MACHINES / OFFERS) as usize;
@@ -134,3 +140,43 @@
         assert_served(&site, is_served, "listed machines");
     });
 }
+
+/// One machine that the cloud cannot release kept all others of its call, and whatever would have
+/// followed, from being released, and its call was repeated without end.
+#[test]
+fn a_machine_that_the_cloud_refuses_to_release_holds_up_no_other() {
+    const REFUSED: [&str; 2] = ["host-000007", "host-000120"];
+    let set_up = |simulation: &mut Simulation| {
+        without_boots(simulation, MACHINES);
+        simulation.cloud.unreleasable = REFUSED.map(str::to_owned).into();
+    };
+    on_empty_site(set_up, async |site| {
+        let id = site.submit_spec(job_on(MACHINES)).await;
+        let all_but_refused_released =
+            |s: &Simulation| s.is_served(&id) && s.requested_before(NO_BOOTS_UNTIL_MS) == REFUSED.len();
+        let is_served = site.advance_until(OVERDUE_AT_MS + MAX_WAIT_MS, all_but_refused_released).await;
+        assert_served(&site, is_served, "all machines but those that cannot be released");
+        site.advance(OVERDUE_AT_MS + MAX_WAIT_MS - site.ms()).await;
+        let calls = site.lock().cloud.refused_releases_per_second(BOOT_TIMEOUT_MS, site.ms());
+        assert!(calls < MAX_RETRY_SHARE * cloud::RPS, "{calls} refused releases per second");
+    });
+}
+
+/// Releases were repeated about once a second while the cloud refused all.
+#[test]
+fn releases_take_a_small_part_of_the_rate_limit_while_the_cloud_refuses_all() {
+    const REFUSED_UNTIL_MS: u64 = OVERDUE_AT_MS + 60_000;
+    let set_up = |simulation: &mut Simulation| {
+        without_boots(simulation, MACHINES);
+        simulation.cloud.releases_refused_until = REFUSED_UNTIL_MS;
+    };
+    on_empty_site(set_up, async |site| {
+        site.submit_spec(job_on(MACHINES)).await;
+        site.advance(REFUSED_UNTIL_MS - site.ms()).await;
+        let calls = site.lock().cloud.refused_releases_per_second(OVERDUE_AT_MS, REFUSED_UNTIL_MS);
+        assert!(calls < MAX_RETRY_SHARE * cloud::RPS, "{calls} refused releases per second");
+        let all_released = |s: &Simulation| s.requested_before(NO_BOOTS_UNTIL_MS) == 0;
+        let is_released = site.advance_until(REFUSED_UNTIL_MS + MAX_WAIT_MS, all_released).await;
+        assert_served(&site, is_released, "machines whose release had been refused");
+    });
+}
