A failed mark of idle machines no longer holds up other releases

What callers saw: nothing yet. While the marks of idle or drained machines were not committed, silent, failed and overdue machines were not released either.

Cause: the step of scale-in ended there.

Why it works: machines without a committed mark are left out of the step, the others go on to the release. A conflict may also mean that another controller leads, so that is checked before.

--- a/crates/daemon/src/autoscaler/scale_in.rs
+++ b/crates/daemon/src/autoscaler/scale_in.rs
@@ -69,7 +69,8 @@
         self.limit_release_rate(controller, &controller.state(), &mut batch.ready, now);
         batch.put_unrecorded_last(&controller.state().records.replica);
         batch.to_mark.truncate(controller.state_limits().txn_ops);
-        if !batch.to_mark.is_empty() && !mark_for_release(controller, &mut batch).await {
+        mark_for_release(controller, &mut batch).await;
+        if !controller.state().is_leader(&controller.identity) {
             return;
         }
         self.release_backoff.retain(|id| batch.reasons.contains_key(id));
@@ -176,9 +177,13 @@
 }
 
 /// Marks machines in their records so that no more tasks are placed there, and adds those without
-/// tasks to the machines that are ready. Returns whether the marks were committed.
-async fn mark_for_release(controller: &Controller, batch: &mut ReleaseBatch) -> bool {
+/// tasks to the machines that are ready. Machines whose marks are not committed are left out of the
+/// batch; they do not hold up the others.
+async fn mark_for_release(controller: &Controller, batch: &mut ReleaseBatch) {
     let to_mark = std::mem::take(&mut batch.to_mark);
+    if to_mark.is_empty() {
+        return;
+    }
     let condition =
         |machine: &MachineToMark| Condition { key: key::machine(&machine.id), version: machine.version };
     let write = |machine: &MachineToMark| {
@@ -188,7 +193,7 @@
     let conditions = to_mark.iter().map(condition).collect();
     let writes = to_mark.iter().map(write).collect();
     if !write_as_leader(controller, conditions, writes).await {
-        return false;
+        return;
     }
     for MachineToMark { id, reason, .. } in to_mark {
         debug!(machine = &*id, reason = reason.as_str(), "machine marked for release");
@@ -200,7 +205,6 @@
             batch.add_ready(id, reason);
         }
     }
-    true
 }
 
 fn log_releases(released: &[Name], reasons: &HashMap<Name, ReleaseReason>) {
--- a/crates/daemon/tests/unit/fault_days/key_value_store.rs
+++ b/crates/daemon/tests/unit/fault_days/key_value_store.rs
@@ -1,6 +1,6 @@
 //! The simulated key-value store: conditional transactions, leases and its faults.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
 use net::Request;
@@ -10,7 +10,7 @@
 use store::key;
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
-use wire::{Changes, Event, Item, Items, Lease, LeaseRequest, Op, Txn, TxnResponse};
+use wire::{Changes, Condition, Event, Item, Items, Lease, LeaseRequest, Op, Txn, TxnResponse};
 
 use super::{Defect, Simulation, Site};
 
@@ -37,6 +37,8 @@
     pub(super) refused_until: HashMap<usize, u64>,
     pub(super) slow_until: u64,
     pub(super) delayed_writes: DelayedWrites,
+    /// Keys on which every transaction conflicts, as if another writer were always faster.
+    pub(super) contended: BTreeSet<String>,
     /// Token buckets of requests and of write operations, with room for one second's worth.
     rate_budget: (f64, f64),
     /// When the token buckets were last refilled.
@@ -64,6 +66,7 @@
             refused_until: HashMap::new(),
             slow_until: 0,
             delayed_writes: DelayedWrites::default(),
+            contended: BTreeSet::new(),
             rate_budget: (RPS, WRITE_RPS),
             refilled_at: 0,
         }
@@ -139,8 +142,8 @@
 
     fn txn(&mut self, txn: &Txn<Value>) -> (u16, Vec<u8>) {
         let version = |k: &str| self.keys.get(k).map_or(0, |e| e.version);
-        let failed: Vec<String> =
-            txn.conditions.iter().filter(|c| version(&c.key) != c.version).map(|c| c.key.clone()).collect();
+        let conflicts = |c: &&Condition| version(&c.key) != c.version || self.contended.contains(&c.key);
+        let failed: Vec<String> = txn.conditions.iter().filter(conflicts).map(|c| c.key.clone()).collect();
         let names_unknown_lease =
             |op: &Op<Value>| matches!(op, Op::Put { lease: Some(l), .. } if !self.leases.contains_key(l));
         if txn.ops.iter().any(names_unknown_lease) {
--- a/crates/daemon/tests/unit/fault_days/overdue_machines.rs
+++ b/crates/daemon/tests/unit/fault_days/overdue_machines.rs
@@ -17,6 +17,9 @@
 /// The number of a job that is an array.
 const ARRAY: u64 = 45;
 
+/// The number of a job with a single task.
+const SINGLE_TASK: u64 = 54;
+
 /// A job each of whose tasks needs a machine of its own.
 fn job_on(machines: u32) -> wire::JobSpec {
     wire::JobSpec {
@@ -180,3 +183,33 @@
         assert_served(&site, is_released, "machines whose release had been refused");
     });
 }
+
+/// While an idle machine could not be marked for release, no other machine was released either.
+#[test]
+fn overdue_machines_are_released_while_an_idle_machine_cannot_be_marked() {
+    let set_up = |simulation: &mut Simulation| {
+        without_boots(simulation, MACHINES);
+        simulation.cloud.no_boots_until = 0;
+    };
+    on_empty_site(set_up, async |site| {
+        let first = wire::JobSpec { types: Some(vec!["l".into()]), ..users::spec(SINGLE_TASK) };
+        let first = site.submit_spec(first).await;
+        assert!(site.advance_until(MAX_WAIT_MS, |s| s.is_done(&first)).await, "the first job is done");
+        let without_boots_from = {
+            let mut simulation = site.lock();
+            let idle: Vec<String> = simulation.existing_machines().map(|(id, _)| id.clone()).collect();
+            simulation.store.contended = idle.iter().map(|id| store::key::machine(id)).collect();
+            simulation.cloud.no_boots_until = u64::MAX;
+            site.ms()
+        };
+        site.submit_spec(job_on(MACHINES)).await;
+        site.advance(NO_BOOTS_UNTIL_MS).await;
+        let requested_at = without_boots_from..site.ms();
+        let is_released = |s: &Simulation| {
+            !s.existing_machines().any(|(_, machine)| requested_at.contains(&machine.rented_at))
+        };
+        assert!(!is_released(&site.lock()), "machines are requested");
+        let until = site.ms() + BOOT_TIMEOUT_MS + MAX_WAIT_MS;
+        assert_served(&site, site.advance_until(until, is_released).await, "overdue machines");
+    });
+}
