An offer that the cloud refuses no longer keeps others from being requested

What callers saw: nothing yet. With requests for one machine type and zone refused for their content, no machine of any offer was requested, and jobs that could have run elsewhere stayed queued.

Cause: `send_requests` took every failure but missing capacity for a failure of the cloud. It sent none of the step's other requests, and the next step began with the same request.

Evidence: `an_offer_that_the_cloud_refuses_holds_up_no_other` failed before the change (requests for zone a get 400; a job that zone b has machines for was not served at 90 s).

Why it works: a refusal of the content concerns the offer, as missing capacity does. It starts the offer's back-off, and the other requests go out. It is logged as a warning.

--- a/crates/daemon/src/autoscaler/capacity_backoff.rs
+++ b/crates/daemon/src/autoscaler/capacity_backoff.rs
@@ -1,4 +1,4 @@
-//! Back-off for offers that the cloud has no capacity for.
+//! Back-off for offers that the cloud has no capacity for or refuses.
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -19,7 +19,7 @@
     duration: Duration,
 }
 
-/// Offers that the cloud had no capacity for. An entry outlives its back-off, until machines of the
+/// Offers that the cloud had no capacity for, or refused. An entry outlives its back-off, until machines of the
 /// offer are granted or released, so that the next back-off is longer.
 #[derive(Debug, Default)]
 pub struct CapacityBackoffs {
@@ -32,7 +32,7 @@
         self.offers.get(offer).is_some_and(|backoff| now < backoff.ends_at)
     }
 
-    /// Starts a back-off because the cloud has no capacity for the offer.
+    /// Starts a back-off because the cloud has no capacity for the offer, or refuses it.
     pub fn start(&mut self, offer: MachineOffer, now: Instant) {
         let previous = self.offers.get(&offer);
         let duration =
--- a/crates/daemon/src/autoscaler/mod.rs
+++ b/crates/daemon/src/autoscaler/mod.rs
@@ -81,7 +81,8 @@
     listing: CloudListing,
     /// Keeps the record of the machine types up to date.
     machine_types: MachineTypesRefresh,
-    /// Offers that are not requested for now because the cloud has no capacity for them.
+    /// Offers that are not requested for now because the cloud has no capacity for them or refuses
+    /// them.
     backoffs: CapacityBackoffs,
     /// When the state of the cluster was last logged.
     cluster_logged_at: Option<Instant>,
--- a/crates/daemon/src/autoscaler/scale_out.rs
+++ b/crates/daemon/src/autoscaler/scale_out.rs
@@ -6,7 +6,7 @@
 use sched::autoscaling::MachineOffer;
 use sched::records::{Name, ScaleOut};
 use tokio::time::sleep;
-use tracing::{debug, info};
+use tracing::{debug, info, warn};
 use wire::RentRequest;
 
 use super::Autoscaler;
@@ -25,7 +25,7 @@
 const MAX_REQUEST_RETRIES: usize = 2;
 /// Pause before a request is retried.
 const REQUEST_RETRY_BACKOFF: Duration = Duration::from_millis(500);
-/// Pause after a request that failed for another reason than missing capacity.
+/// Pause after a request that failed for another reason than its offer.
 const REQUEST_FAILURE_BACKOFF: Duration = Duration::from_secs(1);
 
 /// The number of machines to request of an offer.
@@ -102,7 +102,7 @@
             match self.send_request(controller, request, now).await {
                 Ok(machines) => results.push(result(Some(machines))),
                 Err(error) => {
-                    cloud_failed = !matches!(error, CloudError::NoCapacity);
+                    cloud_failed = !concerns_offer(&error);
                     if !matches!(error, CloudError::Network(_) | CloudError::InvalidResponse(_)) {
                         results.push(result(None));
                     }
@@ -154,8 +154,12 @@
 
     async fn handle_failure(&mut self, scale_out: &ScaleOut, error: &CloudError, now: Instant) {
         let ScaleOut { request, machine_type, zone, spot, .. } = scale_out;
-        debug!(request, kind = &**machine_type, zone = &**zone, spot, %error, "scale-out request failed");
-        if matches!(error, CloudError::NoCapacity) {
+        if error.is_refusal_of_content() {
+            warn!(request, kind = &**machine_type, zone = &**zone, spot, %error, "scale-out request refused");
+        } else {
+            debug!(request, kind = &**machine_type, zone = &**zone, spot, %error, "scale-out request failed");
+        }
+        if concerns_offer(error) {
             self.backoffs.start(offer_of_scale_out(scale_out), now);
         } else {
             sleep(REQUEST_FAILURE_BACKOFF).await;
@@ -163,6 +167,11 @@
     }
 }
 
+/// Whether a request failed because of its offer: others may be granted.
+fn concerns_offer(error: &CloudError) -> bool {
+    matches!(error, CloudError::NoCapacity) || error.is_refusal_of_content()
+}
+
 /// Counts the planned machines by offer, at most [`MAX_MACHINES_PER_RENTAL`] each. Offers keep the order in which
 /// they first occur.
 fn count_by_offer(planned: Vec<MachineOffer>) -> Vec<OfferCount> {
--- a/crates/daemon/tests/unit/fault_days/cloud.rs
+++ b/crates/daemon/tests/unit/fault_days/cloud.rs
@@ -34,6 +34,10 @@
     pub(super) releases_refused_until: u64,
     /// Machines that the cloud cannot release: a call that names one of them gets 400.
     pub(super) unreleasable: BTreeSet<String>,
+    /// A zone whose machines the cloud no longer offers: requests get 400.
+    pub(super) refused_zone: Option<&'static str>,
+    /// The number of these requests.
+    pub(super) refused_requests: usize,
     /// All calls to release machines.
     pub(super) release_calls: Vec<ReleaseCall>,
     /// Calls that the rate limit still admits, at most [`BURST_S`] seconds' worth.
@@ -59,6 +63,8 @@
             no_boots_until: 0,
             releases_refused_until: 0,
             unreleasable: BTreeSet::new(),
+            refused_zone: None,
+            refused_requests: 0,
             release_calls: Vec::new(),
             rate_budget: RPS * BURST_S,
             refilled_at: 0,
@@ -145,6 +151,13 @@
         Some(names)
     }
 
+    /// Whether the cloud refuses a request for machines for its content.
+    fn refuses_request(&mut self, request: &RentRequest) -> bool {
+        let is_refused = self.cloud.refused_zone.is_some_and(|zone| zone == request.zone);
+        self.cloud.refused_requests += usize::from(is_refused);
+        is_refused
+    }
+
     /// Releases machines; returns the HTTP status.
     fn release(&mut self, names: &[String]) -> u16 {
         let now = self.ms();
@@ -199,6 +212,7 @@
                 (200, wire::encode(&MachineList { machines, has_more: false }))
             }
             (_, "/machines") => match wire::decode::<RentRequest>(&request.body) {
+                Ok(rent_request) if self.lock().refuses_request(&rent_request) => malformed(),
                 Ok(rent_request) => match self.lock().rent(&rent_request) {
                     Some(machines) => (200, wire::encode(&MachineNames { machines })),
                     None => (503, wire::encode(&wire::ErrorBody { error: "no capacity".into() })),
--- a/crates/daemon/tests/unit/fault_days/mod.rs
+++ b/crates/daemon/tests/unit/fault_days/mod.rs
@@ -18,6 +18,7 @@
 mod machines;
 mod network;
 mod overdue_machines;
+mod refused_requests;
 mod single_job;
 mod tests;
 mod users;
