Machines that come up during an outage of the store are not overdue

What callers saw: jobs that waited for machines at the start of an outage of the key-value store that is longer than the boot timeout waited for a second boot after it.

Cause: a machine without a record at its boot timeout was overdue. None registers during an outage, and the autoscaler's first step after it comes before the machines' next heartbeats.

Why it works: a machine that the cloud lists as running is up. It has until its registration timeout, as a listed machine that no scale-out names, and at least 30 s during which the store is available. One that the list shows as starting, or not yet, is overdue at its boot timeout as before.

--- a/crates/daemon/src/autoscaler/expected_capacity.rs
+++ b/crates/daemon/src/autoscaler/expected_capacity.rs
@@ -7,7 +7,6 @@
 use wire::MachineStatus;
 
 use super::Autoscaler;
-use super::boot_timeout::is_overdue;
 use super::machine_offers::offer_of_scale_out;
 use crate::state::ControllerState;
 
@@ -48,8 +47,10 @@
         self.listing.machines().iter().filter_map(move |(id, machine)| {
             let is_known =
                 recorded.get(id).is_some() || requested.contains(id) || self.released.contains_key(id);
-            let is_overdue = is_overdue(replica, &machine.machine_type, self.listed_age_s(machine));
-            if is_known || is_overdue || machine.status == MachineStatus::Failed {
+            if is_known
+                || machine.status == MachineStatus::Failed
+                || self.is_listed_machine_overdue(replica, machine)
+            {
                 return None;
             }
             let offer = MachineOffer {
--- a/crates/daemon/src/autoscaler/mod.rs
+++ b/crates/daemon/src/autoscaler/mod.rs
@@ -91,6 +91,8 @@
     /// When the cloud confirmed the release of each machine. The cloud's list may contain such a
     /// machine for some time; it must not be counted as a new one.
     released: HashMap<Name, Instant>,
+    /// Since when the replica has been fresh without interruption; `None` while it is not.
+    store_available_since: Option<Instant>,
     /// The releases that the cloud did not confirm.
     release_backoff: ReleaseBackoff,
     /// For each silent machine, the time by which the leases of all its tasks have expired.
@@ -132,6 +134,7 @@
 
     /// Runs every task that is due once. Returns how long the planning of the scale-out took.
     async fn step(&mut self, controller: &Controller) -> Duration {
+        self.note_store_availability(&controller.state());
         self.machine_types.refresh_if_due(controller).await;
         self.advance_listing(controller).await;
         self.log_cluster_if_due(controller);
--- a/crates/daemon/src/autoscaler/release_candidates.rs
+++ b/crates/daemon/src/autoscaler/release_candidates.rs
@@ -5,22 +5,17 @@
 use sched::hash::HashSet;
 use sched::records::Name;
 use sched::replica::{Replica, SortedLookup};
-use wire::{ListedMachine, MachineStatus};
+use wire::MachineStatus;
 
 use super::Autoscaler;
-use super::boot_timeout::usual_boot_s;
 use super::idle_machines::IdleRetention;
 use super::owner_reachability::SilenceLimits;
 use crate::controller::{Controller, wall_ms};
 use crate::drains;
 use crate::state::{ControllerState, MachineHealth, MachineView};
 
-/// A listed machine that belongs to no scale-out counts as one that will never register once its
-/// age exceeds this many times its type's usual boot time …
-const REGISTRATION_TIMEOUT_FACTOR: f64 = 4.0;
-/// … plus this many seconds …
-const REGISTRATION_TIMEOUT_EXTRA_S: f64 = 30.0;
-/// … and once this leader has seen it on the cloud's list for longer than this many seconds.
+/// A listed machine that belongs to no scale-out is released only if this leader has seen it on the
+/// cloud's list for longer than this many seconds.
 const MIN_LISTED_S: f64 = 30.0;
 
 /// Why a machine is released.
@@ -154,7 +149,10 @@
             }
             let reason = if has_failed {
                 ReleaseReason::Failed
-            } else if !requested.contains(id) && self.should_have_registered(replica, id, machine) {
+            } else if !requested.contains(id)
+                && self.listing.listed_for_s(id) > MIN_LISTED_S
+                && self.should_have_registered(replica, machine)
+            {
                 ReleaseReason::NeverRegistered
             } else {
                 continue;
@@ -163,13 +161,6 @@
         }
         lost
     }
-
-    /// Whether a listed machine should have registered by now.
-    fn should_have_registered(&self, replica: &Replica, id: &Name, machine: &ListedMachine) -> bool {
-        let boot_s = usual_boot_s(replica, &machine.machine_type);
-        self.listed_age_s(machine) > boot_s * REGISTRATION_TIMEOUT_FACTOR + REGISTRATION_TIMEOUT_EXTRA_S
-            && self.listing.listed_for_s(id) > MIN_LISTED_S
-    }
 }
 
 /// The drained machines, which are released as soon as they have no tasks. None while a controller
--- a/crates/daemon/tests/unit/fault_days/overdue_machines.rs
+++ b/crates/daemon/tests/unit/fault_days/overdue_machines.rs
@@ -213,3 +213,26 @@
         assert_served(&site, site.advance_until(until, is_released).await, "overdue machines");
     });
 }
+
+/// After an outage of the key-value store that was longer than the boot timeout, machines that had
+/// come up meanwhile were released before they could register.
+#[test]
+fn machines_that_come_up_during_an_outage_of_the_key_value_store_are_kept() {
+    const OUTAGE_MS: u64 = BOOT_TIMEOUT_MS * 2;
+    let set_up = |simulation: &mut Simulation| {
+        without_boots(simulation, MACHINES);
+        simulation.cloud.no_boots_until = 0;
+    };
+    on_empty_site(set_up, async |site| {
+        let id = site.submit_spec(job_on(MACHINES)).await;
+        let all_requested = |s: &Simulation| s.cloud.rented_count as u32 >= MACHINES;
+        assert!(site.advance_until(NO_BOOTS_UNTIL_MS, all_requested).await, "machines are requested");
+        let outage_ends = site.ms() + OUTAGE_MS;
+        site.lock().store.outage_until = outage_ends;
+        site.advance(OUTAGE_MS).await;
+        let is_served = site.advance_until(outage_ends + MAX_WAIT_MS, |s| s.is_served(&id)).await;
+        assert_served(&site, is_served, "after the outage");
+        let requested_before_outage = site.lock().requested_before(outage_ends);
+        assert_eq!(requested_before_outage as u32, MACHINES, "machines that came up in the outage");
+    });
+}
