Scale-outs leave the fleet's record at their registration timeout

What callers saw: nothing yet. With releases refused for long, the names of machines that never came up would have filled the fleet's record, and no machine could have been requested for any job.

Cause: a scale-out left the record only once all its machines were up or released.

Evidence: `scale_outs_that_cannot_be_released_do_not_fill_the_record_for_good` failed before the change: a record filled with overdue scale-outs did not change any more.

Why it works: machines that have not registered by then are on the cloud's list, from which they are released as never registered, and they do not count as capacity to come.

--- a/crates/daemon/src/autoscaler/boot_timeout.rs
+++ b/crates/daemon/src/autoscaler/boot_timeout.rs
@@ -42,6 +42,17 @@
     scale_out.machines.is_none() && age_s(scale_out, now_ms) <= MAX_REQUEST_AGE_S
 }
 
+/// Whether all machines of a scale-out should have registered by now. Those that have not are on the
+/// cloud's list, which tells which of them are to be released.
+pub fn is_past_registration_timeout(replica: &Replica, scale_out: &ScaleOut, now_ms: u64) -> bool {
+    age_s(scale_out, now_ms) > registration_timeout_s(replica, &scale_out.machine_type)
+}
+
+/// Seconds after its request by which a machine should have registered.
+fn registration_timeout_s(replica: &Replica, machine_type: &str) -> f64 {
+    usual_boot_s(replica, machine_type) * REGISTRATION_TIMEOUT_FACTOR + REGISTRATION_TIMEOUT_EXTRA_S
+}
+
 impl Autoscaler {
     /// Notes whether machines can register: they cannot while the replica is stale because the
     /// key-value store is not available.
@@ -117,8 +128,7 @@
     }
 
     fn is_registration_overdue(&self, replica: &Replica, machine_type: &str, age_s: f64) -> bool {
-        let boot_s = usual_boot_s(replica, machine_type);
-        age_s > boot_s * REGISTRATION_TIMEOUT_FACTOR + REGISTRATION_TIMEOUT_EXTRA_S
+        age_s > registration_timeout_s(replica, machine_type)
             && self.store_available_since.is_some_and(|since| clock::since(since) > MIN_REGISTRATION_TIME)
     }
 
--- a/crates/daemon/src/autoscaler/scale_out_completion.rs
+++ b/crates/daemon/src/autoscaler/scale_out_completion.rs
@@ -8,7 +8,7 @@
 use wire::Condition;
 
 use super::Autoscaler;
-use super::boot_timeout::may_be_answered;
+use super::boot_timeout::{is_past_registration_timeout, may_be_answered};
 use super::leader_write::write_as_leader;
 use crate::clock;
 use crate::controller::{Controller, wall_ms};
@@ -43,14 +43,22 @@
         Some(Versioned { value: FleetRecord { scale_outs, removed_machines }, version: fleet.version })
     }
 
-    /// The scale-out without the machines that are up or released; `None` if none is left, or if the
-    /// request has stayed without an answer for too long.
+    /// The scale-out without the machines that are up or released. `None` if none is left, if the
+    /// request has stayed without an answer for too long, or if its machines should all have
+    /// registered: a record of machines that the cloud does not release would fill up.
     fn still_pending(&self, replica: &Replica, scale_out: &ScaleOut, now_ms: u64) -> Option<ScaleOut> {
-        let mut scale_out = scale_out.clone();
-        let Some(machines) = &mut scale_out.machines else {
-            return may_be_answered(&scale_out, now_ms).then_some(scale_out);
+        let mut pending = scale_out.clone();
+        let Some(machines) = &mut pending.machines else {
+            return may_be_answered(scale_out, now_ms).then_some(pending);
         };
+        if is_past_registration_timeout(replica, scale_out, now_ms) {
+            return None;
+        }
         machines.retain(|machine| !self.has_come_up_or_is_released(replica, machine));
-        (!machines.is_empty()).then_some(scale_out)
+        (!machines.is_empty()).then_some(pending)
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/autoscaler_scale_out_completion.rs"]
+mod tests;
