Tests of failing machines fail again when their fault is put back

`a_job_runs_once_its_machine_no_longer_fails_tasks` and the pipeline's test passed with the fault of `failed-starts-end-demand` put back alone: since a job gets another machine before it counts as one that keeps failing, and one machine failing for 40 s no longer shows it.

Now all machines fail every task for 120 s, so that the retries go on and machines are released as idle between them; the bound, 90 s from the moment they no longer fail, is the same. The first test is named `a_job_runs_once_machines_no_longer_fail_its_tasks`. That a job gets another machine when only its first one fails is held by `a_job_gets_another_machine_when_its_first_one_fails_every_task_without_end`, for longer than 40 s.

--- a/crates/daemon/tests/unit/fault_days/failing_machines.rs
+++ b/crates/daemon/tests/unit/fault_days/failing_machines.rs
@@ -5,6 +5,9 @@
 
 /// When controllers end, in the tests in which they do: after the first failed tasks.
 const CONTROLLERS_END_AT_MS: u64 = 12_000;
+/// Until when all machines fail every task, in the tests in which they do: long enough for jobs to
+/// fail again and again, and for machines to be released as idle during the delay between retries.
+const ALL_FAIL_UNTIL_MS: u64 = 120_000;
 /// More machines than are requested in a test.
 const ALL_MACHINES: u32 = 1000;
 /// Numbers of jobs whose tasks all fit on the first machine: a service of four replicas, a gang of
@@ -41,15 +44,15 @@
 
 /// Jobs that had failed three times got no machine ever again, and theirs was released as idle.
 #[test]
-fn a_job_runs_once_its_machine_no_longer_fails_tasks() {
-    const FAILS_UNTIL_MS: u64 = 40_000;
+fn a_job_runs_once_machines_no_longer_fail_its_tasks() {
     for number in [SERVICE, GANG, ARRAY] {
         for restart in [Restart::None, Restart::Leader, Restart::All] {
-            on_site(FAILS_UNTIL_MS, async |site| {
+            on_site(ALL_FAIL_UNTIL_MS, async |site| {
+                site.lock().fail_tasks_on_first(ALL_MACHINES, ALL_FAIL_UNTIL_MS);
                 let id = site.submit_job(number).await;
                 site.advance(CONTROLLERS_END_AT_MS - site.ms()).await;
                 site.restart(restart).await;
-                let until = FAILS_UNTIL_MS + MAX_WAIT_MS;
+                let until = ALL_FAIL_UNTIL_MS + MAX_WAIT_MS;
                 let is_served = site.advance_until(until, |s| s.is_served(&id)).await;
                 assert_served(&site, is_served, &format!("{id}, restart of {restart:?}"));
             });
@@ -79,9 +82,8 @@
 /// A job that depends on one that had failed three times waited for ever, as that one did.
 #[test]
 fn a_pipeline_goes_on_once_the_machines_of_its_first_job_no_longer_fail_tasks() {
-    const FAILS_UNTIL_MS: u64 = 40_000;
-    on_site(FAILS_UNTIL_MS, async |site| {
-        site.lock().fail_tasks_on_first(ALL_MACHINES, FAILS_UNTIL_MS);
+    on_site(ALL_FAIL_UNTIL_MS, async |site| {
+        site.lock().fail_tasks_on_first(ALL_MACHINES, ALL_FAIL_UNTIL_MS);
         // The jobs suit different machines: those that are kept for one do not help the other.
         let on_type = |name: &str| Some(vec![name.to_owned()]);
         let first = wire::JobSpec { types: on_type("m"), ..users::spec(ARRAY) };
@@ -89,7 +91,7 @@
         let dependencies = Some(vec![first.clone()]);
         let dependent = wire::JobSpec { types: on_type("l"), dependencies, ..users::spec(GANG) };
         let dependent = site.submit_spec(dependent).await;
-        let is_done = site.advance_until(FAILS_UNTIL_MS + MAX_WAIT_MS, |s| s.is_done(&first)).await;
+        let is_done = site.advance_until(ALL_FAIL_UNTIL_MS + MAX_WAIT_MS, |s| s.is_done(&first)).await;
         assert_served(&site, is_done, &first);
         let until = site.ms() + MAX_WAIT_MS;
         let is_served = site.advance_until(until, |s| s.is_served(&dependent)).await;
