autoscaler: what suits a job has a module of its own

`idle_machines` and `retry_capacity` used each other: one reserves what the other asks for, and that needed the first one's test of whether a machine suits a job. The test is now in `machine_suitability`, which both use.

--- a/crates/daemon/src/autoscaler/idle_machines.rs
+++ b/crates/daemon/src/autoscaler/idle_machines.rs
@@ -14,6 +14,7 @@
 use super::Autoscaler;
 use super::headroom::headroom_spec;
 use super::machine_offers::offer_of_machine;
+use super::machine_suitability::{is_allowed_on, suits_machine};
 use super::retry_capacity::RetryCapacity;
 use crate::controller::{Controller, wall_ms};
 use crate::state::{ControllerState, MachineView};
@@ -147,17 +148,3 @@
         .into_iter()
         .collect()
 }
-
-fn is_allowed_on(spec: &JobSpec, machine: &MachineRecord) -> bool {
-    placement::is_allowed(spec, &machine.machine_type, &machine.zone, machine.spot)
-}
-
-/// Whether an empty machine suits a job: a task fits on it, and it has GPUs only if the job uses
-/// some.
-pub fn suits_machine(spec: &JobSpec, machine: &MachineRecord, replica: &Replica) -> bool {
-    is_allowed_on(spec, machine)
-        && replica.machine_types.get(&*machine.machine_type).is_some_and(|machine_type| {
-            Resources::of_task(spec).fits(Resources::of_type(machine_type))
-                && (spec.gpus > 0.0 || machine_type.gpus == 0.0)
-        })
-}
--- a/crates/daemon/src/autoscaler/mod.rs
+++ b/crates/daemon/src/autoscaler/mod.rs
@@ -12,7 +12,8 @@
 //! machines are up or released. `boot_timeout` tells which machines are overdue.
 //!
 //! Scale-in: `release_candidates` selects the machines to release, with `owner_reachability` and
-//! `idle_machines`, which keeps what `retry_capacity` asks for; `release_rate` limits how many are
+//! `idle_machines`, which keeps what `retry_capacity` asks for if `machine_suitability` finds it
+//! suitable; `release_rate` limits how many are
 //! released at a time, `release_backoff` what is named again after a call that the cloud did not
 //! confirm; `scale_in` releases them, and `removed_machines` updates the records.
 
@@ -27,6 +28,7 @@
 mod idle_machines;
 mod leader_write;
 mod machine_offers;
+mod machine_suitability;
 mod machine_types;
 mod owner_reachability;
 mod release_backoff;
--- a/crates/daemon/src/autoscaler/retry_capacity.rs
+++ b/crates/daemon/src/autoscaler/retry_capacity.rs
@@ -6,7 +6,7 @@
 use wire::JobSpec;
 
 use super::demand::JobDemand;
-use super::idle_machines::suits_machine;
+use super::machine_suitability::suits_machine;
 
 /// The capacity for the next retry of a job. It is kept while the job waits out its back-off, but
 /// no more of it: a job that was submitted with a mistake must not keep all machines that suit it.
