Machines that fail while they boot no longer count as capacity to come

What callers saw: jobs waited for a machine that the cloud listed as failed until its boot timeout, unless its release was confirmed.

Cause: machines of a scale-out counted by their age alone; only for listed machines that no scale-out names was the status looked at.

Evidence: `machines_that_fail_while_they_boot_are_replaced_while_the_cloud_refuses_all_releases` failed before the change (nothing requested in place of 150 failed machines before their boot timeout).

Why it works: `is_overdue` decides by the listed status: failed, running or not up yet. It is the one rule for what counts as capacity and for what is released; a failed machine keeps its reason `failed`.

Measured: the test passes, as do the others of `overdue_machines` and `autoscaler`.

--- a/crates/daemon/src/autoscaler/boot_timeout.rs
+++ b/crates/daemon/src/autoscaler/boot_timeout.rs
@@ -112,8 +112,8 @@
         self.is_overdue(replica, &scale_out.machine_type, age_s(scale_out, now_ms), listed)
     }
 
-    /// Whether a machine that was requested `age_s` seconds ago should have come up by now. If the
-    /// cloud lists it as running it has, and it has more time to register.
+    /// Whether a machine that was requested `age_s` seconds ago is not expected to come up any more.
+    /// If the cloud lists it as running it is up, and it has more time to register.
     fn is_overdue(
         &self,
         replica: &Replica,
@@ -121,10 +121,13 @@
         age_s: f64,
         listed: Option<&ListedMachine>,
     ) -> bool {
-        if listed.is_some_and(|machine| machine.status == MachineStatus::Running) {
-            return self.is_registration_overdue(replica, machine_type, age_s);
+        match listed.map(|machine| machine.status) {
+            Some(MachineStatus::Failed) => true,
+            Some(MachineStatus::Running) => self.is_registration_overdue(replica, machine_type, age_s),
+            Some(MachineStatus::Booting) | None => {
+                age_s > usual_boot_s(replica, machine_type) * BOOT_TIMEOUT_FACTOR + BOOT_TIMEOUT_EXTRA_S
+            }
         }
-        age_s > usual_boot_s(replica, machine_type) * BOOT_TIMEOUT_FACTOR + BOOT_TIMEOUT_EXTRA_S
     }
 
     fn is_registration_overdue(&self, replica: &Replica, machine_type: &str, age_s: f64) -> bool {
--- a/crates/daemon/src/autoscaler/expected_capacity.rs
+++ b/crates/daemon/src/autoscaler/expected_capacity.rs
@@ -4,7 +4,6 @@
 use sched::hash::HashSet;
 use sched::records::Name;
 use sched::replica::{Replica, Resources, SortedLookup};
-use wire::MachineStatus;
 
 use super::Autoscaler;
 use super::machine_offers::offer_of_scale_out;
@@ -37,7 +36,7 @@
     }
 
     /// The capacity of machines that the cloud lists, except machines that have a record, belong to
-    /// a scale-out, have been released, have failed or are overdue.
+    /// a scale-out, have been released or are overdue.
     fn listed_capacity<'a>(
         &'a self,
         replica: &'a Replica,
@@ -47,10 +46,7 @@
         self.listing.machines().iter().filter_map(move |(id, machine)| {
             let is_known =
                 recorded.get(id).is_some() || requested.contains(id) || self.released.contains_key(id);
-            if is_known
-                || machine.status == MachineStatus::Failed
-                || self.is_listed_machine_overdue(replica, machine)
-            {
+            if is_known || self.is_listed_machine_overdue(replica, machine) {
                 return None;
             }
             let offer = MachineOffer {
--- a/crates/daemon/src/autoscaler/mod.rs
+++ b/crates/daemon/src/autoscaler/mod.rs
@@ -12,10 +12,10 @@
 //! machines are up or released. `boot_timeout` tells which machines are overdue.
 //!
 //! Scale-in: `release_candidates` selects the machines to release, with `owner_reachability` and
-//! `idle_machines`, which keeps what `retry_capacity` asks for if `machine_suitability` finds it
-//! suitable; `release_rate` limits how many are
-//! released at a time, `release_backoff` what is named again after a call that the cloud did not
-//! confirm; `scale_in` releases them, and `removed_machines` updates the records.
+//! `idle_machines`, which keeps what `retry_capacity` asks for (`machine_suitability` tells what
+//! suits a job); `release_rate` limits how many are released at a time, `release_backoff` what is
+//! named again after a call that the cloud did not confirm; `scale_in` releases them, and
+//! `removed_machines` updates the records.
 
 mod boot_timeout;
 mod capacity_backoff;
--- a/crates/daemon/src/autoscaler/release_candidates.rs
+++ b/crates/daemon/src/autoscaler/release_candidates.rs
@@ -65,8 +65,8 @@
 }
 
 impl Autoscaler {
-    /// The machines to release: first those with a record, sorted by name, then those that the
-    /// cloud lists as failed or that have never registered, then overdue ones. A machine may be in
+    /// The machines to release: first those with a record, sorted by name, then overdue ones, then
+    /// those that the cloud lists as failed or that have never registered. A machine may be in
     /// several parts. The inventory must be up to date.
     pub(crate) fn release_candidates(
         &mut self,
@@ -102,10 +102,10 @@
             candidates.push(ReleaseCandidate { machine: view.id.clone(), reason });
         }
         self.drop_lease_expiry_of_responsive(&candidates);
-        candidates.extend(self.lost_listed_machines(&state.records.replica));
         let overdue = self.overdue_machines(state, now, wall_ms()).into_iter();
         candidates
             .extend(overdue.map(|machine| ReleaseCandidate { machine, reason: ReleaseReason::Overdue }));
+        candidates.extend(self.lost_listed_machines(&state.records.replica));
         candidates
     }
 
--- a/crates/daemon/tests/unit/fault_days/cloud.rs
+++ b/crates/daemon/tests/unit/fault_days/cloud.rs
@@ -34,6 +34,8 @@
     pub(super) releases_refused_until: u64,
     /// Machines that the cloud cannot release: a call that names one of them gets 400.
     pub(super) unreleasable: BTreeSet<String>,
+    /// Machines that are listed as failed.
+    pub(super) failed: BTreeSet<String>,
     /// A zone whose machines the cloud no longer offers: requests get 400.
     pub(super) refused_zone: Option<&'static str>,
     /// The number of these requests.
@@ -63,6 +65,7 @@
             no_boots_until: 0,
             releases_refused_until: 0,
             unreleasable: BTreeSet::new(),
+            failed: BTreeSet::new(),
             refused_zone: None,
             refused_requests: 0,
             release_calls: Vec::new(),
@@ -190,7 +193,11 @@
             machine_type: m.machine_type.clone(),
             zone: m.zone.clone(),
             spot: m.spot,
-            status: if m.up_at <= listed_as_of { MachineStatus::Running } else { MachineStatus::Booting },
+            status: match m.up_at <= listed_as_of {
+                _ if self.cloud.failed.contains(id) => MachineStatus::Failed,
+                true => MachineStatus::Running,
+                false => MachineStatus::Booting,
+            },
             age_s: (listed_as_of - m.rented_at) as f64 / 1000.0,
         };
         machines.map(item).collect()
--- a/crates/daemon/tests/unit/fault_days/overdue_machines.rs
+++ b/crates/daemon/tests/unit/fault_days/overdue_machines.rs
@@ -236,3 +236,25 @@
         assert_eq!(requested_before_outage as u32, MACHINES, "machines that came up in the outage");
     });
 }
+
+/// A machine that failed before it came up counted as capacity to come until its boot timeout,
+/// unless its release was confirmed.
+#[test]
+fn machines_that_fail_while_they_boot_are_replaced_while_the_cloud_refuses_all_releases() {
+    let set_up = |simulation: &mut Simulation| {
+        without_boots(simulation, MACHINES);
+        simulation.cloud.capacity *= 2;
+        simulation.cloud.releases_refused_until = u64::MAX;
+    };
+    on_empty_site(set_up, async |site| {
+        let id = site.submit_spec(job_on(MACHINES)).await;
+        site.advance(NO_BOOTS_UNTIL_MS).await;
+        {
+            let mut simulation = site.lock();
+            let failed = simulation.existing_machines().map(|(id, _)| id.clone()).collect();
+            simulation.cloud.failed = failed;
+        }
+        let is_served = site.advance_until(BOOT_TIMEOUT_MS, |s| s.is_served(&id)).await;
+        assert_served(&site, is_served, "machines that failed");
+    });
+}
