Machines that are up but do not register keep the boot timeout

Now such a machine is overdue at its boot timeout as any other, but not before the store has been available for 30 s. Without an outage or a change of leader nothing differs from before.

--- a/crates/daemon/src/autoscaler/boot_timeout.rs
+++ b/crates/daemon/src/autoscaler/boot_timeout.rs
@@ -14,12 +14,12 @@
 const BOOT_TIMEOUT_FACTOR: f64 = 3.0;
 /// … plus this many seconds.
 const BOOT_TIMEOUT_EXTRA_S: f64 = 15.0;
-/// A machine that is up should have registered after this many times the usual boot time …
+/// A machine should have registered after this many times the usual boot time …
 const REGISTRATION_TIMEOUT_FACTOR: f64 = 4.0;
-/// … plus this many seconds …
+/// … plus this many seconds.
 const REGISTRATION_TIMEOUT_EXTRA_S: f64 = 30.0;
-/// … and once the key-value store has been available for longer than this: no machine registers
-/// during its outages.
+/// How long the key-value store has to be available before a machine that is up counts as one that
+/// does not register: none registers during an outage.
 const MIN_REGISTRATION_TIME: Duration = Duration::from_secs(30);
 /// Boot time assumed for machines of an unknown type, in seconds.
 const DEFAULT_BOOT_S: f64 = 60.0;
@@ -94,7 +94,8 @@
 
     /// Whether a listed machine without a record should have registered by now.
     pub(super) fn should_have_registered(&self, replica: &Replica, machine: &ListedMachine) -> bool {
-        self.is_registration_overdue(replica, &machine.machine_type, self.listed_age_s(machine))
+        self.listed_age_s(machine) > registration_timeout_s(replica, &machine.machine_type)
+            && self.could_register()
     }
 
     /// The granted machines of a scale-out that are neither up nor released.
@@ -113,7 +114,7 @@
     }
 
     /// Whether a machine that was requested `age_s` seconds ago is not expected to come up any more.
-    /// If the cloud lists it as running it is up, and it has more time to register.
+    /// If the cloud lists it as running it is up, and must have had the time to register.
     fn is_overdue(
         &self,
         replica: &Replica,
@@ -121,18 +122,17 @@
         age_s: f64,
         listed: Option<&ListedMachine>,
     ) -> bool {
+        let timeout_s = usual_boot_s(replica, machine_type) * BOOT_TIMEOUT_FACTOR + BOOT_TIMEOUT_EXTRA_S;
         match listed.map(|machine| machine.status) {
             Some(MachineStatus::Failed) => true,
-            Some(MachineStatus::Running) => self.is_registration_overdue(replica, machine_type, age_s),
-            Some(MachineStatus::Booting) | None => {
-                age_s > usual_boot_s(replica, machine_type) * BOOT_TIMEOUT_FACTOR + BOOT_TIMEOUT_EXTRA_S
-            }
+            Some(MachineStatus::Running) => age_s > timeout_s && self.could_register(),
+            Some(MachineStatus::Booting) | None => age_s > timeout_s,
         }
     }
 
-    fn is_registration_overdue(&self, replica: &Replica, machine_type: &str, age_s: f64) -> bool {
-        age_s > registration_timeout_s(replica, machine_type)
-            && self.store_available_since.is_some_and(|since| clock::since(since) > MIN_REGISTRATION_TIME)
+    /// Whether a machine that is up has had the time to register.
+    fn could_register(&self) -> bool {
+        self.store_available_since.is_some_and(|since| clock::since(since) > MIN_REGISTRATION_TIME)
     }
 
     /// Seconds since the request of a listed machine.
--- a/crates/daemon/src/autoscaler/capacity_backoff.rs
+++ b/crates/daemon/src/autoscaler/capacity_backoff.rs
@@ -19,8 +19,8 @@
     duration: Duration,
 }
 
-/// Offers that the cloud had no capacity for, or refused. An entry outlives its back-off, until machines of the
-/// offer are granted or released, so that the next back-off is longer.
+/// Offers that the cloud had no capacity for, or refused. An entry outlives its back-off, until
+/// machines of the offer are granted or released, so that the next back-off is longer.
 #[derive(Debug, Default)]
 pub struct CapacityBackoffs {
     offers: HashMap<MachineOffer, Backoff>,
