Test: the cloud is away when machines become overdue, and all controllers end

150 machines never come up; the cloud answers nothing for a minute from just before they become overdue, and all controllers end and start again in it. The job is served within 90 s of its end and no machine that never came up is left.

--- a/crates/daemon/tests/unit/fault_days/cloud.rs
+++ b/crates/daemon/tests/unit/fault_days/cloud.rs
@@ -30,6 +30,8 @@
     pub(super) fast_boots_until: u64,
     /// Until then, machines that are requested never boot.
     pub(super) no_boots_until: u64,
+    /// Until then, all calls are refused with 503.
+    pub(super) outage_until: u64,
     /// Until then, releases are refused with 503.
     pub(super) releases_refused_until: u64,
     /// Machines that the cloud cannot release: a call that names one of them gets 400.
@@ -63,6 +65,7 @@
             capacity: CAPACITY,
             fast_boots_until: 0,
             no_boots_until: 0,
+            outage_until: 0,
             releases_refused_until: 0,
             unreleasable: BTreeSet::new(),
             failed: BTreeSet::new(),
@@ -207,6 +210,9 @@
 impl Site {
     pub(super) async fn serve_cloud(&self, request: Request) -> (u16, Vec<u8>) {
         let (path, query) = request.path.split_once('?').unwrap_or((&request.path, ""));
+        if self.ms() < self.lock().cloud.outage_until {
+            return (503, wire::encode(&wire::ErrorBody { error: "trouble".into() }));
+        }
         if !self.lock().cloud.admits_call(self.ms()) {
             return (429, wire::encode(&wire::ErrorBody { error: "too many requests".into() }));
         }
--- a/crates/daemon/tests/unit/fault_days/overdue_machines.rs
+++ b/crates/daemon/tests/unit/fault_days/overdue_machines.rs
@@ -258,3 +258,23 @@
         assert_served(&site, is_served, "machines that failed");
     });
 }
+
+/// The cloud is away when the machines become overdue, and all controllers end meanwhile.
+#[test]
+fn overdue_machines_are_replaced_after_an_outage_of_the_cloud_and_a_restart_of_all() {
+    const OUTAGE_STARTS_MS: u64 = BOOT_TIMEOUT_MS - 5000;
+    const OUTAGE_ENDS_MS: u64 = OUTAGE_STARTS_MS + 60_000;
+    on_empty_site(
+        |simulation| without_boots(simulation, MACHINES),
+        async |site| {
+            let id = site.submit_spec(job_on(MACHINES)).await;
+            site.advance(OUTAGE_STARTS_MS - site.ms()).await;
+            site.lock().cloud.outage_until = OUTAGE_ENDS_MS;
+            site.advance(OVERDUE_AT_MS - site.ms()).await;
+            site.restart(Restart::All).await;
+            let is_replaced = |s: &Simulation| s.is_served(&id) && s.requested_before(NO_BOOTS_UNTIL_MS) == 0;
+            let is_served = site.advance_until(OUTAGE_ENDS_MS + MAX_WAIT_MS, is_replaced).await;
+            assert_served(&site, is_served, "after the outage");
+        },
+    );
+}
