Test: machines with a record are released before those that never registered

Guards the order in which names machines in a release: thousands of overdue ones must not delay the release of a lost one, whose tasks wait for it. Fails with the order reversed.

--- a/crates/daemon/tests/unit/autoscaler_scale_in.rs
+++ b/crates/daemon/tests/unit/autoscaler_scale_in.rs
@@ -127,3 +127,22 @@
         "machines that stay silent after the pause are released"
     );
 }
+
+/// Thousands of overdue machines must not delay the release of a lost one, whose tasks wait for it.
+#[test]
+fn machines_with_a_record_are_released_before_those_that_never_registered() {
+    let controller = scale::controller(3, 1);
+    let state = controller.state();
+    let mut batch = ReleaseBatch::default();
+    for (id, reason) in [
+        ("host-999001", ReleaseReason::Overdue),
+        ("host-000002", ReleaseReason::Silent),
+        ("host-999002", ReleaseReason::NeverRegistered),
+        ("host-000001", ReleaseReason::Unhealthy),
+    ] {
+        batch.add_ready(id.into(), reason);
+    }
+    batch.put_unrecorded_last(&state.records.replica);
+    let ready: Vec<&str> = batch.ready.iter().map(|id| &**id).collect();
+    assert_eq!(ready, ["host-000002", "host-000001", "host-999001", "host-999002"]);
+}
