--- a/crates/daemon/tests/unit/fault_days/overdue_machines.rs
+++ b/crates/daemon/tests/unit/fault_days/overdue_machines.rs
@@ -18,7 +18,6 @@
 const MAX_RETRY_SHARE: f64 = 0.1;
 /// The number of a job that is an array.
 const ARRAY: u64 = 45;
-
 /// The number of a job with a single task.
 const SINGLE_TASK: u64 = 54;
 
@@ -40,6 +39,14 @@
     simulation.cloud.no_boots_until = NO_BOOTS_UNTIL_MS;
 }
 
+/// As [`without_boots`], where the cloud releases no machine. Its capacity suffices for the machines
+/// that are left and for as many in their place.
+fn without_boots_and_releases(simulation: &mut Simulation) {
+    without_boots(simulation, MACHINES);
+    simulation.cloud.capacity *= 2;
+    simulation.cloud.releases_refused_until = u64::MAX;
+}
+
 impl Simulation {
     /// Machines that have been requested and not released.
     fn existing_machines(&self) -> impl Iterator<Item = (&String, &Machine)> {
@@ -104,13 +111,7 @@
 #[test]
 fn overdue_machines_are_replaced_while_the_cloud_refuses_all_releases() {
     for restart in [Restart::None, Restart::Leader, Restart::All] {
-        let set_up = |simulation: &mut Simulation| {
-            without_boots(simulation, MACHINES);
-            // The machines that are not released take up as much as the job needs.
-            simulation.cloud.capacity *= 2;
-            simulation.cloud.releases_refused_until = u64::MAX;
-        };
-        on_empty_site(set_up, async |site| {
+        on_empty_site(without_boots_and_releases, async |site| {
             let id = site.submit_spec(job_on(MACHINES)).await;
             site.advance(NO_BOOTS_UNTIL_MS).await;
             site.restart(restart).await;
@@ -126,9 +127,7 @@
 #[test]
 fn listed_machines_that_never_register_are_replaced_while_the_cloud_refuses_all_releases() {
     let set_up = |simulation: &mut Simulation| {
-        without_boots(simulation, MACHINES);
-        simulation.cloud.capacity *= 2;
-        simulation.cloud.releases_refused_until = u64::MAX;
+        without_boots_and_releases(simulation);
         for zone in ["a", "b"] {
             let request = wire::RentRequest {
                 request: format!("late-{zone}"),
@@ -244,12 +243,7 @@
 /// unless its release was confirmed.
 #[test]
 fn machines_that_fail_while_they_boot_are_replaced_while_the_cloud_refuses_all_releases() {
-    let set_up = |simulation: &mut Simulation| {
-        without_boots(simulation, MACHINES);
-        simulation.cloud.capacity *= 2;
-        simulation.cloud.releases_refused_until = u64::MAX;
-    };
-    on_empty_site(set_up, async |site| {
+    on_empty_site(without_boots_and_releases, async |site| {
         let id = site.submit_spec(job_on(MACHINES)).await;
         site.advance(NO_BOOTS_UNTIL_MS).await;
         {
@@ -262,7 +256,8 @@
     });
 }
 
-/// The cloud is away when the machines become overdue, and all controllers end meanwhile.
+/// The cloud is away when the machines become overdue, and all controllers end meanwhile. The next
+/// leader went on with the one call that the cloud refuses.
 #[test]
 fn overdue_machines_are_replaced_after_an_outage_of_the_cloud_and_a_restart_of_all() {
     const OUTAGE_STARTS_MS: u64 = BOOT_TIMEOUT_MS - 5000;
