Log refused requests, and requests that were not read as a whole

A user got 400 for an accepted job, and no line of any controller named the job, the status or the reason. What was kept of the incident does not tell whether the body, the records or the settings led to the answer; only the times of the users' side do.

--- a/crates/daemon/src/api/mod.rs
+++ b/crates/daemon/src/api/mod.rs
@@ -17,6 +17,7 @@
 
 use net::{Reply, Request};
 use tokio::time::timeout;
+use tracing::info;
 use wire::JobStatus;
 
 use crate::clock;
@@ -69,7 +70,9 @@
 
 /// Answers a request of a user or a worker.
 pub async fn serve(controller: Arc<Controller>, request: Request) -> Reply {
-    let Some(resource) = Resource::parse(&request.path) else { return ApiError::UnknownPath.into() };
+    let Some(resource) = Resource::parse(&request.path) else {
+        return refuse(&controller, &request, None, ApiError::UnknownPath);
+    };
     match (resource, request.method.as_str()) {
         (Resource::Heartbeats, "POST") => {
             handle_heartbeat(&controller, &request.body, HeartbeatRoute::Direct).await
@@ -77,14 +80,31 @@
         (Resource::Health, "GET") => health(&controller),
         (Resource::Jobs, "POST") => {
             let submitted = with_deadline(submit(&controller, &request.body)).await;
-            submitted.map_or_else(Reply::from, Reply::from)
+            submitted.map_or_else(
+                |error| refuse(&controller, &request, wire::submitted_id(&request.body).as_deref(), error),
+                Reply::from,
+            )
         }
-        (Resource::Job { id }, "GET") => job_reply(status(&controller, id).await),
-        (Resource::JobCancellation { id }, "POST") => job_reply(with_deadline(cancel(&controller, id)).await),
-        _ => ApiError::MethodNotAllowed.into(),
+        (Resource::Job { id }, "GET") => job_reply(&controller, &request, id, status(&controller, id).await),
+        (Resource::JobCancellation { id }, "POST") => {
+            let cancelled = with_deadline(cancel(&controller, id)).await;
+            job_reply(&controller, &request, id, cancelled)
+        }
+        _ => refuse(&controller, &request, None, ApiError::MethodNotAllowed),
     }
 }
 
+/// The reply for an error. A refusal that the client does not repeat is counted and logged.
+fn refuse(controller: &Controller, request: &Request, job: Option<&str>, error: ApiError) -> Reply {
+    let reason = error.to_string();
+    let reply = Reply::from(error);
+    if controller.load.count_refusal(reply.status) {
+        let (status, method) = (reply.status, request.method.as_str());
+        info!(job, status, reason, method, path = request.path, "request refused");
+    }
+    reply
+}
+
 /// Returns the outcome, or an error at the deadline. Without it, reads, transactions and conflicts
 /// that each take seconds could add up to more than users wait. After the deadline, as after any
 /// 503, the request may still be carried out; a repeated request shows whether it was.
@@ -92,11 +112,14 @@
     timeout(WRITE_DEADLINE, outcome).await.unwrap_or(Err(ApiError::DeadlineExceeded))
 }
 
-fn job_reply(outcome: Result<JobStatus, ApiError>) -> Reply {
-    match outcome {
-        Ok(status) => Reply::new(200, &status),
-        Err(error) => error.into(),
-    }
+fn job_reply(
+    controller: &Controller,
+    request: &Request,
+    id: &str,
+    outcome: Result<JobStatus, ApiError>,
+) -> Reply {
+    outcome
+        .map_or_else(|error| refuse(controller, request, Some(id), error), |status| Reply::new(200, &status))
 }
 
 impl From<SubmitOutcome> for Reply {
--- a/crates/daemon/src/load.rs
+++ b/crates/daemon/src/load.rs
@@ -35,10 +35,16 @@
     (Purpose::Drains, "drains"),
 ];
 
+/// The HTTP statuses of refusals that clients do not repeat, in the order in which they are logged.
+const FINAL_REFUSALS: [u16; 3] = [400, 404, 422];
+/// How many refusals of each status are logged, one line each, until the counters are reset.
+const MAX_LOGGED_REFUSALS: u64 = 10;
+
 /// Counters. They are reset when they are logged, unless noted otherwise.
 #[derive(Debug, Default)]
 pub struct LoadCounters {
     changes: [AtomicU64; PURPOSES.len()],
+    refusals: [AtomicU64; FINAL_REFUSALS.len()],
     /// Scheduling transactions that conflicted with newer records.
     pub conflicts: AtomicU64,
     /// Scheduling cycles.
@@ -61,6 +67,20 @@
         }
     }
 
+    /// Counts a refusal that its client does not repeat. Returns whether to log it; `false` for every
+    /// other status.
+    pub fn count_refusal(&self, status: u16) -> bool {
+        let index = FINAL_REFUSALS.iter().position(|known| *known == status);
+        index.is_some_and(|index| self.refusals[index].fetch_add(1, Ordering::Relaxed) < MAX_LOGGED_REFUSALS)
+    }
+
+    /// Returns the final refusals by status since the last call, as text.
+    pub fn take_refusals(&self) -> String {
+        let counted = FINAL_REFUSALS.iter().zip(&self.refusals);
+        let texts = counted.map(|(status, count)| format!("{status}: {}", take(count)));
+        texts.collect::<Vec<_>>().join(", ")
+    }
+
     /// Adds to a counter.
     pub fn add(counter: &AtomicU64, n: u64) {
         counter.fetch_add(n, Ordering::Relaxed);
--- a/crates/daemon/src/load_log.rs
+++ b/crates/daemon/src/load_log.rs
@@ -28,6 +28,8 @@
         connections = open_connections(controller),
         closed_for_want =
             controller.public_connections.take_rejected() + controller.peer_connections.take_rejected(),
+        not_read = controller.public_connections.take_unread() + controller.peer_connections.take_unread(),
+        refused = counters.take_refusals(),
         changes = counters.take_changes(),
         conflicts = take(&counters.conflicts),
         cycles,
--- a/crates/daemon/tests/unit/api.rs
+++ b/crates/daemon/tests/unit/api.rs
@@ -7,6 +7,7 @@
 use crate::settings::tests::EXAMPLE;
 use crate::worker::tests::spec;
 use crate::{change_feed, freshness_checks};
+use bytes::Bytes;
 use sched::records::{JobRecord, MachineRecord, Name, Phase};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -72,7 +73,10 @@
 async fn an_accepted_job_is_never_unknown_during_and_after_an_outage() {
     let outage = Arc::new(AtomicBool::new(true));
     let controller = controller(start_key_value_store(outage.clone()).await).await;
-    let request_status = async |id: &str| job_reply(status(&controller, id).await);
+    let request_status = async |id: &str| {
+        let path = format!("/v1/jobs/{id}");
+        serve(controller.clone(), Request { method: "GET".into(), path, body: Bytes::new() }).await
+    };
     for id in ["j-1", "j-2", "j-3", "j-4"] {
         let reply = request_status(id).await;
         assert_eq!(
--- a/crates/wire/src/jobs.rs
+++ b/crates/wire/src/jobs.rs
@@ -97,6 +97,11 @@
     id: String,
 }
 
+/// The id in the body of a submission, if that is valid, whatever else the body contains.
+pub fn submitted_id(body: &[u8]) -> Option<String> {
+    crate::decode::<SubmissionId>(body).ok().map(|submission| submission.id).filter(|id| is_job_id(id))
+}
+
 impl JobSpec {
     /// Decodes and validates the body of a submission.
     pub fn from_submission(body: &[u8]) -> Result<Self, InvalidJobSpec> {
@@ -111,11 +116,7 @@
             },
             Err(error) => error.to_string(),
         };
-        let id = crate::decode::<SubmissionId>(body)
-            .ok()
-            .map(|submission| submission.id)
-            .filter(|id| is_job_id(id));
-        Err(InvalidJobSpec { id, reason })
+        Err(InvalidJobSpec { id: submitted_id(body), reason })
     }
 
     /// The name of the first invalid field, if there is one.
