Test: an accepted job is refused when a repeated submission arrives slowly (red)

A repetition that ends within its body gets 400 at once. Both are final to the user, though the controller has read neither the job's id nor anything else of the body.

--- a/crates/net/tests/unit/server.rs
+++ b/crates/net/tests/unit/server.rs
@@ -91,3 +91,35 @@
     assert_eq!(connections.take_rejected(), 0, "no connection was rejected");
     stop.cancel();
 }
+
+/// Guards against clients that take a request for malformed of which the server has read a part.
+#[tokio::test(start_paused = true)]
+async fn requests_that_do_not_arrive_as_a_whole_get_a_status_that_clients_retry() {
+    const BODY_LIMIT: usize = 1 << 16;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let addr = listener.local_addr().expect("an address");
+    let connections = Arc::new(Connections::new(8, &[], |_| 0));
+    let handler = |_| async { Reply::new(200, &"handled") };
+    let (stop, tasks) = (CancellationToken::new(), TaskTracker::new());
+    tokio::spawn(serve(listener, connections.clone(), BODY_LIMIT, handler, stop.clone(), tasks));
+    let response_to = async |body: &str, bytes: usize, ends: bool| {
+        let mut stream = TcpStream::connect(addr).await.expect("accepted");
+        let request = format!("POST /v1/jobs HTTP/1.1\r\nhost: x\r\ncontent-length: {bytes}\r\n\r\n{body}");
+        stream.write_all(request.as_bytes()).await.expect("sent");
+        if ends {
+            stream.shutdown().await.expect("shut down");
+        }
+        let mut response = Vec::new();
+        let _ = stream.read_to_end(&mut response).await;
+        String::from_utf8_lossy(&response).into_owned()
+    };
+    let is_closed = |response: &String| response.contains("connection: close");
+    let late = response_to("half", 8, false).await;
+    assert!(late.starts_with("HTTP/1.1 408") && is_closed(&late), "{late}");
+    let cut_off = response_to("half", 8, true).await;
+    assert!(cut_off.is_empty() || cut_off.starts_with("HTTP/1.1 408"), "{cut_off}");
+    let too_large = response_to("half", BODY_LIMIT + 1, false).await;
+    assert!(too_large.starts_with("HTTP/1.1 413") && is_closed(&too_large), "{too_large}");
+    assert_eq!(connections.take_unread(), 3);
+    stop.cancel();
+}
