A request that was not read as a whole is no longer refused for good

Cause: an answer without the knowledge that it needs. Where a body was late, cut off or too large, the server that reads requests for users, workers, peers and the emulator's services answered 400 itself, before anything of the body was known. It is the only place that answers before a request is read.

Why this works: late and cut-off bodies get 408, too large ones 413, and the connection is closed. A body whose declared length is too large is refused without being read.

--- a/crates/net/src/server/mod.rs
+++ b/crates/net/src/server/mod.rs
@@ -95,10 +95,9 @@
     F: Future<Output = Reply>,
 {
     let (parts, body) = request.into_parts();
-    let stays_open = counted.may_stay_open(parts.uri.path());
-    let reply = match Request::read(&parts, body, body_limit).await {
-        Ok(request) => handler(request).await,
-        Err(unread) => reject_unread(&counted, &parts, unread),
+    let (reply, stays_open) = match Request::read(&parts, body, body_limit).await {
+        Ok(request) => (handler(request).await, counted.may_stay_open(parts.uri.path())),
+        Err(unread) => (reject_unread(&counted, &parts, unread), false),
     };
     let mut response = reply.into_response();
     if !stays_open {
--- a/crates/net/src/server/request.rs
+++ b/crates/net/src/server/request.rs
@@ -4,7 +4,8 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::StatusCode;
+use hyper::body::{Body, Incoming};
 use hyper::http::request::Parts;
 use tokio::time::timeout;
 
@@ -35,9 +36,20 @@
     TooLarge,
 }
 
+impl UnreadRequest {
+    /// Never 400: that says that the request is malformed, which shows only once it has been read, and
+    /// its client would not repeat it.
+    fn status(self) -> StatusCode {
+        match self {
+            Self::Late | Self::CutOff => StatusCode::REQUEST_TIMEOUT,
+            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        }
+    }
+}
+
 impl From<UnreadRequest> for Reply {
     fn from(unread: UnreadRequest) -> Self {
-        Self::error(400, &unread.to_string())
+        Self::error(unread.status().as_u16(), &unread.to_string())
     }
 }
 
@@ -48,6 +60,9 @@
         body: Incoming,
         body_limit: usize,
     ) -> Result<Self, UnreadRequest> {
+        if body.size_hint().lower() > body_limit as u64 {
+            return Err(UnreadRequest::TooLarge);
+        }
         let collected = timeout(BODY_TIMEOUT, Limited::new(body, body_limit).collect()).await;
         let body = collected.map_err(|_| UnreadRequest::Late)?.map_err(|error| {
             if error.is::<LengthLimitError>() { UnreadRequest::TooLarge } else { UnreadRequest::CutOff }
