Test: a job that another controller accepted is refused while the records cannot be read (red)

A controller that the key-value store refuses gets a repeated submission of a job that another one has accepted since its last read. It answers 422 (a team that its settings do not name) or 400 (a body that is malformed), which its user takes for final.

--- a/crates/daemon/tests/unit/faults_users.rs
+++ b/crates/daemon/tests/unit/faults_users.rs
@@ -128,6 +128,33 @@
     assert!(service.store().keys.keys().filter(|k| k.starts_with("sageloom/jobs/")).count() == 2);
 }
 
+/// Guards against accepted jobs that are refused by a controller that has not read their records.
+#[tokio::test]
+async fn a_repeated_submission_is_not_refused_for_good_while_the_records_cannot_be_read() {
+    let service = Service::with_types();
+    let (controller, link) = service.controller(0, 1, 1).await;
+    let (other, _) = service.follower(1, 2).await;
+    link.set_fault(LinkFault::Refused);
+    start_following(&controller);
+    wait_until_caught_up(&service, &other).await;
+    assert_eq!(submit(&other, &spec("j-1", JobKind::Array)).await.0, 201);
+    assert_not_decided(&controller, "j-1").await;
+    link.set_fault(LinkFault::None);
+    assert!(eventually(20, || controller.state().records.is_loaded).await);
+    link.watches_stalled.store(true, Ordering::Relaxed);
+    assert_eq!(submit(&other, &spec("j-2", JobKind::Array)).await.0, 201);
+    link.set_fault(LinkFault::Refused);
+    assert_not_decided(&controller, "j-2").await;
+}
+
+/// Asserts that repeated submissions that would be refused if the job had not been accepted get 503.
+async fn assert_not_decided(controller: &Arc<Controller>, id: &str) {
+    let unknown_team = wire::encode(&JobSpec { team: "nobody".into(), ..spec(id, JobKind::Array) });
+    for body in [unknown_team, malformed_spec(id, "cpus", None)] {
+        assert_eq!(send_request(controller, "POST", "/v1/jobs", body).await.0, 503, "{id}");
+    }
+}
+
 /// A message as a MessagePack list of its values, without field names.
 fn as_list(spec: &JobSpec) -> Vec<u8> {
     // Every optional field is set.
