A submission is refused for good only when no such job can have been accepted

Cause: an answer on stale knowledge, and a check in one path and not in another. The refusal for the records' content waited for a linearizable read; the refusals for the settings and for the body were given when that read failed, unless this controller's own copy had the job.

Why this works: all four refusals that users do not repeat go through `reject_unless_accepted` or the same read in `submit`; without the read there is no refusal, but 503. A body without a valid job id repeats no accepted job and gets 400 at once.

--- a/crates/daemon/src/api/submission.rs
+++ b/crates/daemon/src/api/submission.rs
@@ -74,8 +74,7 @@
     }
     if *description_bytes > controller.max_description_bytes() {
         // The job may have been accepted when the limits were larger.
-        let existing = lookup_job(controller, &id).await?;
-        return existing.map(SubmitOutcome::Existing).ok_or(ApiError::DescriptionTooLong);
+        return reject_unless_accepted(controller, Some(&id), ApiError::DescriptionTooLong).await;
     }
     // An outdated replica would report the job as queued after a dependency's cancellation was
     // already confirmed to the user.
@@ -97,20 +96,16 @@
     create(controller, submission).await
 }
 
-/// Rejects a submission for a reason that does not depend on the records, even if the records
-/// cannot be read. A job that was accepted before is answered with its status instead.
+/// Rejects a submission, unless a job with its id was accepted before, which is answered with its
+/// status. While the records cannot be read, a submission with a valid id is not decided.
 async fn reject_unless_accepted(
     controller: &Controller,
     id: Option<&str>,
     rejection: ApiError,
 ) -> Result<SubmitOutcome, ApiError> {
     let Some(id) = id else { return Err(rejection) };
-    match lookup_job(controller, id).await {
-        Ok(Some(status)) => Ok(SubmitOutcome::Existing(status)),
-        Ok(None) => Err(rejection),
-        Err(error) if is_on_record(controller, id) => Err(error),
-        Err(_) => Err(rejection),
-    }
+    let existing = lookup_job(controller, id).await?;
+    existing.map(SubmitOutcome::Existing).ok_or(rejection)
 }
 
 /// The status of a job that already has a record.
