Clients that send slowly no longer keep out health checks, workers and users

What callers saw: some 600 connections with half a request head, or half a body, used up a controller's connections for users and workers. Every later one was closed on arrival, health checks and heartbeats included, for 30 s (4 s with half a body), and again as long as someone repeated it.

Cause: a right without a check. A connection kept its place before anything whole had come on it, and was counted like one that had been served; the class of users or workers, which bounds the rest, is known only from the head. A class also counted connections whose body never came.

Change: when all connections are in use, the one whose request has been incomplete for longest is closed for the new one, at most all of them in half a second (half of the second that a health check may take), so that a request has time to arrive and clients that come back at once take a limited share of the processor.

--- a/crates/daemon/src/controller.rs
+++ b/crates/daemon/src/controller.rs
@@ -18,7 +18,7 @@
 use crate::limits::{self, LimitChangeFlags, StateLimits};
 use crate::load::{LoadCounters, Purpose};
 use crate::operators::OperatorSettings;
-use crate::public_connections::public_connections;
+use crate::public_connections::{peer_connections, public_connections};
 use crate::read_barrier::ReadBarrier;
 use crate::settings::Settings;
 use crate::state::ControllerState;
@@ -129,8 +129,8 @@
             cloud: CloudClient::new(clients.peers_and_cloud.clone(), settings.external.cloud.clone()),
             peer_and_cloud_http: clients.peers_and_cloud,
             worker_http: clients.workers,
-            public_connections: Arc::new(public_connections(&sockets)),
-            peer_connections: Arc::new(Connections::new(sockets.peers, &[], |_| 0)),
+            public_connections: Arc::new(public_connections(&sockets, memory_bytes)),
+            peer_connections: Arc::new(peer_connections(&sockets, memory_bytes)),
             load: LoadCounters::default(),
             state: Mutex::new(state),
             wake_scheduler: Notify::new(),
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -69,8 +69,8 @@
     operators: OperatorSettings,
     stop: impl Future<Output = ()>,
 ) -> Result<(), ProcessError> {
-    let public_listener = listen("front", &settings.front).await?;
-    let peer_listener = listen("internal_addr", &settings.internal_addr).await?;
+    let public_listener = listen("front", &settings.front)?;
+    let peer_listener = listen("internal_addr", &settings.internal_addr)?;
     // Random, because it is also part of names that must never be reused.
     let incarnation = rand::rng().random::<u64>() >> (u64::BITS - INCARNATION_BITS);
     info!(name = settings.node_name, zone = settings.zone, incarnation, "starting");
@@ -87,9 +87,9 @@
     Ok(())
 }
 
-async fn listen(field: &'static str, addr: &str) -> Result<TcpListener, ProcessError> {
+fn listen(field: &'static str, addr: &str) -> Result<TcpListener, ProcessError> {
     let error = |source| ProcessError::Listen { field, addr: addr.to_owned(), source };
-    TcpListener::bind(addr).await.map_err(error)
+    net::listen(addr).map_err(error)
 }
 
 /// Starts all tasks except the servers.
--- a/crates/daemon/src/public_connections.rs
+++ b/crates/daemon/src/public_connections.rs
@@ -1,4 +1,5 @@
-//! How the connections of users and workers share the sockets of the public address.
+//! How the connections of users and workers share the sockets of the public address, and how much of
+//! the process's memory requests may take.
 
 use net::Connections;
 
@@ -11,11 +12,25 @@
 const WORKERS: usize = 0;
 const USERS: usize = 1;
 
+/// The bodies of requests may take the process's memory divided by this, at each address.
+const BODY_MEMORY_DIVISOR: usize = 8;
+/// Lower bound of this memory, in bytes: two of the largest messages of peers.
+const MIN_BODY_MEMORY: usize = 2 << 20;
+
 /// The connections to the public address: each class has idle connections of its own, so that
 /// neither users nor workers can use up the other's.
-pub fn public_connections(sockets: &Sockets) -> Connections {
+pub fn public_connections(sockets: &Sockets, memory_bytes: usize) -> Connections {
     let idle = [(CLASSES[WORKERS], sockets.workers_kept), (CLASSES[USERS], sockets.users_kept)];
-    Connections::new(sockets.front, &idle, class_of)
+    Connections::new(sockets.front, &idle, class_of).with_max_body_bytes(body_memory(memory_bytes))
+}
+
+/// The connections to the address for peers.
+pub fn peer_connections(sockets: &Sockets, memory_bytes: usize) -> Connections {
+    Connections::new(sockets.peers, &[], |_| 0).with_max_body_bytes(body_memory(memory_bytes))
+}
+
+fn body_memory(memory_bytes: usize) -> usize {
+    (memory_bytes / BODY_MEMORY_DIVISOR).max(MIN_BODY_MEMORY)
 }
 
 /// The class of a connection by the path of a request that arrived on it.
--- a/crates/emulator/tests/common/mod.rs
+++ b/crates/emulator/tests/common/mod.rs
@@ -125,6 +125,11 @@
         Self(TcpStream::connect(addr).await.expect("accepted"))
     }
 
+    /// As [`Self::open`]; `None` if the connection is refused.
+    pub async fn try_open(addr: &str) -> Option<Self> {
+        TcpStream::connect(addr).await.ok().map(Self)
+    }
+
     /// Sends the head of a request with a body of so many bytes.
     pub async fn send_head(&mut self, method: &str, path: &str, body_bytes: usize) {
         let head = format!("{method} {path} HTTP/1.1\r\nhost: x\r\ncontent-length: {body_bytes}\r\n\r\n");
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -9,4 +9,4 @@
 
 pub use client::{Client, NetError, Response, ResponseFuture, Transport};
 pub use inspecting_relay::relay_and_inspect;
-pub use server::{Connections, Reply, Request, serve};
+pub use server::{Connections, Reply, Request, listen, serve};
--- a/crates/net/src/server/request.rs
+++ b/crates/net/src/server/request.rs
@@ -2,14 +2,15 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
 use hyper::StatusCode;
 use hyper::body::{Body, Incoming};
 use hyper::http::request::Parts;
 use tokio::time::timeout;
 
 use super::Reply;
+use super::connections::ReceivedRequest;
 
 /// How long a body may take to arrive after its head.
 const BODY_TIMEOUT: Duration = Duration::from_secs(4);
@@ -34,6 +35,8 @@
     CutOff,
     #[error("the body is too large")]
     TooLarge,
+    #[error("too many requests are being received")]
+    NoMemory,
 }
 
 impl UnreadRequest {
@@ -43,6 +46,7 @@
         match self {
             Self::Late | Self::CutOff => StatusCode::REQUEST_TIMEOUT,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 }
@@ -59,15 +63,37 @@
         parts: &Parts,
         body: Incoming,
         body_limit: usize,
+        received: &mut ReceivedRequest,
     ) -> Result<Self, UnreadRequest> {
-        if body.size_hint().lower() > body_limit as u64 {
+        let read = timeout(BODY_TIMEOUT, read_body(body, body_limit, received)).await;
+        let body = read.unwrap_or(Err(UnreadRequest::Late))?;
+        received.complete();
+        let path = parts.uri.path_and_query().map_or("/", |p| p.as_str()).to_owned();
+        Ok(Self { method: parts.method.as_str().to_owned(), path, body })
+    }
+}
+
+/// Copies the body into one buffer: a body that arrives byte by byte would hold far more memory in
+/// its parts.
+async fn read_body(
+    mut body: Incoming,
+    body_limit: usize,
+    received: &ReceivedRequest,
+) -> Result<Bytes, UnreadRequest> {
+    if body.size_hint().lower() > body_limit as u64 {
+        return Err(UnreadRequest::TooLarge);
+    }
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| UnreadRequest::CutOff)?;
+        let Ok(data) = frame.into_data() else { continue };
+        if whole.len() + data.len() > body_limit {
             return Err(UnreadRequest::TooLarge);
         }
-        let collected = timeout(BODY_TIMEOUT, Limited::new(body, body_limit).collect()).await;
-        let body = collected.map_err(|_| UnreadRequest::Late)?.map_err(|error| {
-            if error.is::<LengthLimitError>() { UnreadRequest::TooLarge } else { UnreadRequest::CutOff }
-        })?;
-        let path = parts.uri.path_and_query().map_or("/", |p| p.as_str()).to_owned();
-        Ok(Self { method: parts.method.as_str().to_owned(), path, body: body.to_bytes() })
+        if !received.receive(data.len()) {
+            return Err(UnreadRequest::NoMemory);
+        }
+        whole.extend_from_slice(&data);
     }
+    Ok(whole.freeze())
 }
--- a/crates/net/tests/unit/server.rs
+++ b/crates/net/tests/unit/server.rs
@@ -123,3 +123,64 @@
     assert_eq!(connections.take_unread(), 3);
     stop.cancel();
 }
+
+/// The limits of a public address with 900 sockets for the whole process.
+fn connections_of_a_small_site() -> Arc<Connections> {
+    let class_of = |path: &str| usize::from(path != "/hello");
+    Arc::new(Connections::new(504, &[("workers", 336), ("users", 112)], class_of))
+}
+
+/// Sends a part of a request again and again, each time on a new connection once the last is closed.
+async fn send_partly(addr: std::net::SocketAddr, part: &'static str) {
+    loop {
+        let Ok(mut stream) = TcpStream::connect(addr).await else { continue };
+        let _ = stream.write_all(part.as_bytes()).await;
+        let _ = stream.read_to_end(&mut Vec::new()).await;
+    }
+}
+
+/// Sends a request on a new connection. Returns the connection if the request is answered in time.
+async fn answered(addr: std::net::SocketAddr, path: &'static str, limit: Duration) -> Option<TcpStream> {
+    let exchange = async {
+        let mut stream = TcpStream::connect(addr).await.ok()?;
+        let response = get(&mut stream, path).await;
+        response.starts_with("HTTP/1.1 200").then_some(stream)
+    };
+    timeout(limit, exchange).await.ok().flatten()
+}
+
+/// Guards against slow clients that keep out health checks and heartbeats, however often they return.
+#[tokio::test]
+async fn health_checks_and_heartbeats_are_answered_in_time_while_many_clients_send_slowly() {
+    const SLOW: usize = 600;
+    const WORKERS: usize = 4000;
+    const BATCH: usize = 100;
+    const HEALTH_CHECK_TIMEOUT: Duration = Duration::from_secs(1);
+    const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(4);
+    let listener = listen("127.0.0.1:0").expect("a port");
+    let addr = listener.local_addr().expect("an address");
+    let connections = connections_of_a_small_site();
+    let handler = |_| async { Reply::new(200, &"fine") };
+    let (stop, tasks) = (CancellationToken::new(), TaskTracker::new());
+    tokio::spawn(serve(listener, connections.clone(), 1 << 16, handler, stop.clone(), tasks));
+    let half_a_head = "POST /v1/jobs HTTP/1.1\r\nhost: ";
+    let half_a_body = "POST /hello HTTP/1.1\r\nhost: x\r\ncontent-length: 8\r\n\r\nhalf";
+    let slow: Vec<_> = (0..SLOW)
+        .map(|n| tokio::spawn(send_partly(addr, if n % 3 == 0 { half_a_body } else { half_a_head })))
+        .collect();
+    sleep(Duration::from_millis(500)).await;
+    // Connections that the server keeps open stay open.
+    let mut kept = Vec::new();
+    for _ in 0..WORKERS / BATCH {
+        let health_check = tokio::spawn(answered(addr, "/healthz", HEALTH_CHECK_TIMEOUT));
+        let heartbeat = || tokio::spawn(answered(addr, "/hello", HEARTBEAT_TIMEOUT));
+        let heartbeats: Vec<_> = (0..BATCH).map(|_| heartbeat()).collect();
+        for heartbeat in heartbeats {
+            kept.push(heartbeat.await.expect("no panic").expect("a heartbeat is answered in time"));
+        }
+        health_check.await.expect("no panic").expect("a health check is answered in time");
+    }
+    slow.iter().for_each(tokio::task::JoinHandle::abort);
+    assert!(connections.take_displaced() > 0 && connections.take_rejected() == 0);
+    stop.cancel();
+}
