--- a/crates/daemon/src/api/submission.rs
+++ b/crates/daemon/src/api/submission.rs
@@ -47,7 +47,7 @@
             spec.dependencies.take().unwrap_or_default().iter().map(|job| job.as_str().into()).collect();
         dependencies.sort_unstable();
         dependencies.dedup();
-        let description_bytes = if dependencies.is_empty() { body.len() } else { wire::encode(&spec).len() };
+        let description_bytes = wire::encode(&spec).len();
         Ok(Self { spec, dependencies, description_bytes })
     }
 }
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -137,7 +137,7 @@
     controller.spawn_task(net::serve(
         listener,
         controller.public_connections.clone(),
-        wire::BODY_LIMIT,
+        wire::ENCODED_BODY_LIMIT,
         handler,
         controller.shutdown.clone(),
         controller.task_tracker.clone(),
--- a/crates/emulator/src/emulation/proxy.rs
+++ b/crates/emulator/src/emulation/proxy.rs
@@ -79,13 +79,13 @@
     let upload = move |request: Request| {
         if request.method == "POST"
             && request.path == "/v1/jobs"
-            && let Ok(spec) = wire::decode::<JobSpec>(&request.body)
+            && let Ok(spec) = JobSpec::from_submission(&request.body)
         {
             shared_for_upload.site.lock().upload(spec, false);
         }
         std::future::ready(())
     };
-    let client_to_server = net::relay_and_inspect(from_client, to_server, wire::BODY_LIMIT, upload);
+    let client_to_server = net::relay_and_inspect(from_client, to_server, wire::ENCODED_BODY_LIMIT, upload);
     let server_to_client = tokio::io::copy(&mut from_server, &mut to_client);
     // After the client has closed its side, it still gets its answer: the controller closes the
     // connection.
--- a/crates/wire/src/jobs.rs
+++ b/crates/wire/src/jobs.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::scan::KnownFields;
+
 /// The kind of a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum JobKind {
@@ -91,6 +93,12 @@
     pub reason: String,
 }
 
+/// The names of the fields of a submission. All others are ignored.
+const SUBMISSION_FIELDS: [&str; 21] = [
+    "id", "pattern", "owner", "weave", "rank", "threads", "cpus", "gpus", "mem_gb", "bundle", "size_gb",
+    "shapes", "bay", "one_zone", "spread", "loaner", "guess_s", "knot_s", "tie_s", "due_s", "awaits",
+];
+
 /// The field of a submission that tells whether it repeats an earlier one.
 #[derive(Deserialize)]
 struct SubmissionId {
@@ -99,24 +107,32 @@
 
 /// The id in the body of a submission, if that is valid, whatever else the body contains.
 pub fn submitted_id(body: &[u8]) -> Option<String> {
-    crate::decode::<SubmissionId>(body).ok().map(|submission| submission.id).filter(|id| is_job_id(id))
+    let fields = KnownFields::copy(body, &["id"]).ok()?;
+    let submission: SubmissionId = crate::decode(&fields.encoded).ok()?;
+    Some(submission.id).filter(|id| is_job_id(id))
 }
 
 impl JobSpec {
     /// Decodes and validates the body of a submission.
     pub fn from_submission(body: &[u8]) -> Result<Self, InvalidJobSpec> {
-        // `decode` would also accept an array of the fields' values, which the protocol does not allow.
-        if !crate::is_map(body) {
-            return Err(InvalidJobSpec { id: None, reason: "the job description is not a map".into() });
+        let fields = KnownFields::copy(body, &SUBMISSION_FIELDS);
+        let valid = fields.map_err(|error| error.to_string()).and_then(|fields| Self::from_fields(&fields));
+        valid.map_err(|reason| InvalidJobSpec { id: submitted_id(body), reason })
+    }
+
+    /// Decodes and validates the fields of a submission. The error is the reason why it is invalid.
+    fn from_fields(fields: &KnownFields) -> Result<Self, String> {
+        if !fields.has_text_keys_only {
+            return Err("a key of the job description is not a text".into());
+        }
+        if fields.json_bytes > crate::BODY_LIMIT {
+            return Err("the job description is longer than 64 KiB".into());
+        }
+        let spec: Self = crate::decode(&fields.encoded).map_err(|error| error.to_string())?;
+        match spec.invalid_field() {
+            None => Ok(spec),
+            Some(field) => Err(format!("invalid field: {field}")),
         }
-        let reason = match crate::decode::<Self>(body) {
-            Ok(spec) => match spec.invalid_field() {
-                None => return Ok(spec),
-                Some(field) => format!("invalid field: {field}"),
-            },
-            Err(error) => error.to_string(),
-        };
-        Err(InvalidJobSpec { id: submitted_id(body), reason })
     }
 
     /// The name of the first invalid field, if there is one.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod cloud_and_store;
 mod jobs;
+mod scan;
 mod workers;
 
 pub use cloud_and_store::*;
@@ -17,9 +18,13 @@
 use serde::de::{DeserializeOwned, IntoDeserializer};
 use serde::{Deserialize, Deserializer, Serialize};
 
-/// Largest body of a request, and of a response to users and workers, in bytes.
+/// Largest body of a request, and of a response to users and workers, written as JSON, in bytes.
 pub const BODY_LIMIT: usize = 64 * 1024;
 
+/// Largest size of such a body as MessagePack, in bytes: in a list, a number takes up to nine bytes
+/// where JSON takes two.
+pub const ENCODED_BODY_LIMIT: usize = BODY_LIMIT / 2 * 9;
+
 /// A message that cannot be decoded.
 #[derive(Debug, thiserror::Error)]
 #[error("not a valid message: {0}")]
@@ -36,11 +41,6 @@
     rmp_serde::from_slice(bytes).map_err(|error| DecodeError(error.to_string()))
 }
 
-/// Whether a MessagePack message is a map.
-pub fn is_map(bytes: &[u8]) -> bool {
-    matches!(bytes.first(), Some(0x80..=0x8f | 0xde | 0xdf))
-}
-
 /// Deserializes an enum from the name of its variant only. Otherwise, a variant's index would be
 /// accepted in MessagePack as well.
 fn by_name<'de, D: Deserializer<'de>, T: Deserialize<'de>>(deserializer: D) -> Result<T, D::Error> {
