Requests are decoded with bounded recursion, whatever their unknown fields hold

What callers saw: nothing yet. A heartbeat, or a request to the emulated cloud or workers, whose unknown field is nested more than 1,024 deep was refused, and in a thread with a stack of 2 MiB (as `sageloom try` has for controllers) a debug build overflowed its stack and ended before that limit.

Cause: the decoder's own limit of recursion was taken as it is, 1,024, though no message is nested a tenth as deep; unknown fields were decoded like known ones.

Change: decoding stops at a depth of 64. A request beyond it is copied without recursion, with null in place of what is nested too deeply, and decoded again.

--- a/crates/daemon/src/api/heartbeats.rs
+++ b/crates/daemon/src/api/heartbeats.rs
@@ -46,7 +46,7 @@
 
 /// Answers a heartbeat.
 pub async fn handle_heartbeat(controller: &Controller, body: &[u8], route: HeartbeatRoute) -> Reply {
-    let heartbeat: Heartbeat = match wire::decode(body) {
+    let heartbeat: Heartbeat = match wire::decode_request(body) {
         Ok(heartbeat) => heartbeat,
         Err(error) => return ApiError::InvalidHeartbeat(error.to_string()).into(),
     };
--- a/crates/emulator/src/cloud/mod.rs
+++ b/crates/emulator/src/cloud/mod.rs
@@ -159,11 +159,11 @@
             ("GET", "/machine_types") => {
                 Reply::new(200, &MachineTypes { types: self.prices.current(&self.settings.types) })
             }
-            ("POST", "/machines") => match wire::decode(&request.body) {
+            ("POST", "/machines") => match wire::decode_request(&request.body) {
                 Ok(rental) => self.rent(rental, now),
                 Err(_) => Reply::error(400, "the body is not a rental request"),
             },
-            ("POST", "/machines/release") => match wire::decode::<MachineNames>(&request.body) {
+            ("POST", "/machines/release") => match wire::decode_request::<MachineNames>(&request.body) {
                 Ok(names) if names.machines.len() <= MAX_RELEASE_COUNT => {
                     names.machines.iter().for_each(|name| self.delete(name, now));
                     Reply::new(200, &MachineNames { machines: names.machines })
--- a/crates/emulator/src/site.rs
+++ b/crates/emulator/src/site.rs
@@ -172,7 +172,7 @@
         }
         Some(match (request.method.as_str(), request.path.as_str()) {
             ("GET", "/status") => Reply::new(200, &worker.status(&mut self.jobs, now)),
-            ("POST", "/commands") => match wire::decode::<Commands>(&request.body) {
+            ("POST", "/commands") => match wire::decode_request::<Commands>(&request.body) {
                 Ok(commands) => {
                     let (status, report) = worker.commands(&commands, &mut self.jobs, now);
                     Reply::new(status, &report)
--- a/crates/emulator/src/state/request.rs
+++ b/crates/emulator/src/state/request.rs
@@ -90,7 +90,8 @@
             Ok(StateRequest::Txn(txn))
         }
         ("POST", "/leases") => {
-            let body: LeaseRequest = wire::decode(&request.body).map_err(|_| (400, "life_ms is missing"))?;
+            let body: LeaseRequest =
+                wire::decode_request(&request.body).map_err(|_| (400, "life_ms is missing"))?;
             if !(100..=600_000).contains(&body.ttl_ms) {
                 return Err((400, "life_ms must be 100 to 600000"));
             }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -36,9 +36,36 @@
     rmp_serde::to_vec_named(value).unwrap_or_default()
 }
 
+/// Deepest nesting that is decoded. Decoding is recursive, and the messages are far less nested.
+const MAX_DEPTH: usize = 64;
+
 /// Decodes a MessagePack message. Unknown fields are ignored.
+///
+/// # Errors
+///
+/// Returns an error if the message is malformed or too deeply nested.
 pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, DecodeError> {
-    rmp_serde::from_slice(bytes).map_err(|error| DecodeError(error.to_string()))
+    decode_nested(bytes).map_err(|error| DecodeError(error.to_string()))
+}
+
+/// Decodes the body of a request. Unknown fields are ignored, however deeply they are nested.
+///
+/// # Errors
+///
+/// Returns an error if the body is malformed.
+pub fn decode_request<T: DeserializeOwned>(body: &[u8]) -> Result<T, DecodeError> {
+    match decode_nested(body) {
+        Err(rmp_serde::decode::Error::DepthLimitExceeded) => {
+            decode(&scan::without_deep_values(body, MAX_DEPTH / 2)?)
+        }
+        decoded => decoded.map_err(|error| DecodeError(error.to_string())),
+    }
+}
+
+fn decode_nested<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, rmp_serde::decode::Error> {
+    let mut deserializer = rmp_serde::Deserializer::from_read_ref(bytes);
+    deserializer.set_max_depth(MAX_DEPTH);
+    T::deserialize(&mut deserializer)
 }
 
 /// Deserializes an enum from the name of its variant only. Otherwise, a variant's index would be
--- a/crates/wire/src/scan.rs
+++ b/crates/wire/src/scan.rs
@@ -74,6 +74,37 @@
     encoded
 }
 
+/// Copies a message with null in place of every list and map below this depth.
+///
+/// # Errors
+///
+/// Returns an error if the message does not begin with a complete MessagePack value.
+pub(crate) fn without_deep_values(message: &[u8], max_depth: usize) -> Result<Vec<u8>, DecodeError> {
+    let mut scanner = Scanner { message, position: 0 };
+    let mut copy = Vec::new();
+    // The number of values left at each depth.
+    let mut left_at_depth: Vec<u64> = vec![1];
+    while let Some(left) = left_at_depth.last_mut() {
+        if *left == 0 {
+            left_at_depth.pop();
+            continue;
+        }
+        *left -= 1;
+        let start = scanner.position;
+        let values = scanner.next_token()?.contents.values();
+        if values > 0 && left_at_depth.len() > max_depth {
+            scanner.skip(values)?;
+            copy.push(Marker::Null.to_u8());
+            continue;
+        }
+        copy.extend_from_slice(message.get(start..scanner.position).unwrap_or_default());
+        if values > 0 {
+            left_at_depth.push(values);
+        }
+    }
+    Ok(copy)
+}
+
 /// A value, or the beginning of a list or map.
 struct Token<'m> {
     contents: Contents<'m>,
--- a/crates/wire/tests/unit/scan.rs
+++ b/crates/wire/tests/unit/scan.rs
@@ -49,3 +49,18 @@
     assert!(!copied.has_text_keys_only);
     assert_eq!(copied.encoded, [0xdf, 0, 0, 0, 1, 0xa2, b'i', b'd', 0x07]);
 }
+
+/// Guards against a heartbeat that is refused, or a stack that overflows, for what an unknown field holds.
+#[test]
+fn a_request_is_decoded_whatever_is_nested_in_its_unknown_fields() {
+    #[derive(serde::Deserialize)]
+    struct Request {
+        known: u32,
+    }
+    let nested = [vec![0x91; 30_000], vec![0xc0]].concat();
+    let request = [&[0x82, 0xa1, b'x'], &nested[..], &[0xa5], b"known", &[7]].concat();
+    assert_eq!(crate::decode_request::<Request>(&request).expect("decoded").known, 7);
+    assert!(crate::decode::<Request>(&request).is_err_and(|error| error.to_string().contains("depth")));
+    let copied = without_deep_values(&request, 2).expect("MessagePack");
+    assert_eq!(copied, [&[0x82, 0xa1, b'x', 0x91, 0xc0, 0xa5], &b"known"[..], &[7]].concat());
+}
