A job's id in a path may be percent-encoded

Cause: the path was compared as it was sent. Change: a job's id is decoded after the path has been split, so that an encoded slash stays part of the id. The test of paths failed before for this case.

--- a/crates/daemon/src/api/mod.rs
+++ b/crates/daemon/src/api/mod.rs
@@ -12,10 +12,12 @@
 pub(crate) mod submission;
 mod validation;
 
+use std::borrow::Cow;
 use std::sync::Arc;
 use std::time::Duration;
 
 use net::{Reply, Request};
+use percent_encoding::percent_decode_str;
 use tokio::time::timeout;
 use tracing::info;
 use wire::JobStatus;
@@ -40,13 +42,13 @@
 const CONFLICT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// A resource of this interface.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 enum Resource<'p> {
     Heartbeats,
     Health,
     Jobs,
-    Job { id: &'p str },
-    JobCancellation { id: &'p str },
+    Job { id: Cow<'p, str> },
+    JobCancellation { id: Cow<'p, str> },
 }
 
 impl<'p> Resource<'p> {
@@ -61,13 +63,18 @@
         }
         let below_jobs = path.strip_prefix(JOBS_PATH)?.strip_prefix('/')?;
         match below_jobs.split_once('/') {
-            None => Some(Self::Job { id: below_jobs }),
-            Some((id, CANCEL_ACTION)) => Some(Self::JobCancellation { id }),
+            None => Some(Self::Job { id: decode_segment(below_jobs) }),
+            Some((id, CANCEL_ACTION)) => Some(Self::JobCancellation { id: decode_segment(id) }),
             Some(_) => None,
         }
     }
 }
 
+/// A segment of a path, in which any character may be percent-encoded.
+fn decode_segment(segment: &str) -> Cow<'_, str> {
+    percent_decode_str(segment).decode_utf8_lossy()
+}
+
 /// Answers a request of a user or a worker.
 pub async fn serve(controller: Arc<Controller>, request: Request) -> Reply {
     let Some(resource) = Resource::parse(&request.path) else {
@@ -85,10 +92,12 @@
                 Reply::from,
             )
         }
-        (Resource::Job { id }, "GET") => job_reply(&controller, &request, id, status(&controller, id).await),
+        (Resource::Job { id }, "GET") => {
+            job_reply(&controller, &request, &id, status(&controller, &id).await)
+        }
         (Resource::JobCancellation { id }, "POST") => {
-            let cancelled = with_deadline(cancel(&controller, id)).await;
-            job_reply(&controller, &request, id, cancelled)
+            let cancelled = with_deadline(cancel(&controller, &id)).await;
+            job_reply(&controller, &request, &id, cancelled)
         }
         _ => refuse(&controller, &request, None, ApiError::MethodNotAllowed),
     }
