--- a/crates/daemon/tests/unit/fault_days/cloud.rs
+++ b/crates/daemon/tests/unit/fault_days/cloud.rs
@@ -1,9 +1,11 @@
 //! The simulated cloud: machine types, rentals, releases and a lagging list of machines.
 
 use std::collections::{BTreeSet, HashMap};
+use std::time::Duration;
 
 use net::Request;
 use rand::RngExt;
+use tokio::time::sleep;
 use wire::{ListedMachine, MachineList, MachineNames, MachineStatus, MachineType, MachineTypes, RentRequest};
 
 use super::machines::Machine;
@@ -32,6 +34,8 @@
     pub(super) no_boots_until: u64,
     /// Until then, all calls are refused with 503.
     pub(super) outage_until: u64,
+    /// Calls that change something get no answer until then, and are carried out later.
+    pub(super) late_calls: LateCalls,
     /// Until then, releases are refused with 503.
     pub(super) releases_refused_until: u64,
     /// Machines that the cloud cannot release: a call that names one of them gets 400.
@@ -50,6 +54,15 @@
     refilled_at: u64,
 }
 
+/// When calls get no answer, and how much later they are carried out.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct LateCalls {
+    pub(super) until: u64,
+    pub(super) delay_ms: u64,
+    /// How many there have been.
+    pub(super) count: usize,
+}
+
 /// A call to release machines.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct ReleaseCall {
@@ -66,6 +79,7 @@
             fast_boots_until: 0,
             no_boots_until: 0,
             outage_until: 0,
+            late_calls: LateCalls::default(),
             releases_refused_until: 0,
             unreleasable: BTreeSet::new(),
             failed: BTreeSet::new(),
@@ -208,6 +222,21 @@
 }
 
 impl Site {
+    /// Delays a call while the cloud is late. Its caller has given up waiting by the end of the delay.
+    async fn carry_out_late(&self) {
+        let delay_ms = {
+            let mut simulation = self.lock();
+            let now = simulation.ms();
+            let late_calls = &mut simulation.cloud.late_calls;
+            if now >= late_calls.until {
+                return;
+            }
+            late_calls.count += 1;
+            late_calls.delay_ms
+        };
+        sleep(Duration::from_millis(delay_ms)).await;
+    }
+
     pub(super) async fn serve_cloud(&self, request: Request) -> (u16, Vec<u8>) {
         let (path, query) = request.path.split_once('?').unwrap_or((&request.path, ""));
         if self.ms() < self.lock().cloud.outage_until {
@@ -216,6 +245,9 @@
         if !self.lock().cloud.admits_call(self.ms()) {
             return (429, wire::encode(&wire::ErrorBody { error: "too many requests".into() }));
         }
+        if request.method == "POST" {
+            self.carry_out_late().await;
+        }
         let malformed = || (400, wire::encode(&"malformed"));
         match (request.method.as_str(), path) {
             ("GET", "/machine_types") => (200, wire::encode(&MachineTypes { types: machine_types() })),
--- a/crates/daemon/tests/unit/fault_days/machines.rs
+++ b/crates/daemon/tests/unit/fault_days/machines.rs
@@ -120,6 +120,15 @@
         }
     }
 
+    /// The machine restarts and is back at once: its worker has forgotten all tasks. It goes on with its
+    /// session, or with a new one.
+    pub(super) fn restart(&mut self, now: u64, has_new_session: bool) {
+        self.tasks.clear();
+        self.worker_incarnation += u64::from(has_new_session);
+        self.lease_renewed_at = now;
+        self.has_unreported_change = true;
+    }
+
     fn heartbeat(&mut self, id: &str, now: u64, defect: Defect) -> Heartbeat {
         self.sequence += 1;
         let reported_state = |state| match state {
--- a/crates/daemon/tests/unit/fault_days/mod.rs
+++ b/crates/daemon/tests/unit/fault_days/mod.rs
@@ -15,6 +15,7 @@
 mod failing_machines;
 mod faults;
 mod key_value_store;
+mod late_requests;
 mod machines;
 mod network;
 mod overdue_machines;
@@ -151,6 +152,7 @@
     /// Network partitions and when each ends.
     partitions: Vec<(Partition, u64)>,
     command_delay: MessageDelay,
+    held_starts: network::HeldStarts,
     peer_message_delay: MessageDelay,
     duplication: HeartbeatDuplication,
     duplicates_for_next_leader: Vec<Heartbeat>,
@@ -261,6 +263,7 @@
             ended_jobs: Vec::new(),
             partitions: Vec::new(),
             command_delay: MessageDelay::default(),
+            held_starts: network::HeldStarts::default(),
             peer_message_delay: MessageDelay::default(),
             duplication: HeartbeatDuplication::default(),
             duplicates_for_next_leader: Vec::new(),
--- a/crates/daemon/tests/unit/fault_days/network.rs
+++ b/crates/daemon/tests/unit/fault_days/network.rs
@@ -8,6 +8,7 @@
 use rand::RngExt;
 use tokio::sync::oneshot;
 use tokio::time::sleep;
+use wire::{Command, Commands};
 
 use super::{Simulation, Site};
 use crate::{api, peer_server, read_index};
@@ -97,6 +98,8 @@
         let site = self.clone();
         // The request is processed even if the caller stops waiting.
         tokio::spawn(async move {
+            let held_until = site.lock().hold_start(&request).unwrap_or_default();
+            sleep(Duration::from_millis(held_until.saturating_sub(site.ms()))).await;
             if !site.deliver(&from, &to, true, &request.path).await {
                 std::future::pending::<()>().await;
             }
@@ -152,6 +155,18 @@
 }
 
 impl Simulation {
+    /// Until when a request is held up on its way, if it has a start command.
+    fn hold_start(&mut self, request: &Request) -> Option<u64> {
+        let until = self.held_starts.until;
+        if request.path != "/commands" || self.ms() >= until {
+            return None;
+        }
+        let commands = wire::decode::<Commands>(&request.body).ok()?.commands;
+        let starts = commands.iter().filter(|command| matches!(command, Command::Start { .. })).count();
+        self.held_starts.count += starts;
+        (starts > 0).then_some(until)
+    }
+
     fn delay(&mut self, from: &Endpoint, to: &Endpoint, path: &str) -> u64 {
         let now = self.ms();
         let mut delay = self.rng.random_range(0..4);
@@ -213,6 +228,14 @@
     }
 }
 
+/// Start commands that are sent straight to machines are held up on their way until then.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct HeldStarts {
+    pub(super) until: u64,
+    /// How many have been held up.
+    pub(super) count: usize,
+}
+
 /// Delays a share of the messages of one kind by up to seven seconds.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct MessageDelay {
