--- a/crates/daemon/tests/unit/fault_days/faults.rs
+++ b/crates/daemon/tests/unit/fault_days/faults.rs
@@ -7,6 +7,7 @@
 use rand::{RngExt, SeedableRng};
 use tokio::time::sleep;
 
+use super::cloud::LateCalls;
 use super::key_value_store::DelayedWrites;
 use super::machines::{CANCEL_MS, LEASE_MS};
 use super::network::{MessageDelay, Partition};
@@ -129,6 +130,24 @@
     Drain {
         count: usize,
     },
+    /// Start commands that are sent straight to machines are held up until the end of the fault.
+    HeldStarts {
+        for_ms: u64,
+    },
+    /// The cloud carries out requests and releases later, without an answer.
+    LateCloudCalls {
+        for_ms: u64,
+        delay_ms: u64,
+    },
+    /// Some machines restart and are back at once, without their tasks.
+    MachineRestarts {
+        count: usize,
+        new_session: bool,
+    },
+    /// Users spell their submissions in other forms that the protocol allows.
+    OtherSpellings {
+        for_ms: u64,
+    },
     /// Four jobs per second are submitted, far beyond the limits; a quarter is cancelled.
     SubmissionBurst {
         count: u64,
@@ -155,7 +174,8 @@
             Fault::LeaderRestarts { count, every_ms } => count * every_ms + 2000,
             Fault::ControllerRestart { downtime_ms, .. } => downtime_ms,
             Fault::CancelRunning { hang_ms, .. } => hang_ms,
-            Fault::MachineLoss { .. } | Fault::SpotReclaim { .. } => 4000,
+            Fault::LateCloudCalls { for_ms, delay_ms } => for_ms + delay_ms,
+            Fault::MachineLoss { .. } | Fault::SpotReclaim { .. } | Fault::MachineRestarts { .. } => 4000,
             // With the recovery period, long enough for an obstacle to end the drain.
             Fault::Drain { .. } => 20_000,
             Fault::SubmissionBurst { count } => count * 250,
@@ -166,6 +186,8 @@
             | Fault::SlowStore { for_ms }
             | Fault::CancelOnCompletion { for_ms, .. }
             | Fault::ConcurrentQueries { for_ms }
+            | Fault::HeldStarts { for_ms }
+            | Fault::OtherSpellings { for_ms }
             | Fault::InvalidRequests { for_ms }
             | Fault::FastBoots { for_ms }
             | Fault::AllControllersDown { for_ms }
@@ -326,6 +348,16 @@
     }
 }
 
+/// Draws one of the faults in which requests take effect late or look unusual.
+fn draw_late_or_unusual(rng: &mut StdRng) -> Fault {
+    match rng.random_range(0..4) {
+        0 => Fault::HeldStarts { for_ms: CANCEL_MS + rng.random_range(1000..12_000) },
+        1 => Fault::LateCloudCalls { for_ms: 15_000, delay_ms: rng.random_range(5000..60_000) },
+        2 => Fault::MachineRestarts { count: rng.random_range(1..5), new_session: rng.random_bool(0.5) },
+        _ => Fault::OtherSpellings { for_ms: 30_000 },
+    }
+}
+
 /// Draws the fault combinations of a scenario from its seed.
 pub(super) fn draw(seed: u64, combinations: usize) -> Vec<ScheduledFault> {
     let mut rng = StdRng::seed_from_u64(seed ^ 0x5eed);
@@ -344,6 +376,12 @@
         }
         at += rng.random_range(6000..35_000);
     }
+    // From a generator of their own, so that the combinations of a seed stay the same.
+    let mut rng = StdRng::seed_from_u64(seed ^ 0x1a7e);
+    for _ in 0..2 {
+        let starts_at = rng.random_range(10_000..at);
+        faults.push(ScheduledFault { starts_at, fault: draw_late_or_unusual(&mut rng) });
+    }
     faults.sort_by_key(|e| e.starts_at);
     faults
 }
@@ -502,6 +540,20 @@
                     for_ms,
                 );
             }
+            Fault::HeldStarts { for_ms } => self.lock().held_starts.until = now + for_ms,
+            Fault::LateCloudCalls { for_ms, delay_ms } => {
+                self.lock().cloud.late_calls = LateCalls { until: now + for_ms, delay_ms, count: 0 };
+            }
+            Fault::MachineRestarts { count, new_session } => {
+                let picked = self.pick_machines(count);
+                let mut simulation = self.lock();
+                for id in picked {
+                    if let Some(machine) = simulation.machines.get_mut(&id) {
+                        machine.restart(now, new_session);
+                    }
+                }
+            }
+            Fault::OtherSpellings { for_ms } => self.lock().other_spellings_until = now + for_ms,
             Fault::Drain { count } => self.drain_machines(self.pick_machines(count)),
             Fault::SubmissionBurst { count } => self.repeat(250, count, |site| async move {
                 let id = site.lock().next_job();
--- a/crates/daemon/tests/unit/fault_days/users.rs
+++ b/crates/daemon/tests/unit/fault_days/users.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use emulator::Spelling;
 use net::{Request, Response};
 use rand::RngExt;
 use tokio::time::{sleep, timeout};
@@ -151,12 +152,16 @@
         id
     }
 
-    fn submission_body(&self, id: &str) -> Vec<u8> {
+    fn submission_body(&mut self, id: &str) -> Vec<u8> {
+        let now = self.ms();
         let Some(job) = self.jobs.get(id) else { return Vec::new() };
         let mut spec = job.spec.clone();
         if self.defect == Defect::DependenciesDropped {
             spec.dependencies = None;
         }
+        if now < self.other_spellings_until {
+            return Spelling::draw(&mut self.rng).encode(&spec, &mut self.rng);
+        }
         wire::encode(&spec)
     }
 }
