Test: slow clients run on a thread of their own

2,250 clients that come back at once shared the thread of the three controllers whose answers the test times, so that it timed its own clients, too. Bound and number of clients stay.

--- a/crates/emulator/tests/slow_senders.rs
+++ b/crates/emulator/tests/slow_senders.rs
@@ -6,8 +6,8 @@
 use std::time::{Duration, Instant};
 
 use common::{RawConnection, RunningSite, User, hello, site};
-use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
+use tokio_util::sync::CancellationToken;
 use wire::{JobKind, JobSpec, JobState, TaskState};
 
 /// Each of them more clients than one controller has sockets for.
@@ -18,16 +18,29 @@
 const HEALTH_CHECK_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Sends a part of a request again and again, on a new connection once the last one is closed.
-fn send_partly(addr: String, has_head: bool) -> JoinHandle<()> {
-    tokio::spawn(async move {
-        loop {
-            let Some(mut connection) = RawConnection::try_open(&addr).await else { continue };
-            if has_head {
-                connection.send_head("POST", "/hello", 100).await;
-            }
-            connection.send(b"POST /v1/jobs HTTP/1.1\r\nho").await;
-            connection.status().await;
+async fn send_partly(addr: String, has_head: bool) {
+    loop {
+        let Some(mut connection) = RawConnection::try_open(&addr).await else { continue };
+        if has_head {
+            connection.send_head("POST", "/hello", 100).await;
         }
+        connection.send(b"POST /v1/jobs HTTP/1.1\r\nho").await;
+        connection.status().await;
+    }
+}
+
+/// Starts the slow clients of these addresses on a thread of their own, until the token is cancelled.
+fn start_slow_clients(addresses: Vec<String>, stop: CancellationToken) -> std::thread::JoinHandle<()> {
+    std::thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        runtime.expect("a runtime").block_on(async {
+            for address in addresses {
+                for n in 0..HALF_A_HEAD + HALF_A_BODY {
+                    tokio::spawn(send_partly(address.clone(), n < HALF_A_BODY));
+                }
+            }
+            stop.cancelled().await;
+        });
     })
 }
 
@@ -46,10 +59,8 @@
     };
     let before = running();
     let fronts: Vec<String> = site.emulation.controllers.iter().map(|c| c.file.front.clone()).collect();
-    let slow: Vec<JoinHandle<()>> = fronts
-        .iter()
-        .flat_map(|front| (0..HALF_A_HEAD + HALF_A_BODY).map(|n| send_partly(front.clone(), n < HALF_A_BODY)))
-        .collect();
+    let stop = CancellationToken::new();
+    let slow_clients = start_slow_clients(fronts.clone(), stop.clone());
     let since = Instant::now();
     let mut number = 10;
     while since.elapsed() < DURATION {
@@ -64,7 +75,8 @@
         let job = JobSpec { id: format!("j-{number}"), ..hello() };
         assert_eq!(user.submit(wire::encode(&job)).await, 201, "{} after {:?}", job.id, since.elapsed());
     }
-    slow.iter().for_each(JoinHandle::abort);
+    stop.cancel();
+    slow_clients.join().expect("no panic");
     let after = running();
     assert!(before.iter().all(|task| after.contains(task)), "{before:?} {after:?}");
     site.stop().await;
