--- a/crates/emulator/src/config/load_and_faults.rs
+++ b/crates/emulator/src/config/load_and_faults.rs
@@ -85,6 +85,8 @@
     Faulty,
     Death,
     Reclaim,
+    SlowRequests,
+    OtherSpellings,
 }
 
 #[derive(Debug, Clone, Deserialize)]
@@ -141,6 +143,8 @@
                 TroubleKind::Faulty => machines(MachineFaults { tasks_fail: true, ..no_faults }),
                 TroubleKind::Death => FaultKind::Deaths(share),
                 TroubleKind::Reclaim => FaultKind::Reclaims(share),
+                TroubleKind::SlowRequests => FaultKind::SlowRequests(share, max_delay),
+                TroubleKind::OtherSpellings => FaultKind::OtherSpellings(share),
             };
             let (at, duration) = (seconds(t.at_s), seconds(t.for_s).max(Duration::from_millis(1)));
             ScheduledFault { name: name.clone(), kind, at, duration }
--- a/crates/emulator/src/emulation/services.rs
+++ b/crates/emulator/src/emulation/services.rs
@@ -114,6 +114,10 @@
             let (mut site, mut state) = (shared.site.lock(), shared.state.lock());
             shared.fault_schedule.lock().poll(&mut site, &mut state, now)
         };
+        if faults_changed {
+            let user_faults = shared.fault_schedule.lock().user_faults();
+            shared.users.lock().set_faults(user_faults);
+        }
         if faults_changed || revision(&shared) != before {
             shared.state_changed.notify_waiters();
         }
--- a/crates/emulator/src/fault_schedule.rs
+++ b/crates/emulator/src/fault_schedule.rs
@@ -10,6 +10,7 @@
 use crate::service_faults::ServiceFaults;
 use crate::site::Site;
 use crate::state::StateService;
+use crate::users::UserFaults;
 use crate::worker::MachineFaults;
 
 /// The kind of an injected fault and what it affects.
@@ -32,6 +33,10 @@
     Deaths(f64),
     /// A share of the spot machines is reclaimed when the fault begins.
     Reclaims(f64),
+    /// The share of the users' requests whose body comes later than its head, and the maximum delay.
+    SlowRequests(f64, Duration),
+    /// The share of the submissions that are spelled in another form.
+    OtherSpellings(f64),
 }
 
 #[derive(Debug, Clone)]
@@ -83,6 +88,21 @@
         changed
     }
 
+    /// The active faults of the users.
+    pub fn user_faults(&self) -> UserFaults {
+        let mut faults = UserFaults::default();
+        for fault in self.active.keys().filter_map(|i| self.planned_faults.get(*i)) {
+            match fault.kind {
+                FaultKind::SlowRequests(share, max_delay) => {
+                    (faults.slow_share, faults.max_body_delay) = (share, max_delay)
+                }
+                FaultKind::OtherSpellings(share) => faults.spelled_share = share,
+                _ => {}
+            }
+        }
+        faults
+    }
+
     /// Sets the active faults on the services and machines, and clears those of `released` machines.
     fn apply(&self, site: &mut Site, state: &mut StateService, released: &BTreeSet<String>, now: Instant) {
         let (mut state_faults, mut cloud_faults) = (ServiceFaults::default(), ServiceFaults::default());
@@ -119,7 +139,10 @@
                         combined.tasks_fail |= added.tasks_fail;
                     }
                 }
-                FaultKind::Deaths(_) | FaultKind::Reclaims(_) => {}
+                FaultKind::Deaths(_)
+                | FaultKind::Reclaims(_)
+                | FaultKind::SlowRequests(..)
+                | FaultKind::OtherSpellings(_) => {}
             }
         }
         state.set_faults(state_faults, now);
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -35,5 +35,5 @@
 pub use site::{OutgoingReport, Site, SiteSettings};
 pub use spelling::Spelling;
 pub use state::{Data, ExecutionOutcome, StateLimits, StateService, Watch};
-pub use users::{Load, UserRequest, UserResponse, UserStatistics, Users};
+pub use users::{Load, UserFaults, UserRequest, UserResponse, UserStatistics, Users};
 pub use worker::{MachineFaults, MachineInfo, REPORT_TIMEOUT, ReportOutcome, Ticket, Worker, WorkerRules};
--- a/crates/emulator/src/users.rs
+++ b/crates/emulator/src/users.rs
@@ -8,6 +8,8 @@
 use rand::{RngExt, SeedableRng};
 use wire::{JobKind, JobSpec, JobState};
 
+use crate::spelling::Spelling;
+
 /// A stream of jobs of one kind that users submit at random times.
 #[derive(Debug, Clone)]
 pub struct Load {
@@ -56,6 +58,17 @@
     last_state: Option<JobState>,
 }
 
+/// How users send a part of their requests.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct UserFaults {
+    /// The share of the requests whose body is sent some time after its head.
+    pub slow_share: f64,
+    /// The most of this time. A user who gives up before has sent half a request.
+    pub max_body_delay: Duration,
+    /// The share of the submissions that are spelled in another form.
+    pub spelled_share: f64,
+}
+
 /// A request of a user that must be sent now.
 #[derive(Debug)]
 pub struct UserRequest {
@@ -63,9 +76,27 @@
     pub method: &'static str,
     pub path: String,
     pub body: Vec<u8>,
+    /// Time between the head and the body.
+    pub body_delay: Duration,
     pub timeout: Duration,
 }
 
+impl UserFaults {
+    /// The body of a submission.
+    fn encode(&self, job: &JobSpec, rng: &mut StdRng) -> Vec<u8> {
+        if self.spelled_share > 0.0 && rng.random_bool(self.spelled_share) {
+            Spelling::draw(rng).encode(job, rng)
+        } else {
+            wire::encode(job)
+        }
+    }
+
+    fn draw_body_delay(&self, body: &[u8], rng: &mut StdRng) -> Duration {
+        let is_slow = !body.is_empty() && self.slow_share > 0.0 && rng.random_bool(self.slow_share);
+        if is_slow { self.max_body_delay.mul_f64(rng.random_range(0.0..1.0)) } else { Duration::ZERO }
+    }
+}
+
 /// The response to a request. The status is None if there was no answer.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct UserResponse {
@@ -96,6 +127,7 @@
     id_prefix: u64,
     id_count: u64,
     statistics: UserStatistics,
+    faults: UserFaults,
     rng: StdRng,
 }
 
@@ -111,10 +143,15 @@
             id_prefix,
             id_count: 0,
             statistics: UserStatistics::default(),
+            faults: UserFaults::default(),
             rng,
         }
     }
 
+    pub fn set_faults(&mut self, faults: UserFaults) {
+        self.faults = faults;
+    }
+
     pub fn user_statistics(&self) -> &UserStatistics {
         &self.statistics
     }
@@ -163,7 +200,7 @@
     /// Advances the users to `now` and returns the requests that must be sent.
     pub fn poll(&mut self, now: Instant) -> Vec<UserRequest> {
         self.create_jobs(now);
-        let (mut out, rng) = (Vec::new(), &mut self.rng);
+        let (mut out, rng, faults) = (Vec::new(), &mut self.rng, self.faults);
         for (id, job) in &mut self.jobs {
             if job.phase == Phase::Waiting && job.cancel_at.is_some_and(|at| at <= now) && !job.in_flight {
                 (job.phase, job.next_request_at) = (Phase::Cancelling, now);
@@ -179,10 +216,11 @@
                     job.cancel_requested = true;
                     ("POST", format!("/v1/jobs/{id}/withdraw"), Vec::new(), SUBMIT_TIMEOUT)
                 }
-                _ if submit => ("POST", "/v1/jobs".to_owned(), wire::encode(&job.spec), SUBMIT_TIMEOUT),
+                _ if submit => ("POST", "/v1/jobs".to_owned(), faults.encode(&job.spec, rng), SUBMIT_TIMEOUT),
                 _ => ("GET", format!("/v1/jobs/{id}"), Vec::new(), QUERY_TIMEOUT),
             };
-            out.push(UserRequest { id: id.clone(), method, path, body, timeout });
+            let body_delay = faults.draw_body_delay(&body, rng);
+            out.push(UserRequest { id: id.clone(), method, path, body, body_delay, timeout });
             if rng.random_bool(UNUSUAL_REQUEST_SHARE) {
                 let unknown = format!("j-{}{}", self.id_prefix, rng.random_range(1_000_000..9_999_999));
                 let path = format!("/v1/jobs/{unknown}");
@@ -191,6 +229,7 @@
                     method: "GET",
                     path,
                     body: Vec::new(),
+                    body_delay: Duration::ZERO,
                     timeout: QUERY_TIMEOUT,
                 });
             }
