Names and docs of the server that a newcomer would ask about, and a test of the known fields

No behaviour changes.

New: `every_field_of_a_job_is_read_from_a_submission` spells out every field of a job, so that a field that is added and not listed among the known ones does not compile or fails, instead of being lost.

--- a/crates/daemon/src/api/mod.rs
+++ b/crates/daemon/src/api/mod.rs
@@ -24,7 +24,7 @@
 
 use crate::clock;
 use crate::controller::Controller;
-use crate::public_connections::HEARTBEAT_PATH;
+use crate::server_connections::HEARTBEAT_PATH;
 use cancellation::cancel;
 use error::ApiError;
 use heartbeats::{HeartbeatRoute, handle_heartbeat};
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -52,7 +52,6 @@
 #[cfg(test)]
 #[path = "../tests/unit/production.rs"]
 mod production;
-mod public_connections;
 mod read_barrier;
 mod read_index;
 mod read_records;
@@ -60,6 +59,7 @@
 #[path = "../tests/unit/scale.rs"]
 mod scale;
 mod scheduler;
+mod server_connections;
 mod settings;
 #[cfg(test)]
 #[path = "../tests/unit/sim/mod.rs"]
--- a/crates/daemon/src/load_log.rs
+++ b/crates/daemon/src/load_log.rs
@@ -28,7 +28,7 @@
         connections = open_connections(controller),
         closed_for_want =
             controller.public_connections.take_rejected() + controller.peer_connections.take_rejected(),
-        closed_for_others =
+        displaced =
             controller.public_connections.take_displaced() + controller.peer_connections.take_displaced(),
         not_read = controller.public_connections.take_unread() + controller.peer_connections.take_unread(),
         refused = counters.take_refusals(),
--- a/crates/daemon/tests/layers.rs
+++ b/crates/daemon/tests/layers.rs
@@ -30,7 +30,7 @@
 /// share, the tasks, the composition of a process, and the command line.
 const DAEMON: &[&[&str]] = &[
     &["clock", "timeouts", "logging", "load", "read_records", "read_barrier", "settings", "client"],
-    &["limits", "operators", "public_connections", "worker"],
+    &["limits", "operators", "server_connections", "worker"],
     &["state"],
     &["controller"],
     &[
--- a/crates/net/src/server/connections.rs
+++ b/crates/net/src/server/connections.rs
@@ -46,7 +46,7 @@
         in_place_of_another: bool,
     },
     /// At this time, another connection can be closed for the new one.
-    From(Instant),
+    NotBefore(Instant),
     Rejected,
 }
 
@@ -120,7 +120,7 @@
         if in_place_of_another {
             match self.incomplete().make_room(now) {
                 Room::Made => _ = self.displaced.fetch_add(1, Ordering::Relaxed),
-                Room::From(at) => return Admission::From(at),
+                Room::NotBefore(at) => return Admission::NotBefore(at),
                 Room::None => {
                     self.rejected.fetch_add(1, Ordering::Relaxed);
                     return Admission::Rejected;
--- a/crates/net/src/server/incomplete_requests.rs
+++ b/crates/net/src/server/incomplete_requests.rs
@@ -32,7 +32,7 @@
     /// Another connection was closed.
     Made,
     /// Another connection may be closed at this time.
-    From(Instant),
+    NotBefore(Instant),
     /// No other connection may be closed.
     None,
 }
@@ -81,7 +81,7 @@
         };
         let due_at = self.next_close_at.unwrap_or(now);
         if now < due_at {
-            return Room::From(due_at);
+            return Room::NotBefore(due_at);
         }
         let earliest = now.checked_sub(MAX_CATCH_UP).unwrap_or(now);
         self.next_close_at = Some(due_at.max(earliest) + self.close_interval);
--- a/crates/net/src/server/mod.rs
+++ b/crates/net/src/server/mod.rs
@@ -64,8 +64,8 @@
     socket.listen(LISTEN_BACKLOG)
 }
 
-/// Serves connections until cancelled. Connections beyond the limit are closed on arrival, so that
-/// the process does not run out of sockets.
+/// Serves connections until cancelled. Beyond the limit, a new connection takes the place of the one
+/// whose request has been incomplete for longest, or is closed on arrival if there is none.
 pub async fn serve<H, F>(
     listener: TcpListener,
     connections: Arc<Connections>,
@@ -107,7 +107,7 @@
                 }
                 return Some(connection);
             }
-            Admission::From(at) => sleep_until(at).await,
+            Admission::NotBefore(at) => sleep_until(at).await,
             Admission::Rejected => return None,
         }
     }
--- a/crates/net/tests/unit/incomplete_requests.rs
+++ b/crates/net/tests/unit/incomplete_requests.rs
@@ -23,7 +23,7 @@
     let interval = CLOSE_ALL_PERIOD / 100;
     assert_eq!(requests.make_room(now), Room::Made);
     assert_eq!(closed(&tokens), [true, false, false, false]);
-    assert_eq!(requests.make_room(now), Room::From(now + interval));
+    assert_eq!(requests.make_room(now), Room::NotBefore(now + interval));
     assert_eq!(requests.make_room(now + interval), Room::Made);
     assert_eq!(closed(&tokens), [true, true, false, false]);
     requests.complete(2);
--- a/crates/wire/src/jobs.rs
+++ b/crates/wire/src/jobs.rs
@@ -94,7 +94,7 @@
 }
 
 /// The names of the fields of a submission. All others are ignored.
-const SUBMISSION_FIELDS: [&str; 21] = [
+pub(crate) const SUBMISSION_FIELDS: [&str; 21] = [
     "id", "pattern", "owner", "weave", "rank", "threads", "cpus", "gpus", "mem_gb", "bundle", "size_gb",
     "shapes", "bay", "one_zone", "spread", "loaner", "guess_s", "knot_s", "tie_s", "due_s", "awaits",
 ];
--- a/crates/wire/tests/unit/lib.rs
+++ b/crates/wire/tests/unit/lib.rs
@@ -72,3 +72,36 @@
     }
     assert!(decode::<JobSpec>(b"\x01").is_err());
 }
+
+/// Guards against a field of a job that is lost because the list of known fields does not name it.
+#[test]
+fn every_field_of_a_job_is_read_from_a_submission() {
+    let submitted = JobSpec {
+        id: "j-2".into(),
+        class: "train".into(),
+        team: "vision".into(),
+        kind: JobKind::Gang,
+        priority: Priority::High,
+        tasks: 16,
+        cpus: 8.0,
+        gpus: 1.0,
+        memory_gb: 64.0,
+        image: "img-07".into(),
+        image_gb: 6.2,
+        types: Some(vec!["g8".into()]),
+        zone: Some("a".into()),
+        one_zone: true,
+        spread: false,
+        spot: true,
+        estimated_runtime_s: 240.0,
+        checkpoint_interval_s: 30.0,
+        checkpoint_save_s: 4.0,
+        deadline_s: Some(900.0),
+        dependencies: Some(vec!["j-1".into()]),
+    };
+    let body = encode(&submitted);
+    let names: std::collections::BTreeMap<String, serde_json::Value> = decode(&body).expect("a map");
+    let known: std::collections::BTreeSet<&str> = jobs::SUBMISSION_FIELDS.into_iter().collect();
+    assert!(names.keys().map(String::as_str).eq(known));
+    assert_eq!(JobSpec::from_submission(&body), Ok(submitted));
+}
