--- a/crates/net/tests/unit/server.rs
+++ b/crates/net/tests/unit/server.rs
@@ -184,3 +184,48 @@
     assert!(connections.take_displaced() > 0 && connections.take_rejected() == 0);
     stop.cancel();
 }
+
+/// Guards against workers whose connections are closed because others have sent half a heartbeat.
+#[tokio::test]
+async fn a_connection_counts_for_its_class_only_once_a_whole_request_has_arrived() {
+    const KEPT_WORKERS: usize = 4;
+    let listener = listen("127.0.0.1:0").expect("a port");
+    let addr = listener.local_addr().expect("an address");
+    let connections = Arc::new(Connections::new(12, &[("workers", KEPT_WORKERS)], |_| 0));
+    let handler = |_| async { Reply::new(200, &"fine") };
+    let (stop, tasks) = (CancellationToken::new(), TaskTracker::new());
+    tokio::spawn(serve(listener, connections.clone(), 1 << 16, handler, stop.clone(), tasks));
+    let mut incomplete = Vec::new();
+    for _ in 0..KEPT_WORKERS {
+        let mut stream = TcpStream::connect(addr).await.expect("accepted");
+        let half = b"POST /hello HTTP/1.1\r\nhost: x\r\ncontent-length: 8\r\n\r\nhalf";
+        stream.write_all(half).await.expect("sent");
+        incomplete.push(stream);
+    }
+    let mut kept = Vec::new();
+    for _ in 0..KEPT_WORKERS {
+        let mut stream = TcpStream::connect(addr).await.expect("accepted");
+        let response = get(&mut stream, "/hello").await;
+        assert!(
+            response.starts_with("HTTP/1.1 200") && !response.contains("connection: close"),
+            "{response}"
+        );
+        kept.push(stream);
+    }
+    stop.cancel();
+}
+
+/// Guards against memory that the heads of requests take, and against a final refusal of one.
+#[tokio::test]
+async fn a_head_that_is_too_long_is_refused_with_a_status_that_clients_retry() {
+    let listener = listen("127.0.0.1:0").expect("a port");
+    let addr = listener.local_addr().expect("an address");
+    let connections = Arc::new(Connections::new(4, &[], |_| 0));
+    let handler = |_| async { Reply::new(200, &"fine") };
+    let (stop, tasks) = (CancellationToken::new(), TaskTracker::new());
+    tokio::spawn(serve(listener, connections, 1 << 16, handler, stop.clone(), tasks));
+    let mut stream = TcpStream::connect(addr).await.expect("accepted");
+    let response = get(&mut stream, &format!("/{}", "x".repeat(MAX_HEAD_BYTES * 2))).await;
+    assert!(response.starts_with("HTTP/1.1 431"), "{response}");
+    stop.cancel();
+}
