A controller that is shown a later epoch redirects every heartbeat

Cause: only machines on record were compared with the token in their heartbeat. A machine without a record, whose owner the controller was by its outdated cluster map, got the first token of its epoch.

Change: a token tells its epoch. The latest epoch that a worker has shown (heartbeats direct and relayed, with and without a record, answers to commands, 409 too, statuses that were asked for) is kept, and logged when it supersedes the controller; while it is later than that of the cluster map, every heartbeat is redirected. A linearizable read that began later and finds no such map disproves it, so a corrupted token stops nobody.

Test: a_controller_that_is_cut_off_redirects_workers_that_have_seen_a_later_epoch, with complete controllers.

--- a/crates/daemon/src/api/heartbeats.rs
+++ b/crates/daemon/src/api/heartbeats.rs
@@ -92,6 +92,10 @@
     let machine = &heartbeat.machine;
     let mut guard = controller.state();
     let state = &mut *guard;
+    state.note_worker_token(machine, heartbeat.fencing_token, now);
+    if state.is_superseded() {
+        return HeartbeatOutcome::Redirect(None);
+    }
     let replica = &state.records.replica;
     let Some(map) = replica.current_map() else { return HeartbeatOutcome::Redirect(None) };
     let recorded_owner = replica.owner_of(machine);
--- a/crates/daemon/src/api/machine_registration.rs
+++ b/crates/daemon/src/api/machine_registration.rs
@@ -11,6 +11,7 @@
 use wire::Condition;
 
 use super::CONFLICT_TIMEOUT;
+use crate::clock;
 use crate::controller::Controller;
 use crate::load::{Purpose, sample_names};
 use crate::state::ControllerState;
@@ -74,7 +75,9 @@
 /// Whether the worker at the recorded address reports that it runs on this machine.
 pub(crate) async fn confirms_name(controller: &Controller, machine: &str, record: &MachineRecord) -> bool {
     let status = fetch_status(controller, machine, &record.addr, CONFIRMATION_TIMEOUT).await;
-    status.is_ok_and(|status| status.is_some())
+    let Ok(Some(status)) = status else { return false };
+    controller.state().note_worker_token(machine, status.fencing_token, clock::now());
+    true
 }
 
 async fn record_machines(controller: &Controller, machines: Vec<NewMachine>) {
--- a/crates/daemon/src/prober.rs
+++ b/crates/daemon/src/prober.rs
@@ -7,9 +7,11 @@
 use net::NetError;
 use sched::records::Name;
 use tokio::time::sleep;
+use wire::Heartbeat;
 
 use crate::clock;
 use crate::controller::Controller;
+use crate::state::ControllerState;
 use crate::worker::Worker;
 use crate::worker_client::fetch_status;
 
@@ -79,15 +81,27 @@
         Err(NetError::ConnectionLimit(_)) => return,
         Err(_) => None,
     };
-    if let Some(known) = controller.state().machines.workers.get_mut(&worker.machine) {
-        match status {
-            Some(status) => {
-                known.receive_response(status, clock::now());
-            }
-            None => known.note_probe_failure(),
+    record_status(&mut controller.state(), &worker.machine, status, clock::now());
+    controller.wake_scheduler.notify_one();
+}
+
+/// Records the worker's status, or that it did not answer.
+fn record_status(
+    state: &mut ControllerState,
+    machine: &str,
+    status: Option<Heartbeat>,
+    now: Instant,
+) {
+    if let Some(status) = &status {
+        state.note_worker_token(machine, status.fencing_token, now);
+    }
+    let Some(known) = state.machines.workers.get_mut(machine) else { return };
+    match status {
+        Some(status) => {
+            known.receive_response(status, now);
         }
+        None => known.note_probe_failure(),
     }
-    controller.wake_scheduler.notify_one();
 }
 
 #[cfg(test)]
--- a/crates/daemon/src/scheduler/commands.rs
+++ b/crates/daemon/src/scheduler/commands.rs
@@ -69,6 +69,9 @@
     now: Instant,
 ) {
     let heartbeat = heartbeat.filter(|heartbeat| heartbeat.machine == machine);
+    if let Some(heartbeat) = &heartbeat {
+        state.note_worker_token(machine, heartbeat.fencing_token, now);
+    }
     let Some(worker) = state.machines.workers.get_mut(machine) else { return };
     match heartbeat {
         Some(heartbeat) => {
--- a/crates/daemon/src/state/mod.rs
+++ b/crates/daemon/src/state/mod.rs
@@ -14,6 +14,7 @@
 mod read_indexes;
 mod record_cache;
 mod scheduling;
+mod shown_epoch;
 mod termination_proofs;
 mod write_share;
 
@@ -21,8 +22,9 @@
 
 use sched::records::{ClusterMap, Member};
 use sched::replica::SortedLookup;
+use tracing::warn;
 
-use crate::worker::Worker;
+use crate::worker::{FencingToken, Worker};
 pub use drains::{CapacityHold, DrainState, PeerObservation};
 pub use machine_view::{MachineHealth, MachineView};
 pub use membership::Membership;
@@ -32,6 +34,7 @@
 pub use read_indexes::PeerReadIndex;
 pub use record_cache::RecordCache;
 pub use scheduling::{RecentAssignments, Reservation, SchedulingState};
+use shown_epoch::ShownEpoch;
 pub use termination_proofs::{FORWARDED_PROOF_TIMEOUT, PendingProof, PendingProofs};
 pub use write_share::WriteShare;
 
@@ -58,6 +61,8 @@
     pub machines: OwnedMachines,
     /// What peers have reported.
     pub peers: PeerTable,
+    /// The latest epoch that workers and peers have shown.
+    shown_epoch: ShownEpoch,
     /// Termination proofs that have not been written to the records yet.
     pub proofs: PendingProofs,
     /// What the scheduling loop keeps between cycles.
@@ -79,6 +84,7 @@
             membership: Membership::new(now),
             machines: OwnedMachines::default(),
             peers: PeerTable::default(),
+            shown_epoch: ShownEpoch::default(),
             proofs: PendingProofs::default(),
             scheduling: SchedulingState::default(),
             writes: WriteShare::new(write_rate, now),
@@ -107,6 +113,27 @@
         self.is_live(me) && self.records.replica.leader.as_ref().is_some_and(|leader| leader.value == *me)
     }
 
+    /// Notes the fencing token that a worker has shown.
+    pub fn note_worker_token(&mut self, machine: &str, token: u64, now: Instant) {
+        self.note_shown_epoch(machine, FencingToken::from(token).epoch(), now);
+    }
+
+    /// Notes the epoch that a worker or a peer has shown. Messages may be delayed, but an epoch that
+    /// was shown once has begun.
+    pub fn note_shown_epoch(&mut self, shown_by: &str, epoch: u64, now: Instant) {
+        let known = self.epoch();
+        if self.shown_epoch.note(epoch, known, self.records.fresh_at, now) {
+            warn!(shown_by, epoch, known, "a later epoch was shown; this controller is superseded");
+        }
+    }
+
+    /// Whether a worker or a peer has shown a later epoch than that of the newest known cluster map.
+    /// This controller is then not entitled to act until it has read the cluster map of that epoch.
+    pub fn is_superseded(&self) -> bool {
+        let epoch = self.epoch();
+        self.peers.any_knows_later_epoch(epoch) || self.shown_epoch.supersedes(epoch, self.records.fresh_at)
+    }
+
     /// Whether some live controller has not recorded a schema version and so has the old version.
     pub fn old_version_is_live(&self) -> bool {
         let replica = &self.records.replica;
@@ -171,7 +198,7 @@
         now: Instant,
     ) -> bool {
         let Some(map) = self.cluster_map() else { return false };
-        if !self.is_live(me) || self.peers.any_knows_later_epoch(map.epoch) {
+        if !self.is_live(me) || self.is_superseded() {
             return false;
         }
         if self.records.is_fresher_than(bound, now) {
--- a/crates/daemon/src/worker/fencing_token.rs
+++ b/crates/daemon/src/worker/fencing_token.rs
@@ -25,6 +25,11 @@
         Self(Self::first_of_epoch(epoch).0 + TOKENS_PER_EPOCH - 1)
     }
 
+    /// The epoch that the token belongs to.
+    pub fn epoch(self) -> u64 {
+        self.0 / TOKENS_PER_EPOCH
+    }
+
     /// The token after this one, which may belong to the next epoch.
     pub fn next(self) -> Self {
         Self(self.0 + 1)
--- a/crates/daemon/tests/unit/fault_days/checker.rs
+++ b/crates/daemon/tests/unit/fault_days/checker.rs
@@ -2,7 +2,8 @@
 
 use std::collections::BTreeMap;
 
-use wire::{JobKind, JobState};
+use net::Reply;
+use wire::{Heartbeat, HeartbeatResponse, JobKind, JobState};
 
 use super::machines::{CANCEL_MS, Machine};
 use super::users::{Job, UNKNOWN_JOB, cpus_of, is_reverted};
@@ -85,6 +86,18 @@
         }
     }
 
+    /// Checks that a controller which is not entitled to act answers a heartbeat with 421 or 503. A
+    /// higher token in the heartbeat shows that it is not.
+    pub(super) fn check_heartbeat_reply(&mut self, n: usize, heartbeat: &Heartbeat, reply: &Reply) {
+        let response = wire::decode::<HeartbeatResponse>(&reply.body).ok().filter(|_| reply.status == 200);
+        let Some(token) = response.map(|response| response.fencing_token) else { return };
+        if token < heartbeat.fencing_token {
+            let Heartbeat { machine, fencing_token, .. } = heartbeat;
+            let detail = format!("n-{n} answers {machine}, which shows {fencing_token}, with {token}");
+            self.record_violation("unentitled_renewal", detail);
+        }
+    }
+
     pub(super) fn check_quota(&mut self) {
         let mut used: BTreeMap<&str, f64> = BTreeMap::new();
         for (_, _, task) in self.active_tasks() {
--- a/crates/daemon/tests/unit/fault_days/cloud.rs
+++ b/crates/daemon/tests/unit/fault_days/cloud.rs
@@ -46,6 +46,8 @@
     pub(super) refused_zone: Option<&'static str>,
     /// The number of these requests.
     pub(super) refused_requests: usize,
+    /// The controller that new machines report to first, if not a drawn one.
+    pub(super) first_controller: Option<usize>,
     /// All calls to release machines.
     pub(super) release_calls: Vec<ReleaseCall>,
     /// Calls that the rate limit still admits, at most [`BURST_S`] seconds' worth.
@@ -85,6 +87,7 @@
             failed: BTreeSet::new(),
             refused_zone: None,
             refused_requests: 0,
+            first_controller: None,
             release_calls: Vec::new(),
             rate_budget: RPS * BURST_S,
             refilled_at: 0,
@@ -159,6 +162,7 @@
                 self.rng.random_range(2400..6400)
             };
             let controller = self.rng.random_range(0..super::CONTROLLERS);
+            let controller = self.cloud.first_controller.unwrap_or(controller);
             let machine = Machine::new(rent_request, now, now + boot_delay_ms, controller);
             self.machines.insert(id.clone(), machine);
             names.push(id);
--- a/crates/daemon/tests/unit/fault_days/mod.rs
+++ b/crates/daemon/tests/unit/fault_days/mod.rs
@@ -21,6 +21,7 @@
 mod overdue_machines;
 mod refused_requests;
 mod single_job;
+mod superseded_controllers;
 mod tests;
 mod users;
 
@@ -160,6 +161,8 @@
     /// Heartbeats to deliver again: time, controller, heartbeat.
     pending_duplicates: Vec<(u64, usize, Heartbeat)>,
     cluster_map_changed: bool,
+    /// Heartbeats that showed a later epoch than the controller knew that received them.
+    heartbeats_to_superseded: usize,
     /// Stopped tasks that `StoppedTaskRestarted` will restart: time, machine, task, attempt.
     pending_restarts: Vec<(u64, String, String, u64)>,
     /// The share of completing jobs that are cancelled, and until when.
@@ -271,6 +274,7 @@
             duplicates_for_next_leader: Vec::new(),
             pending_duplicates: Vec::new(),
             cluster_map_changed: false,
+            heartbeats_to_superseded: 0,
             pending_restarts: Vec::new(),
             cancel_on_completion: (0.0, 0),
             concurrent_queries_until: 0,
--- a/crates/daemon/tests/unit/fault_days/network.rs
+++ b/crates/daemon/tests/unit/fault_days/network.rs
@@ -8,9 +8,11 @@
 use rand::RngExt;
 use tokio::sync::oneshot;
 use tokio::time::sleep;
-use wire::{Command, Commands};
+use wire::{Command, Commands, Heartbeat};
 
 use super::{Simulation, Site};
+use crate::controller::Controller;
+use crate::worker::FencingToken;
 use crate::{api, peer_server, read_index};
 
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -137,10 +139,14 @@
                     let c = &simulation.controllers[*n];
                     (c.controller.clone()?, c.incarnation)
                 };
+                let heartbeat = self.lock().receive_heartbeat(&controller, &request);
                 let reply = match request.path.as_str() {
                     "/peer" | read_index::PATH => peer_server::serve(controller, request).await,
                     _ => api::serve(controller, request).await,
                 };
+                if let Some(heartbeat) = heartbeat {
+                    self.lock().check_heartbeat_reply(*n, &heartbeat, &reply);
+                }
                 if !self.lock().controllers[*n].is_running(incarnation) {
                     std::future::pending::<()>().await;
                 }
@@ -167,6 +173,18 @@
         (starts > 0).then_some(until)
     }
 
+    /// The heartbeat in a request, if it is one. Counts those that show a later epoch than the
+    /// controller knows.
+    fn receive_heartbeat(&mut self, controller: &Controller, request: &Request) -> Option<Heartbeat> {
+        if request.path != "/hello" {
+            return None;
+        }
+        let heartbeat = wire::decode::<Heartbeat>(&request.body).ok()?;
+        let shown = FencingToken::from(heartbeat.fencing_token).epoch();
+        self.heartbeats_to_superseded += usize::from(shown > controller.state().epoch());
+        Some(heartbeat)
+    }
+
     fn delay(&mut self, from: &Endpoint, to: &Endpoint, path: &str) -> u64 {
         let now = self.ms();
         let mut delay = self.rng.random_range(0..4);
--- a/crates/daemon/tests/unit/fault_days/single_job.rs
+++ b/crates/daemon/tests/unit/fault_days/single_job.rs
@@ -39,6 +39,19 @@
         id
     }
 
+    /// A service runs, and with it the machines that it needs.
+    pub(super) async fn run_service(&self, number: u64) -> String {
+        self.run_job(users::spec(number)).await
+    }
+
+    /// Submits a job and waits until it is served.
+    pub(super) async fn run_job(&self, spec: wire::JobSpec) -> String {
+        let id = self.submit_spec(spec).await;
+        let is_served = self.advance_until(self.ms() + MAX_WAIT_MS, |s| s.is_served(&id)).await;
+        assert_served(self, is_served, &id);
+        id
+    }
+
     pub(super) async fn advance(&self, duration_ms: u64) {
         let until = self.ms() + duration_ms;
         while self.ms() < until {
--- /dev/null
+++ b/crates/daemon/tests/unit/fault_days/superseded_controllers.rs
@@ -0,0 +1,135 @@
+//! A controller is cut off while the others write a new cluster map, and workers come to it that have seen
+//! tokens of the new epoch.
+
+use super::machines::{CANCEL_MS, HEARTBEAT_INTERVAL_MS};
+use super::single_job::*;
+use super::*;
+
+/// A service whose replicas run until they are cancelled.
+const SERVICE: u64 = 13;
+/// Enough machines that each of two controllers owns some of them.
+const MACHINES: u32 = 10;
+/// All controllers are live by then.
+const ELECTED_AT_MS: u64 = 5000;
+/// Within this time the others have a cluster map without a controller that was cut off.
+const NEW_MAP_WITHIN_MS: u64 = 7000;
+/// How long a controller that knows of no later epoch renews leases after it was cut off.
+const RENEWAL_BOUND_MS: u64 = CANCEL_MS - LEASE_MS - 3000;
+/// Within this time every worker that comes to the cut-off controller has left it again.
+const REDIRECTED_WITHIN_MS: u64 = 2 * HEARTBEAT_INTERVAL_MS;
+
+/// When the machines come up whose workers come to the cut-off controller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum MachinesUp {
+    /// Before the cut, so that it has their records.
+    Before,
+    /// During the cut, so that it has none of their records.
+    During,
+}
+
+/// A service each of whose replicas needs a machine of its own in zone "a", which has two controllers.
+fn service_on_several_machines() -> wire::JobSpec {
+    wire::JobSpec {
+        team: "t".into(),
+        tasks: MACHINES,
+        cpus: 4.0,
+        types: Some(vec!["m".into()]),
+        zone: Some("a".into()),
+        spread: false,
+        ..users::spec(SERVICE)
+    }
+}
+
+impl Site {
+    /// A controller in zone "a" that is not the leader.
+    fn follower_in_zone_a(&self) -> usize {
+        let leader = self.leader();
+        (0..CONTROLLERS).find(|n| *n != leader && controllers::zone(*n) == "a").expect("a follower")
+    }
+
+    /// Cuts a controller off from the key-value store and its peers for good, and waits until the others
+    /// have written a cluster map without it. Returns when it was cut off.
+    async fn cut_off_until_superseded(&self, n: usize) -> u64 {
+        let partition = Partition::Controller { n, from_store: true, from_peers: true };
+        let cut_at = self.ms();
+        self.lock().partitions.push((partition, u64::MAX));
+        let leader = self.leader();
+        let has_new_map = |s: &Simulation| s.epoch_known_to(leader) > s.epoch_known_to(n);
+        assert!(self.advance_until(cut_at + NEW_MAP_WITHIN_MS, has_new_map).await, "a new cluster map");
+        cut_at
+    }
+}
+
+impl Simulation {
+    fn epoch_known_to(&self, n: usize) -> u64 {
+        self.controllers[n].controller.as_ref().map_or(0, |controller| controller.state().epoch())
+    }
+
+    /// How many machines a controller owns by the newest cluster map that it knows.
+    fn machines_owned_by(&self, n: usize) -> usize {
+        let controller = self.controllers[n].controller.clone().expect("a controller runs");
+        let state = controller.state();
+        let map = state.cluster_map().expect("a cluster map");
+        let owned =
+            |id: &String, machine: &Machine| map.owner(id, &machine.zone) == Some(&controller.identity);
+        self.machines.iter().filter(|(id, machine)| owned(id, machine)).count()
+    }
+
+    fn have_all_workers_seen_a_later_epoch_than(&self, n: usize) -> bool {
+        let known = self.epoch_known_to(n);
+        let mut existing = self.machines.values().filter(|machine| machine.gone_at.is_none());
+        existing.all(|machine| machine.shown_epoch() > known)
+    }
+
+    fn existing(&mut self) -> impl Iterator<Item = &mut Machine> {
+        self.machines.values_mut().filter(|machine| machine.gone_at.is_none())
+    }
+}
+
+/// Guards against a controller that is cut off and answers 200 to a worker that has seen a later epoch:
+/// the worker drops the answer and stays there until its lease has run out and its tasks are killed.
+#[test]
+fn a_controller_that_is_cut_off_redirects_workers_that_have_seen_a_later_epoch() {
+    for machines_up in [MachinesUp::Before, MachinesUp::During] {
+        on_empty_site(
+            |simulation| {
+                simulation.team_t_max_cpus = f64::from(MACHINES) * 4.0;
+                simulation.cloud.capacity = MACHINES as usize;
+            },
+            async |site| {
+                let context = format!("machines up {machines_up:?} the cut");
+                site.advance(ELECTED_AT_MS).await;
+                if machines_up == MachinesUp::Before {
+                    site.run_job(service_on_several_machines()).await;
+                }
+                let cut_off = site.follower_in_zone_a();
+                let cut_at = site.cut_off_until_superseded(cut_off).await;
+                let leader = site.leader();
+                site.lock().cloud.first_controller = Some(leader);
+                if machines_up == MachinesUp::During {
+                    site.run_job(service_on_several_machines()).await;
+                }
+                let owned = site.lock().machines_owned_by(cut_off);
+                assert!(owned > 0, "{context}: by its cluster map, it owns some of the machines");
+                site.lock().existing().for_each(|machine| machine.report_to(leader));
+                let has_new_tokens = |s: &Simulation| s.have_all_workers_seen_a_later_epoch_than(cut_off);
+                assert!(site.advance_until(site.ms() + LEASE_MS, has_new_tokens).await, "{context}");
+                assert!(site.ms() < cut_at + RENEWAL_BOUND_MS, "{context}: it may still renew leases");
+                site.lock().existing().for_each(|machine| machine.report_to(cut_off));
+                site.lock().heartbeats_to_superseded = 0;
+                let started = site.lock().started;
+                site.advance(REDIRECTED_WITHIN_MS).await;
+                let machines = site.lock().existing().count();
+                let shown = site.lock().heartbeats_to_superseded;
+                assert!(
+                    machines > 0 && shown >= machines,
+                    "{context}: {shown} heartbeats, {machines} machines"
+                );
+                site.advance(2 * LEASE_MS).await;
+                let mut simulation = site.lock();
+                assert_eq!(simulation.started, started, "{context}: no task has to start again");
+                assert!(simulation.existing().all(|m| m.worker_incarnation() == 1), "{context}: leases held");
+            },
+        );
+    }
+}
