A delayed heartbeat of a released machine is not answered with a lower token

Cause: the owner has no record of a released machine and took a delayed copy of its heartbeat for that of a new one: 200 with the first token of the epoch, below the one that the heartbeat showed.

Change: a token of the present epoch above its first one shows that the machine had a record in this epoch; the heartbeat gets 421. Only the owner issues such tokens, so the record can be missing only because it was deleted after the release.

Test: late_heartbeats_of_released_machines_are_not_answered_with_lower_tokens.

--- a/crates/daemon/src/api/heartbeats.rs
+++ b/crates/daemon/src/api/heartbeats.rs
@@ -110,7 +110,11 @@
         return HeartbeatOutcome::Redirect(None);
     }
     if !state.records.replica.machines.contains_key(machine.as_str()) {
-        return if must_stop_tasks(heartbeat, &state.records.replica) {
+        // A higher token of this epoch means that the machine had a record, and that this heartbeat
+        // is a delayed duplicate. The worker would drop a response with a lower token.
+        let has_seen_commands =
+            FencingToken::from(heartbeat.fencing_token) > FencingToken::first_of_epoch(epoch);
+        return if has_seen_commands || must_stop_tasks(heartbeat, &state.records.replica) {
             HeartbeatOutcome::Redirect(None)
         } else {
             HeartbeatOutcome::RegisterMachine { epoch }
--- a/crates/daemon/tests/unit/fault_days/superseded_controllers.rs
+++ b/crates/daemon/tests/unit/fault_days/superseded_controllers.rs
@@ -4,6 +4,7 @@
 use super::machines::{CANCEL_MS, HEARTBEAT_INTERVAL_MS};
 use super::single_job::*;
 use super::*;
+use crate::worker::FencingToken;
 
 /// A service whose replicas run until they are cancelled.
 const SERVICE: u64 = 13;
@@ -15,6 +16,12 @@
 const NEW_MAP_WITHIN_MS: u64 = 7000;
 /// How long a controller that knows of no later epoch renews leases after it was cut off.
 const RENEWAL_BOUND_MS: u64 = CANCEL_MS - LEASE_MS - 3000;
+/// Within this time the tasks of a cancelled job have been stopped.
+const COMMANDED_MS: u64 = 5000;
+/// All controllers have read what was last written by then.
+const SETTLED_MS: u64 = 3000;
+/// The prefix of the keys of machines' records.
+const MACHINE_KEYS: &str = "sageloom/machines/";
 /// Within this time every worker that comes to the cut-off controller has left it again.
 const REDIRECTED_WITHIN_MS: u64 = 2 * HEARTBEAT_INTERVAL_MS;
 
@@ -47,6 +54,13 @@
         (0..CONTROLLERS).find(|n| *n != leader && controllers::zone(*n) == "a").expect("a follower")
     }
 
+    async fn send_heartbeat(&self, n: usize, heartbeat: &Heartbeat) {
+        let body = Bytes::from(wire::encode(heartbeat));
+        let request = Request { method: "POST".into(), path: "/hello".into(), body };
+        let from = Endpoint::Machine(heartbeat.machine.clone());
+        self.exchange(from, Endpoint::Controller(n), request).await.expect("an answer");
+    }
+
     /// Cuts a controller off from the key-value store and its peers for good, and waits until the others
     /// have written a cluster map without it. Returns when it was cut off.
     async fn cut_off_until_superseded(&self, n: usize) -> u64 {
@@ -81,6 +95,13 @@
         existing.all(|machine| machine.shown_epoch() > known)
     }
 
+    /// A heartbeat of each machine, as it would be sent now.
+    fn current_heartbeats(&mut self) -> Vec<Heartbeat> {
+        let (now, defect) = (self.ms(), self.defect);
+        let existing = self.machines.iter_mut().filter(|(_, machine)| machine.gone_at.is_none());
+        existing.map(|(id, machine)| machine.heartbeat(id, now, defect)).collect()
+    }
+
     fn existing(&mut self) -> impl Iterator<Item = &mut Machine> {
         self.machines.values_mut().filter(|machine| machine.gone_at.is_none())
     }
@@ -133,3 +154,30 @@
         );
     }
 }
+
+/// Guards against a delayed copy of a released machine's heartbeat that is answered with a lower token.
+#[test]
+fn late_heartbeats_of_released_machines_are_not_answered_with_lower_tokens() {
+    on_empty_site(
+        |_| {},
+        async |site| {
+            let id = site.run_service(SERVICE).await;
+            assert!(site.cancel(site.leader(), &id).await);
+            site.advance(COMMANDED_MS).await;
+            let heartbeats = site.lock().current_heartbeats();
+            let first = FencingToken::first_of_epoch(site.lock().epoch_known_to(0)).get();
+            assert!(heartbeats.iter().any(|heartbeat| heartbeat.fencing_token > first), "they were stopped");
+            let is_released = |s: &Simulation| s.machines.values().all(|machine| machine.gone_at.is_some());
+            assert!(site.advance_until(site.ms() + 4 * MAX_WAIT_MS, is_released).await, "released");
+            let has_no_records =
+                |s: &Simulation| s.store.records().all(|(key, _)| !key.starts_with(MACHINE_KEYS));
+            assert!(site.advance_until(site.ms() + 4 * MAX_WAIT_MS, has_no_records).await, "no records");
+            site.advance(SETTLED_MS).await;
+            for n in 0..CONTROLLERS {
+                for heartbeat in &heartbeats {
+                    site.send_heartbeat(n, heartbeat).await;
+                }
+            }
+        },
+    );
+}
