A superseded controller sends no commands, and registers and releases no machines

What callers saw: nothing that is known; fencing tokens, conditional transactions and the age of the records bound it.

Cause: a later epoch that a worker or a peer had shown ended only the renewal of leases.

Change: while it is superseded, a controller decides nothing (no commands, placements, terminations) but keeps its workers, as the tokens that it has issued remain in effect; it registers no machines; a leader releases none.

--- a/crates/daemon/src/api/machine_registration.rs
+++ b/crates/daemon/src/api/machine_registration.rs
@@ -43,9 +43,14 @@
     }
 }
 
-/// Takes as many unrecorded machines as one transaction can hold.
-fn next_batch(controller: &Controller) -> Vec<NewMachine> {
+/// Takes as many unrecorded machines as one transaction can hold; none while this controller is
+/// superseded, as their present owner registers them.
+pub(crate) fn next_batch(controller: &Controller) -> Vec<NewMachine> {
     let mut state = controller.state();
+    if state.is_superseded() {
+        state.machines.unrecorded.clear();
+        return Vec::new();
+    }
     let ControllerState { machines, records, .. } = &mut *state;
     let (unrecorded, replica) = (&mut machines.unrecorded, &records.replica);
     unrecorded.retain(|id, _| !replica.machines.contains_key(id));
@@ -81,7 +86,7 @@
 }
 
 async fn record_machines(controller: &Controller, machines: Vec<NewMachine>) {
-    if machines.is_empty() {
+    if machines.is_empty() || controller.state().is_superseded() {
         return;
     }
     controller.wait_for_write(machines.len(), 0.0).await;
--- a/crates/daemon/src/autoscaler/scale_in.rs
+++ b/crates/daemon/src/autoscaler/scale_in.rs
@@ -70,7 +70,7 @@
         batch.put_unrecorded_last(&controller.state().records.replica);
         batch.to_mark.truncate(controller.state_limits().txn_ops);
         mark_for_release(controller, &mut batch).await;
-        if !controller.state().is_leader(&controller.identity) {
+        if !controller.state().may_act_as_leader(&controller.identity) {
             return;
         }
         self.release_backoff.retain(|id| batch.reasons.contains_key(id));
--- a/crates/daemon/src/prober.rs
+++ b/crates/daemon/src/prober.rs
@@ -86,7 +86,7 @@
 }
 
 /// Records the worker's status, or that it did not answer.
-fn record_status(
+pub(crate) fn record_status(
     state: &mut ControllerState,
     machine: &str,
     status: Option<Heartbeat>,
--- a/crates/daemon/src/scheduler/decisions.rs
+++ b/crates/daemon/src/scheduler/decisions.rs
@@ -13,13 +13,13 @@
 use crate::state::ControllerState;
 
 /// Decides what to do in this cycle. Returns `None` if this controller is not live in the cluster
-/// map, or while its records are being reloaded.
+/// map or is superseded, or while its records are being reloaded.
 pub(crate) fn decide(
     controller: &Controller,
     state: &mut ControllerState,
     context: CycleContext,
 ) -> Option<SchedulingCycle> {
-    if !state.records.is_loaded {
+    if !state.records.is_loaded || state.is_superseded() {
         // Keep the workers: the fencing tokens that were issued to them remain in effect.
         return None;
     }
--- a/crates/daemon/src/state/mod.rs
+++ b/crates/daemon/src/state/mod.rs
@@ -113,6 +113,12 @@
         self.is_live(me) && self.records.replica.leader.as_ref().is_some_and(|leader| leader.value == *me)
     }
 
+    /// Whether this process is the leader by the newest known records, and nothing shows that they
+    /// are outdated.
+    pub fn may_act_as_leader(&self, me: &Member) -> bool {
+        self.is_leader(me) && !self.is_superseded()
+    }
+
     /// Notes the fencing token that a worker has shown.
     pub fn note_worker_token(&mut self, machine: &str, token: u64, now: Instant) {
         self.note_shown_epoch(machine, FencingToken::from(token).epoch(), now);
--- a/crates/daemon/tests/unit/fault_days/superseded_controllers.rs
+++ b/crates/daemon/tests/unit/fault_days/superseded_controllers.rs
@@ -20,6 +20,10 @@
 const COMMANDED_MS: u64 = 5000;
 /// All controllers have read what was last written by then.
 const SETTLED_MS: u64 = 3000;
+/// A little less than the time after which a machine without heartbeats is released.
+const ALMOST_SILENT_MS: u64 = 5000;
+/// A leader with older records releases no machines anyway.
+const MAX_RECORDS_AGE_MS: u64 = 4000;
 /// The prefix of the keys of machines' records.
 const MACHINE_KEYS: &str = "sageloom/machines/";
 /// Within this time every worker that comes to the cut-off controller has left it again.
@@ -54,6 +58,12 @@
         (0..CONTROLLERS).find(|n| *n != leader && controllers::zone(*n) == "a").expect("a follower")
     }
 
+    /// Delivers a machine's heartbeat, but such that it shows the epoch after the one that a controller knows.
+    async fn show_later_epoch(&self, n: usize, heartbeat: Heartbeat) {
+        let token = FencingToken::first_of_epoch(self.lock().epoch_known_to(n) + 1).get();
+        self.send_heartbeat(n, &Heartbeat { fencing_token: token, ..heartbeat }).await;
+    }
+
     async fn send_heartbeat(&self, n: usize, heartbeat: &Heartbeat) {
         let body = Bytes::from(wire::encode(heartbeat));
         let request = Request { method: "POST".into(), path: "/hello".into(), body };
@@ -181,3 +191,30 @@
         },
     );
 }
+
+/// Guards against a superseded leader that releases machines which its successor may use.
+#[test]
+fn a_superseded_leader_releases_no_machines() {
+    for is_superseded in [false, true] {
+        on_empty_site(
+            |_| {},
+            async |site| {
+                site.run_service(SERVICE).await;
+                let heartbeat = site.lock().current_heartbeats().pop().expect("a machine");
+                let lost = heartbeat.machine.clone();
+                site.lock().remove_machine(&lost);
+                site.advance(ALMOST_SILENT_MS).await;
+                // From now on the leader reads nothing that would show it the cluster map.
+                site.lock().store.outage_until = u64::MAX;
+                let leader = site.leader();
+                if is_superseded {
+                    site.show_later_epoch(leader, heartbeat).await;
+                }
+                let earlier_calls = site.lock().cloud.release_calls.len();
+                site.advance(MAX_RECORDS_AGE_MS).await;
+                let released = site.lock().cloud.release_calls.len() > earlier_calls;
+                assert_eq!(released, !is_superseded, "{lost} is silent");
+            },
+        );
+    }
+}
--- a/crates/daemon/tests/unit/faults_machines.rs
+++ b/crates/daemon/tests/unit/faults_machines.rs
@@ -406,3 +406,5 @@
 mod records;
 #[path = "faults_reports.rs"]
 mod reports;
+#[path = "faults_superseded.rs"]
+mod superseded;
