The epoch that a peer's message shows counts, whatever becomes of the message

Cause: the status of a peer whose incarnation is not the recorded one is dropped. A controller with outdated records does not know that of a restarted peer and dropped the later epoch with the status.

A delayed copy does no harm, as an epoch that was shown has begun.

--- a/crates/daemon/src/peer_status.rs
+++ b/crates/daemon/src/peer_status.rs
@@ -78,12 +78,18 @@
 pub(crate) fn receive_status(controller: &Controller, mut status: PeerStatus) {
     let mut state = controller.state();
     let is_peer = controller.settings.peers.iter().any(|p| p.node_name == status.name);
-    if !is_peer || !is_newer(&state, &status) {
+    if !is_peer {
+        return;
+    }
+    let now = clock::now();
+    // An outdated copy of the records does not know the present incarnation of a peer, but the epoch
+    // that the peer shows counts all the same.
+    state.note_shown_epoch(&status.name, status.epoch, now);
+    if !is_newer(&state, &status) {
         return;
     }
     let ControllerState { records, peers, .. } = &mut *state;
     update_machines(&mut peers.machines, &records.replica, &mut status);
-    let now = clock::now();
     peers.read_indexes.record_contact(&status.name, status.incarnation, now);
     peers.statuses.insert(status.name.clone(), ReceivedStatus { status, received_at: now });
 }
--- a/crates/daemon/src/read_index.rs
+++ b/crates/daemon/src/read_index.rs
@@ -138,6 +138,7 @@
     if index.nonce != request.nonce || index.name != peer || !state.records.is_loaded {
         return ReadIndexOutcome::Inconclusive;
     }
+    state.note_shown_epoch(peer, index.epoch, now);
     state.peers.read_indexes.record_contact(peer, index.incarnation, now);
     let is_conclusive = is_conclusive(state, &index);
     let ReadIndex { incarnation, revision, cancelled, truncated, .. } = index;
