An assignment is over only once copies of its launch are ruled out

What callers would see: a task runs on two machines. A machine comes back within a moment, in its session but without its tasks, and gets no other command (in the test it is about to be reclaimed). The tasks count as lost and start elsewhere; then a copy of the start command, carried out and answered before, arrives and is carried out again.

Cause: only unanswered launches had to be ruled out by a later token. The copy of an answered one has the highest token that the worker has seen, and the right session.

Change: each assignment keeps the token of the request that launched it, and neither an exit nor absence ends it until the worker has shown a higher one. After an answered launch the next heartbeat's response has a higher token, so that in general none has to be sent for this.

--- a/crates/daemon/src/worker/assignment_id.rs
+++ b/crates/daemon/src/worker/assignment_id.rs
@@ -10,3 +10,11 @@
     /// The number of the attempt, never reused for the same task.
     pub attempt: u64,
 }
+
+impl AssignmentId {
+    /// The attempt of a task with this name, for example `j-7/3`. `None` if it is no task's name.
+    pub(super) fn from_task_name(name: &str, attempt: u64) -> Option<Self> {
+        let (job, task) = name.split_once('/')?;
+        Some(Self { job: job.to_owned(), task: task.parse().ok()?, attempt })
+    }
+}
--- a/crates/daemon/src/worker/command_channel.rs
+++ b/crates/daemon/src/worker/command_channel.rs
@@ -83,6 +83,11 @@
         self.highest_seen = self.highest_seen.max(token);
     }
 
+    /// The highest token that the worker is known to have seen.
+    pub(super) fn highest_seen(&self) -> FencingToken {
+        self.highest_seen
+    }
+
     /// Whether a token is from the epoch in which this controller became the owner, or a later one.
     #[inline]
     pub(super) fn is_of_this_owner(&self, token: FencingToken) -> bool {
@@ -167,11 +172,14 @@
     /// [`Self::fail`], if the request is no longer pending because the epoch has changed: its
     /// outcome must not complete the request that is pending now.
     pub(super) fn complete(&mut self, token: FencingToken) -> bool {
-        if self.pending.take_if(|request| request.token == token).is_none() {
-            return false;
-        }
+        let Some(request) = self.pending.take_if(|request| request.token == token) else { return false };
         self.failures = 0;
         self.retry_at = None;
+        if request.has_launches {
+            // The next heartbeat response has a higher token, so that the worker drops a copy of the
+            // request that arrives later.
+            self.next_token();
+        }
         true
     }
 
--- a/crates/daemon/src/worker/fencing_token.rs
+++ b/crates/daemon/src/worker/fencing_token.rs
@@ -1,7 +1,7 @@
 //! Fencing tokens: a worker accepts a token only if it has not seen a higher one.
 
-/// Number of tokens for each worker in one epoch. Each request to the worker uses one up: at two
-/// requests a second, they last for six days.
+/// Number of tokens for each worker in one epoch. Each request to the worker uses one up, and each one
+/// that launches tasks a second one: at two requests a second, they last for three days at least.
 const TOKENS_PER_EPOCH: u64 = 1 << 20;
 /// Once this many tokens are used, a new epoch is requested, which has new tokens.
 const MAX_TOKENS_BEFORE_NEW_EPOCH: u64 = TOKENS_PER_EPOCH / 4 * 3;
--- a/crates/daemon/src/worker/mod.rs
+++ b/crates/daemon/src/worker/mod.rs
@@ -251,7 +251,9 @@
     /// Begins a request with a higher token than all before. Returns `None` if the epoch has no
     /// token left; then nothing may be sent.
     pub fn begin_commands(&mut self, commands: &[Command], now: Instant) -> Option<FencingToken> {
-        self.commands.begin(commands, now)
+        let token = self.commands.begin(commands, now)?;
+        self.tasks.note_launches(commands, token);
+        Some(token)
     }
 
     /// Whether a request that has only forget commands may be sent.
--- a/crates/daemon/src/worker/reconcile.rs
+++ b/crates/daemon/src/worker/reconcile.rs
@@ -47,6 +47,7 @@
             now,
             lease_expired: self.has_lease_expired(limits, now),
             absence_is_proof: self.commands.are_launches_ruled_out(),
+            highest_seen: self.commands.highest_seen(),
             may_launch: limits.is_replica_fresh_to_launch(now),
         };
         let mut findings = Findings::default();
--- a/crates/daemon/src/worker/tracked_tasks.rs
+++ b/crates/daemon/src/worker/tracked_tasks.rs
@@ -6,7 +6,7 @@
 use sched::records::{Assignment, JobRecord, Phase, TerminationReason};
 use wire::{Command, ExitReason, TaskState, TaskStatus};
 
-use super::{AssignmentId, WorkerLimits};
+use super::{AssignmentId, FencingToken, WorkerLimits};
 
 /// Time after the first stop command for a task before the command is repeated.
 const STOP_RETRY_DELAY: Duration = Duration::from_secs(2);
@@ -25,6 +25,8 @@
     pub(super) lease_expired: bool,
     /// Whether absence from the worker's status proves that an assignment is over.
     pub(super) absence_is_proof: bool,
+    /// The highest token that the worker is known to have seen.
+    pub(super) highest_seen: FencingToken,
     /// Whether the replica of the records is fresh enough to launch tasks based on it.
     pub(super) may_launch: bool,
 }
@@ -56,6 +58,10 @@
     is_current: bool,
     /// Assignments that were seen on the worker.
     seen: HashSet<AssignmentId>,
+    /// The token of the last request that launched each assignment. A copy of it may arrive at any
+    /// time until the worker has seen a higher token; a worker that has lost its tasks in a restart
+    /// would execute it.
+    launched_with: HashMap<AssignmentId, FencingToken>,
     /// When the first stop command for each assignment was issued.
     stopped_at: HashMap<AssignmentId, Instant>,
     /// Since when tasks have been seen without an assignment, by task and attempt.
@@ -97,6 +103,21 @@
         self.is_current && self.statuses.iter().any(runs)
     }
 
+    /// Notes the launches in a request with this token.
+    pub(super) fn note_launches(&mut self, commands: &[Command], token: FencingToken) {
+        for command in commands {
+            let Command::Start { task, attempt } = command else { continue };
+            if let Some(id) = AssignmentId::from_task_name(task, *attempt) {
+                self.launched_with.insert(id, token);
+            }
+        }
+    }
+
+    /// Whether no copy of the request that launched an assignment can take effect any more.
+    fn is_launch_fenced(&self, id: &AssignmentId, context: &ComparisonContext<'_>) -> bool {
+        self.launched_with.get(id).is_none_or(|token| context.highest_seen > *token)
+    }
+
     /// When the end of an assignment was first proven.
     pub(super) fn first_proven_at(&mut self, assignment: &AssignmentId, now: Instant) -> Instant {
         *self.proven_at.entry(assignment.clone()).or_insert(now)
@@ -132,8 +153,11 @@
         let name = format!("{job_id}/{task}");
         let status = self.statuses.iter().find(|t| t.attempt == attempt && t.task == name);
         let should_run = job.should_run(assignment);
+        let is_fenced = self.is_launch_fenced(&id, context);
         match status.map(|t| (t.state, t.cause)) {
-            Some((TaskState::Exited, _)) if !self.is_current => findings.needs_token_acknowledgement = true,
+            Some((TaskState::Exited, _)) if !self.is_current || !is_fenced => {
+                findings.needs_token_acknowledgement = true;
+            }
             Some((TaskState::Exited, cause)) => {
                 findings.terminations.push((id.clone(), termination_reason(cause)));
             }
@@ -151,7 +175,7 @@
                 }
             }
             // The task was seen before and is gone now: the worker was restarted.
-            None if context.absence_is_proof => {
+            None if context.absence_is_proof && is_fenced => {
                 findings.terminations.push((id.clone(), TerminationReason::Lost));
             }
             None => findings.needs_token_acknowledgement = true,
@@ -190,6 +214,7 @@
     pub(super) fn retain_assigned(&mut self, findings: &Findings<'_>) {
         self.proven_at.retain(|id, _| findings.assigned.contains(id));
         self.seen.retain(|id| findings.assigned.contains(id));
+        self.launched_with.retain(|id, _| findings.assigned.contains(id));
         self.stopped_at.retain(|id, _| findings.assigned.contains(id));
     }
 
--- a/crates/daemon/tests/unit/fault_days/faults.rs
+++ b/crates/daemon/tests/unit/fault_days/faults.rs
@@ -8,6 +8,7 @@
 use tokio::time::sleep;
 
 use super::cloud::LateCalls;
+use super::command_copies::MAX_DELAY_MS as MAX_COPY_DELAY_MS;
 use super::key_value_store::DelayedWrites;
 use super::machines::{CANCEL_MS, LEASE_MS};
 use super::network::{MessageDelay, Partition};
@@ -134,6 +135,11 @@
     HeldStarts {
         for_ms: u64,
     },
+    /// Copies of some start commands, which were carried out and answered, arrive later.
+    CopiedStarts {
+        share: f64,
+        for_ms: u64,
+    },
     /// The cloud carries out requests and releases later, without an answer.
     LateCloudCalls {
         for_ms: u64,
@@ -167,6 +173,7 @@
         match *self {
             Fault::DelayedWrites { for_ms, at_once, .. } => for_ms + if at_once { 0 } else { 12_000 },
             Fault::DuplicateHeartbeats { for_ms, .. } => for_ms + 3 * LEASE_MS,
+            Fault::CopiedStarts { for_ms, .. } => for_ms + MAX_COPY_DELAY_MS,
             Fault::StoreRefusal { for_ms, then_all_ms, .. } => for_ms + then_all_ms,
             Fault::DelayedCommands { for_ms, .. } | Fault::DelayedPeerMessages { for_ms, .. } => {
                 for_ms + 7000
@@ -382,6 +389,9 @@
         let starts_at = rng.random_range(10_000..at);
         faults.push(ScheduledFault { starts_at, fault: draw_late_or_unusual(&mut rng) });
     }
+    let mut rng = StdRng::seed_from_u64(seed ^ 0xc0b1);
+    let copied_starts = Fault::CopiedStarts { share: 0.5, for_ms: rng.random_range(15_000..60_000) };
+    faults.push(ScheduledFault { starts_at: rng.random_range(5000..at), fault: copied_starts });
     faults.sort_by_key(|e| e.starts_at);
     faults
 }
@@ -541,6 +551,10 @@
                 );
             }
             Fault::HeldStarts { for_ms } => self.lock().held_starts.until = now + for_ms,
+            Fault::CopiedStarts { share, for_ms } => {
+                let copies = &mut self.lock().command_copies;
+                (copies.share, copies.until) = (share, now + for_ms);
+            }
             Fault::LateCloudCalls { for_ms, delay_ms } => {
                 self.lock().cloud.late_calls = LateCalls { until: now + for_ms, delay_ms, count: 0 };
             }
--- a/crates/daemon/tests/unit/fault_days/late_requests.rs
+++ b/crates/daemon/tests/unit/fault_days/late_requests.rs
@@ -23,7 +23,7 @@
 
 impl Simulation {
     /// The active tasks on machines that no record assigns to these machines.
-    fn unrecorded_tasks(&self) -> Vec<String> {
+    pub(super) fn unrecorded_tasks(&self) -> Vec<String> {
         let running = self.controllers.iter().find_map(|process| process.controller.clone());
         let controller = running.expect("a controller runs");
         let state = controller.state();
--- a/crates/daemon/tests/unit/fault_days/mod.rs
+++ b/crates/daemon/tests/unit/fault_days/mod.rs
@@ -10,11 +10,13 @@
 
 mod checker;
 mod cloud;
+mod command_copies;
 mod controllers;
 mod drains;
 mod failing_machines;
 mod faults;
 mod key_value_store;
+mod late_copies;
 mod late_requests;
 mod machines;
 mod network;
@@ -154,6 +156,7 @@
     partitions: Vec<(Partition, u64)>,
     command_delay: MessageDelay,
     held_starts: network::HeldStarts,
+    command_copies: command_copies::CommandCopies,
     other_spellings_until: u64,
     peer_message_delay: MessageDelay,
     duplication: HeartbeatDuplication,
@@ -268,6 +271,7 @@
             partitions: Vec::new(),
             command_delay: MessageDelay::default(),
             held_starts: network::HeldStarts::default(),
+            command_copies: command_copies::CommandCopies::default(),
             other_spellings_until: 0,
             peer_message_delay: MessageDelay::default(),
             duplication: HeartbeatDuplication::default(),
@@ -343,6 +347,7 @@
                 }
             }
             self.start_booted_machines();
+            self.deliver_due_copies();
             let ended = std::mem::take(&mut self.lock().ended_jobs);
             ended.into_iter().for_each(|id| self.job_ended(id));
             let duplicates = self.lock().take_due_duplicates();
--- a/crates/daemon/tests/unit/fault_days/network.rs
+++ b/crates/daemon/tests/unit/fault_days/network.rs
@@ -10,6 +10,7 @@
 use tokio::time::sleep;
 use wire::{Command, Commands, Heartbeat};
 
+use super::command_copies::COMMANDS_PATH;
 use super::{Simulation, Site};
 use crate::controller::Controller;
 use crate::worker::FencingToken;
@@ -106,7 +107,11 @@
                 std::future::pending::<()>().await;
             }
             let path = request.path.clone();
+            let commands = (path == COMMANDS_PATH).then(|| request.body.clone());
             let served = site.serve(&from, &to, request).await;
+            if let (Endpoint::Machine(machine), Some(commands), Some((200, _))) = (&to, commands, &served) {
+                site.lock().copy_start_commands(machine, commands);
+            }
             if !site.deliver(&to, &from, false, &path).await {
                 std::future::pending::<()>().await;
             }
@@ -164,7 +169,7 @@
     /// Until when a request is held up on its way, if it has a start command.
     fn hold_start(&mut self, request: &Request) -> Option<u64> {
         let until = self.held_starts.until;
-        if request.path != "/commands" || self.ms() >= until {
+        if request.path != COMMANDS_PATH || self.ms() >= until {
             return None;
         }
         let commands = wire::decode::<Commands>(&request.body).ok()?.commands;
