The emulator delivers late copies of start commands

Trouble `copied_starts` (`share`, `delay_s`): of executed requests with start commands, also on machines that hang meanwhile, a copy arrives later. The emulation counts those that arrived.

--- a/crates/emulator/src/config/load_and_faults.rs
+++ b/crates/emulator/src/config/load_and_faults.rs
@@ -87,6 +87,7 @@
     Reclaim,
     SlowRequests,
     OtherSpellings,
+    CopiedStarts,
 }
 
 #[derive(Debug, Clone, Deserialize)]
@@ -145,6 +146,7 @@
                 TroubleKind::Reclaim => FaultKind::Reclaims(share),
                 TroubleKind::SlowRequests => FaultKind::SlowRequests(share, max_delay),
                 TroubleKind::OtherSpellings => FaultKind::OtherSpellings(share),
+                TroubleKind::CopiedStarts => FaultKind::CopiedStarts(share, max_delay),
             };
             let (at, duration) = (seconds(t.at_s), seconds(t.for_s).max(Duration::from_millis(1)));
             ScheduledFault { name: name.clone(), kind, at, duration }
--- a/crates/emulator/src/emulation/mod.rs
+++ b/crates/emulator/src/emulation/mod.rs
@@ -7,6 +7,7 @@
 
 use std::collections::HashMap;
 use std::path::Path;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -73,6 +74,8 @@
     state_changed: Notify,
     /// Notified after each health probe.
     probe_finished: Notify,
+    /// Copies of start commands that have arrived at their machines.
+    copies_arrived: AtomicU64,
     stop: CancellationToken,
     tasks: TaskTracker,
 }
@@ -177,6 +180,7 @@
             probes: Client::new(fronts.len()),
             state_changed: Notify::new(),
             probe_finished: Notify::new(),
+            copies_arrived: AtomicU64::new(0),
             stop: CancellationToken::new(),
             tasks: TaskTracker::new(),
             fronts,
@@ -220,6 +224,11 @@
         self.shared.users.lock().user_statistics().clone()
     }
 
+    /// The number of copies of start commands that have arrived at their machines.
+    pub fn copies_arrived(&self) -> u64 {
+        self.shared.copies_arrived.load(Ordering::Relaxed)
+    }
+
     /// The tasks on all machines, including exited ones that are still reported.
     pub fn tasks(&self) -> Vec<wire::TaskStatus> {
         self.shared.site.lock().workers().flat_map(|w| w.tasks()).collect()
--- a/crates/emulator/src/emulation/services.rs
+++ b/crates/emulator/src/emulation/services.rs
@@ -3,13 +3,15 @@
 use std::collections::HashMap;
 use std::future::pending;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Instant;
 
 use net::{Client, Reply, Request, serve};
 use tokio::net::TcpListener;
 use tokio::time::{MissedTickBehavior, interval, sleep, sleep_until};
 use tokio_util::sync::CancellationToken;
-use wire::MachineStatus;
+use tracing::debug;
+use wire::{Command, Commands, MachineStatus};
 
 use super::{Listeners, Shared, TICK, connections};
 use crate::service_faults::RequestOutcome;
@@ -176,12 +178,11 @@
     // A hung machine handles the request when it works again, even if the sender has given up.
     let (sender, receiver) = tokio::sync::oneshot::channel();
     shared.tasks.clone().spawn(async move {
-        while shared.site.lock().hangs(&name) && !shared.stop.is_cancelled() {
-            sleep(TICK).await;
-        }
-        let reply = shared.site.lock().machine_request(&name, &request, Instant::now());
-        if let Some(reply) = reply {
-            let _ = sender.send(reply);
+        let Some(reply) = execute_when_running(&shared, &name, &request).await else { return };
+        let is_executed_start = reply.status == 200 && has_start_commands(&request);
+        let _ = sender.send(reply);
+        if is_executed_start {
+            deliver_copy(&shared, &name, &request).await;
         }
     });
     match receiver.await {
@@ -189,3 +190,30 @@
         Err(_) => pending().await,
     }
 }
+
+/// Waits until a machine does not hang, and lets it execute a request.
+async fn execute_when_running(shared: &Shared, name: &str, request: &Request) -> Option<Reply> {
+    while shared.site.lock().hangs(name) && !shared.stop.is_cancelled() {
+        sleep(TICK).await;
+    }
+    shared.site.lock().machine_request(name, request, Instant::now())
+}
+
+/// Delivers a copy of an executed request later, if the injected faults say so. Its reply reaches nobody.
+async fn deliver_copy(shared: &Shared, name: &str, request: &Request) {
+    let Some(delay) = shared.fault_schedule.lock().draw_copy_delay() else { return };
+    tokio::select! {
+        () = shared.stop.cancelled() => return,
+        () = sleep(delay) => {}
+    }
+    let Some(reply) = execute_when_running(shared, name, request).await else { return };
+    shared.copies_arrived.fetch_add(1, Ordering::Relaxed);
+    debug!(machine = name, status = reply.status, "a copy of start commands arrived");
+}
+
+/// Whether a request has start commands.
+fn has_start_commands(request: &Request) -> bool {
+    let is_start = |command: &Command| matches!(command, Command::Start { .. });
+    request.path == "/commands"
+        && wire::decode::<Commands>(&request.body).is_ok_and(|sent| sent.commands.iter().any(is_start))
+}
--- a/crates/emulator/src/fault_schedule.rs
+++ b/crates/emulator/src/fault_schedule.rs
@@ -37,6 +37,9 @@
     SlowRequests(f64, Duration),
     /// The share of the submissions that are spelled in another form.
     OtherSpellings(f64),
+    /// The share of the executed requests with start commands of which a copy arrives later, and the
+    /// maximum delay.
+    CopiedStarts(f64, Duration),
 }
 
 #[derive(Debug, Clone)]
@@ -103,6 +106,18 @@
         faults
     }
 
+    /// Draws whether a copy of a request with start commands, which a machine has executed, arrives
+    /// later, and if so, after which delay.
+    pub fn draw_copy_delay(&mut self) -> Option<Duration> {
+        let active = self.active.keys().filter_map(|i| self.planned_faults.get(*i));
+        let copied_starts = active.into_iter().find_map(|fault| match fault.kind {
+            FaultKind::CopiedStarts(share, max_delay) => Some((share, max_delay)),
+            _ => None,
+        });
+        let (share, max_delay) = copied_starts?;
+        self.rng.random_bool(share).then(|| max_delay.mul_f64(self.rng.random_range(0.0..1.0)))
+    }
+
     /// Sets the active faults on the services and machines, and clears those of `released` machines.
     fn apply(&self, site: &mut Site, state: &mut StateService, released: &BTreeSet<String>, now: Instant) {
         let (mut state_faults, mut cloud_faults) = (ServiceFaults::default(), ServiceFaults::default());
@@ -142,7 +157,8 @@
                 FaultKind::Deaths(_)
                 | FaultKind::Reclaims(_)
                 | FaultKind::SlowRequests(..)
-                | FaultKind::OtherSpellings(_) => {}
+                | FaultKind::OtherSpellings(_)
+                | FaultKind::CopiedStarts(..) => {}
             }
         }
         state.set_faults(state_faults, now);
--- a/crates/emulator/tests/fault_schedule.rs
+++ b/crates/emulator/tests/fault_schedule.rs
@@ -97,3 +97,14 @@
     (12..70).for_each(|n| test.advance_to(n));
     assert_eq!(test.site.workers().count(), 5);
 }
+
+#[test]
+fn start_commands_are_copied_while_the_fault_is_active() {
+    let max_delay = Duration::from_secs(4);
+    let mut test = Test::new(vec![FaultKind::CopiedStarts(1.0, max_delay)], 10, 20);
+    for (at, active) in [(9, false), (10, true), (19, true), (20, false)] {
+        test.advance_to(at);
+        let delay = test.schedule.draw_copy_delay();
+        assert_eq!(delay.is_some_and(|delay| delay <= max_delay), active, "{at}: {delay:?}");
+    }
+}
