Test: an end is proven only once copies of the launch are ruled out

Exit and absence, on one worker: neither ends an assignment while the worker has shown no higher token than its launch had, and the token of the next heartbeat's response is higher.

--- a/crates/daemon/tests/unit/worker.rs
+++ b/crates/daemon/tests/unit/worker.rs
@@ -173,6 +173,28 @@
     );
 }
 
+/// Guards against a task that is started elsewhere while a copy of its answered start command can still take
+/// effect on its machine, which may come back without it.
+#[test]
+fn an_end_is_proven_only_once_copies_of_the_launch_are_ruled_out() {
+    let exited: &[_] = &[(1, TaskState::Exited, Some(ExitReason::Error))];
+    for (shown, reason) in [(exited, TerminationReason::Error), (&[], TerminationReason::Lost)] {
+        let now = Instant::now();
+        let replica = replica_with(assigned(DesiredState::Running), Phase::Active);
+        let mut worker = Worker::new("a".into(), 5, now);
+        worker.receive_heartbeat(heartbeat(1, first_token(5), &[]), now);
+        let token = worker.begin_commands(&launch(), now).expect("a token");
+        worker.commands_answered(token);
+        worker.receive_response(heartbeat(2, token, &[(1, TaskState::Running, None)]), now);
+        worker.receive_heartbeat(heartbeat(3, token, shown), now);
+        let plan = worker.reconcile("host-1", &replica, &limits(now), now);
+        assert!(plan.terminations.is_empty() && plan.needs_token_acknowledgement, "{reason:?}");
+        assert!(worker.token() > token, "the next heartbeat's response rules copies out");
+        worker.receive_heartbeat(heartbeat(4, worker.token(), shown), now);
+        assert_eq!(terminations(&worker.reconcile("host-1", &replica, &limits(now), now)), [reason]);
+    }
+}
+
 /// After a pause longer than the lease, a controller proves all assignments on a machine over,
 /// including one that it has not launched yet. A heartbeat that arrives before the proof is
 /// recorded must not launch that assignment.
