Note the epoch of peers' requests and answers about running tasks

What callers saw: nothing that is known; the last of the messages that show an epoch whose epoch was not kept.

Cause: an answer of another epoch than the request's was dropped without a note, and the epoch of a request was not read, so that a controller with an outdated cluster map could go on acting until a status came.

Change: both are noted first. An answer counts if its nonce and its name are those of the request, a request also where drains are disabled. The time is passed in.

Tests: two more cases in the test of shown epochs; with either note taken out, it fails.

--- a/crates/daemon/src/api/machine_registration.rs
+++ b/crates/daemon/src/api/machine_registration.rs
@@ -23,7 +23,7 @@
 const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(1500);
 
 /// A machine that has no record yet, and the record to be written for it.
-type NewMachine = (Name, MachineRecord);
+pub(crate) type NewMachine = (Name, MachineRecord);
 
 /// Records new machines in batches until the controller stops. Each machine is first asked to
 /// confirm its name, so that a delayed duplicate of a heartbeat does not record a released machine
@@ -84,7 +84,8 @@
     true
 }
 
-async fn record_machines(controller: &Controller, machines: Vec<NewMachine>) {
+/// Records machines, unless this controller has been superseded since it took them.
+pub(crate) async fn record_machines(controller: &Controller, machines: Vec<NewMachine>) {
     if machines.is_empty() || controller.state().is_superseded() {
         return;
     }
--- a/crates/daemon/src/drains/running_tasks.rs
+++ b/crates/daemon/src/drains/running_tasks.rs
@@ -86,7 +86,7 @@
         let requested_at = clock::now();
         let Some(request) = request(&controller) else { continue };
         let Some(answer) = exchange(&controller, &address, &request).await else { continue };
-        record_answer(&mut controller.state(), &name, &request, answer, requested_at);
+        record_answer(&mut controller.state(), &name, &request, answer, requested_at, clock::now());
     }
 }
 
@@ -123,8 +123,13 @@
     request: &RunningTasksRequest,
     answer: RunningTasks,
     requested_at: Instant,
+    now: Instant,
 ) -> bool {
-    if answer.nonce != request.nonce || answer.name != name || answer.epoch != request.epoch {
+    if answer.nonce != request.nonce || answer.name != name {
+        return false;
+    }
+    state.note_shown_epoch(name, answer.epoch, now);
+    if answer.epoch != request.epoch {
         return false;
     }
     let mut tasks = ObservedTasks::default();
@@ -137,15 +142,19 @@
     true
 }
 
-/// Answers a peer's request.
-pub fn serve(controller: &Controller, body: &[u8]) -> Reply {
+/// Answers a peer's request, received at `now`.
+pub fn serve(controller: &Controller, body: &[u8], now: Instant) -> Reply {
+    let request = peer::decode_running_tasks_request(body);
+    let mut state = controller.state();
+    if let Some(request) = &request {
+        state.note_shown_epoch("a peer's request for running tasks", request.epoch, now);
+    }
     if !controller.operators.drains.enabled {
         return Reply::error(404, "drains are disabled");
     }
-    let Some(request) = peer::decode_running_tasks_request(body) else {
+    let Some(request) = request else {
         return Reply::error(400, "not a request for running tasks");
     };
-    let state = controller.state();
     let epoch = state.cluster_map().map_or(0, |m| m.epoch);
     let jobs = request.jobs.iter().map(String::as_str);
     let answer = RunningTasks {
@@ -153,7 +162,7 @@
         name: controller.identity.name.clone(),
         incarnation: controller.identity.incarnation,
         epoch,
-        tasks_by_job: tasks_on_owned_machines(controller, &state, jobs, clock::now()),
+        tasks_by_job: tasks_on_owned_machines(controller, &state, jobs, now),
     };
     Reply { status: 200, body: peer::encode_running_tasks(&answer), retry_after: None }
 }
--- a/crates/daemon/src/peer_server.rs
+++ b/crates/daemon/src/peer_server.rs
@@ -24,7 +24,7 @@
     }
     match path {
         read_index::PATH => read_index::serve(&controller, &request.body),
-        running_tasks::PATH => running_tasks::serve(&controller, &request.body),
+        running_tasks::PATH => running_tasks::serve(&controller, &request.body, clock::now()),
         _ => answer_message(&controller, &request.body).await,
     }
 }
--- a/crates/daemon/tests/unit/drains.rs
+++ b/crates/daemon/tests/unit/drains.rs
@@ -294,15 +294,15 @@
         drain::view::RunningTaskLookup::is_running(&observed_tasks(&controller, state, now), "j-1", 9, 3)
     };
     assert!(
-        !record_answer(&mut state, "n-1", &request, answer(8, 4, 2), now),
+        !record_answer(&mut state, "n-1", &request, answer(8, 4, 2), now, now),
         "the answer to another request"
     );
     assert!(
-        !record_answer(&mut state, "n-1", &request, answer(7, 3, 2), now),
+        !record_answer(&mut state, "n-1", &request, answer(7, 3, 2), now, now),
         "the answer is of another cluster map"
     );
-    assert!(record_answer(&mut state, "n-1", &request, answer(7, 4, 1), now));
+    assert!(record_answer(&mut state, "n-1", &request, answer(7, 4, 1), now, now));
     assert!(!is_observed_by_peer(&state), "the answer is of an earlier incarnation");
-    assert!(record_answer(&mut state, "n-1", &request, answer(7, 4, 2), now));
+    assert!(record_answer(&mut state, "n-1", &request, answer(7, 4, 2), now, now));
     assert!(is_observed_by_peer(&state));
 }
--- a/crates/daemon/tests/unit/faults_superseded.rs
+++ b/crates/daemon/tests/unit/faults_superseded.rs
@@ -1,9 +1,10 @@
 //! Controllers that do not know the newest cluster map, and what shows them that there is one.
 
-use peer::{PeerStatus, ReadIndex, ReadIndexRequest};
+use peer::{PeerStatus, ReadIndex, ReadIndexRequest, RunningTasks, RunningTasksRequest};
 
 use super::*;
-use crate::api::machine_registration::next_batch;
+use crate::api::machine_registration::{NewMachine, next_batch, record_machines};
+use crate::drains::running_tasks;
 use crate::peer_status::receive_status;
 use crate::prober::record_status;
 use crate::read_index::{SentRequest, apply_read_index};
@@ -29,9 +30,13 @@
     ReadIndex,
     /// Termination proofs of a peer.
     TerminationProofs,
+    /// A peer's request for the tasks that run, also while drains are disabled.
+    RunningTasksRequest,
+    /// A peer's answer about the tasks that run.
+    RunningTasks,
 }
 
-const ALL_EVIDENCE: [Evidence; 8] = [
+const ALL_EVIDENCE: [Evidence; 10] = [
     Evidence::Heartbeat,
     Evidence::HeartbeatWithoutRecord,
     Evidence::RelayedHeartbeat,
@@ -40,6 +45,8 @@
     Evidence::StatusOfRestartedPeer,
     Evidence::ReadIndex,
     Evidence::TerminationProofs,
+    Evidence::RunningTasksRequest,
+    Evidence::RunningTasks,
 ];
 
 /// A controller, which owns two machines: a task runs on the first, and one is assigned to the second
@@ -112,6 +119,21 @@
                 apply_read_index(&mut controller.state(), sent, index, now);
             }
             Evidence::TerminationProofs => controller.accept_forwarded_proofs(epoch, Vec::new(), now),
+            Evidence::RunningTasksRequest => {
+                let request = RunningTasksRequest { nonce: 1, epoch, jobs: Vec::new() };
+                running_tasks::serve(&controller, &peer::encode_running_tasks_request(&request), now);
+            }
+            Evidence::RunningTasks => {
+                let request = RunningTasksRequest { nonce: 1, epoch: self.epoch, jobs: Vec::new() };
+                let answer = RunningTasks {
+                    nonce: 1,
+                    name: "n-1".into(),
+                    incarnation: 2002,
+                    epoch,
+                    tasks_by_job: Vec::new(),
+                };
+                running_tasks::record_answer(&mut controller.state(), "n-1", &request, answer, now, now);
+            }
         }
     }
 }
@@ -170,6 +192,36 @@
     }
 }
 
+fn unrecorded_machine() -> NewMachine {
+    let record = MachineRecord {
+        addr: "host-9".into(),
+        machine_type: "m".into(),
+        zone: "a".into(),
+        spot: false,
+        release: false,
+    };
+    ("host-9".into(), record)
+}
+
+/// Guards against a controller that completes a registration although it was shown a later epoch after
+/// it had begun.
+#[tokio::test]
+async fn a_registration_is_given_up_once_a_later_epoch_was_shown() {
+    for is_superseded in [false, true] {
+        let (mut cluster, mut first, _) = cluster_with_task_to_start();
+        let controller = cluster.controllers[0].clone();
+        controller.state().machines.unrecorded.extend([unrecorded_machine()]);
+        let batch = next_batch(&controller);
+        assert_eq!(batch.len(), 1);
+        if is_superseded {
+            cluster.show(Evidence::Heartbeat, &mut first);
+        }
+        record_machines(&controller, batch).await;
+        let changes = controller.load.take_changes();
+        assert_eq!(changes.contains("machines 1"), !is_superseded, "{changes}");
+    }
+}
+
 /// Guards against a superseded controller that records machines which their present owner records, or
 /// that acts as the leader.
 #[test]
@@ -177,14 +229,7 @@
     for is_superseded in [false, true] {
         let (mut cluster, mut first, _) = cluster_with_task_to_start();
         let controller = cluster.controllers[0].clone();
-        let record = MachineRecord {
-            addr: "host-9".into(),
-            machine_type: "m".into(),
-            zone: "a".into(),
-            spot: false,
-            release: false,
-        };
-        controller.state().machines.unrecorded.insert("host-9".into(), record);
+        controller.state().machines.unrecorded.extend([unrecorded_machine()]);
         if is_superseded {
             cluster.show(Evidence::Heartbeat, &mut first);
         }
