Test: the order of registrations and of waiting tasks

What promises besides repeatable plays: machines without a record are registered in the order of their first heartbeats, so that none is passed over for good, and tasks that wait for a value are woken in the order in which they began to wait.

--- a/crates/daemon/src/watched_value.rs
+++ b/crates/daemon/src/watched_value.rs
@@ -46,3 +46,7 @@
         self.value.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/watched_value.rs"]
+mod tests;
--- a/crates/daemon/tests/unit/api.rs
+++ b/crates/daemon/tests/unit/api.rs
@@ -1,6 +1,6 @@
 use super::error::Rejection;
 use super::heartbeats::{HeartbeatOutcome, process_heartbeat, redirect};
-use super::machine_registration::confirms_name;
+use super::machine_registration::{confirms_name, next_batch};
 use super::*;
 use crate::operators::OperatorSettings;
 use crate::settings::Settings;
@@ -183,6 +183,27 @@
     );
 }
 
+/// Guards against a machine that is passed over for good because others that came later go first.
+#[tokio::test]
+async fn machines_are_recorded_in_the_order_of_their_first_heartbeats() {
+    let controller = controller("127.0.0.1:1".into()).await;
+    let record = || MachineRecord {
+        addr: "127.0.0.1:1".into(),
+        machine_type: "m".into(),
+        zone: "z".into(),
+        spot: false,
+        release: false,
+    };
+    let names: Vec<Name> = (0..100).rev().map(|n| format!("host-{n}").as_str().into()).collect();
+    for name in &names {
+        controller.state().machines.unrecorded.insert(name.clone(), record());
+    }
+    controller.state().machines.unrecorded.insert(names[0].clone(), record());
+    let batch: Vec<Name> = next_batch(&controller).into_iter().map(|(name, _)| name).collect();
+    assert!((1..names.len()).contains(&batch.len()));
+    assert_eq!(batch[..], names[..batch.len()]);
+}
+
 #[test]
 fn each_error_has_its_status_message_and_retry_after() {
     let cases = [
