--- /dev/null
+++ b/review/stand-ins-2/cases.rs
@@ -0,0 +1,357 @@
+//! The cases.
+
+use std::sync::Arc;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+use crate::controllers::{
+    Folders, SmallSite, cannot_run, free_port, start_controller, start_emulated_site, wait_until_healthy,
+};
+use crate::http;
+use crate::site::{MachineType, Record, Site, WorkerTimes};
+use crate::state::{Limits, StateService};
+use crate::value::{Value, int, map, text};
+
+/// `Err`: the rule was broken, and how.
+pub type Verdict = Result<(), String>;
+
+fn secs(s: u64) -> Duration {
+    Duration::from_secs(s)
+}
+
+/// The description of a job, with what most jobs of the cases have in common.
+struct Spec {
+    id: &'static str,
+    pattern: &'static str,
+    owner: &'static str,
+    weave: &'static str,
+    rank: &'static str,
+    threads: u64,
+    cpus: f64,
+    mem_gb: f64,
+    size_gb: f64,
+    shapes: Option<&'static str>,
+    bay: Option<&'static str>,
+    spread: bool,
+    guess_s: f64,
+}
+
+impl Spec {
+    fn value(&self) -> Value {
+        let Self { id, pattern, owner, weave, rank, threads, cpus, mem_gb, size_gb, .. } = *self;
+        map(vec![
+            ("id", text(id)),
+            ("pattern", text(pattern)),
+            ("owner", text(owner)),
+            ("weave", text(weave)),
+            ("rank", text(rank)),
+            ("threads", int(threads)),
+            ("cpus", Value::Float(cpus)),
+            ("gpus", Value::Float(0.0)),
+            ("mem_gb", Value::Float(mem_gb)),
+            ("bundle", text(&format!("img-{id}"))),
+            ("size_gb", Value::Float(size_gb)),
+            ("shapes", self.shapes.map_or(Value::Nil, |shape| Value::List(vec![text(shape)]))),
+            ("bay", self.bay.map_or(Value::Nil, text)),
+            ("one_zone", Value::Bool(false)),
+            ("spread", Value::Bool(self.spread)),
+            ("loaner", Value::Bool(false)),
+            ("guess_s", Value::Float(self.guess_s)),
+            ("knot_s", Value::Float(0.0)),
+            ("tie_s", Value::Float(0.0)),
+            ("due_s", Value::Nil),
+        ])
+    }
+}
+
+/// Submits a job as a user does: again after a second, at the next controller, for 60 s at most.
+fn submit(record: &Record, fronts: &[String], spec: &Value) {
+    let deadline = Instant::now() + secs(60);
+    for front in fronts.iter().cycle() {
+        let answer = http::request(front, "POST", "/v1/jobs", Some(spec), secs(5));
+        let id = spec.str("id");
+        match answer {
+            Some((status @ (200 | 201), _)) => {
+                return record.note(format_args!("user: {id} is accepted ({status})"));
+            }
+            Some((status @ (400 | 422), body)) => cannot_run(&format!("{id} is refused: {status} {}", body.json())),
+            answer => record.note(format_args!("user: {id} is not accepted yet: {:?}", answer.map(|a| a.0))),
+        }
+        if Instant::now() > deadline {
+            cannot_run("a job is not accepted");
+        }
+        sleep(secs(1));
+    }
+}
+
+fn status(record: &Record, fronts: &[String], id: &str) -> Option<Value> {
+    for front in fronts {
+        if let Some((200, body)) = http::request(front, "GET", &format!("/v1/jobs/{id}"), None, secs(2)) {
+            record.note(format_args!("user: asked about {id}: {}", body.json()));
+            return Some(body);
+        }
+    }
+    record.note(format_args!("user: no answer about {id}"));
+    None
+}
+
+fn wait_for(what: &str, limit: Duration, mut is_so: impl FnMut() -> bool) {
+    let deadline = Instant::now() + limit;
+    while !is_so() {
+        if Instant::now() > deadline {
+            cannot_run(what);
+        }
+        sleep(Duration::from_millis(50));
+    }
+}
+
+fn machine_types() -> Vec<MachineType> {
+    const BAYS: [&str; 2] = ["taoyuan-dc", "taichung-dc"];
+    let t = |label, cpus, mem_gb, price, fetch_gb_per_s, startup_s| MachineType {
+        label,
+        cpus,
+        mem_gb,
+        price,
+        spot_price: price / 3.0,
+        local_gb: 50.0,
+        fetch_gb_per_s,
+        startup_s,
+        bays: &BAYS,
+    };
+    vec![
+        t("xiao", 8.0, 16.0, 0.33, 0.3, 20.0),
+        t("zhong", 16.0, 64.0, 0.75, 0.8, 25.0),
+        t("da", 64.0, 256.0, 2.81, 0.2, 40.0),
+    ]
+}
+
+/// When the rescheduler's budget of a service has first refilled, in seconds after the job was
+/// accepted: a minute, and up to a quarter more by the job's id.
+fn refill_s(id: &str) -> f64 {
+    let hash = id.bytes().fold(7u64, |hash, byte| hash.wrapping_mul(31).wrapping_add(u64::from(byte)));
+    60.0 + 60.0 * (hash % 256) as f64 / 1024.0
+}
+
+/// A service of two replicas. One replica is on a crowded machine, from which it may be moved a minute
+/// after the start. Some seconds before, the machine of the other replica hangs.
+pub fn eviction(folders: &Folders, record: &Arc<Record>, trouble: bool) -> Verdict {
+    let limits = Limits { rps: 200.0, write_rps: 80.0, value_kb: 16.0, txn_ops: 12 };
+    let times = WorkerTimes { report_s: 1.0, lease_s: 10.0, list_lag_s: 8.0 };
+    let site = Site::new(record.clone(), machine_types(), times, 1.5);
+    let state = StateService::start(limits);
+    let state_address = http::serve(Arc::new(move |request| state.handle(request)));
+    let cloud = site.clone();
+    let cloud_address = http::serve(Arc::new(move |request| cloud.cloud_request(request)));
+    let small_site = SmallSite::new(state_address, cloud_address);
+    site.set_fronts(small_site.fronts_by_name());
+    let started = Instant::now();
+    let at = |s: f64| started + Duration::from_secs_f64(s);
+    small_site.start(folders);
+    wait_until_healthy(&small_site.fronts, secs(10));
+    let fronts = &small_site.fronts;
+
+    const SERVICE: &str = "j-000200";
+    let service = |id, cpus, shape, bay| Spec {
+        id,
+        pattern: "order-api",
+        owner: "orders-team",
+        weave: "standing",
+        rank: "prod",
+        threads: 1,
+        cpus,
+        mem_gb: 2.3,
+        size_gb: 0.7,
+        shapes: Some(shape),
+        bay: Some(bay),
+        spread: false,
+        guess_s: 0.0,
+    };
+    // A machine that is mostly in use.
+    site.set_capacity("zhong", "taichung-dc", 1);
+    let filler = service("j-000101", 10.0, "zhong", "taichung-dc").value();
+    site.upload(&filler, 0.0, false);
+    submit(record, fronts, &filler);
+    wait_for("the first service does not start", secs(14), || !site.running("j-000101").is_empty());
+    // The service: one replica beside it, the other in the other zone.
+    sleep(at(80.0 - 2.0 - refill_s(SERVICE)).saturating_duration_since(Instant::now()));
+    site.set_capacity("xiao", "taoyuan-dc", 1);
+    let replicated = Spec { threads: 2, shapes: None, bay: None, spread: true, ..service(SERVICE, 2.0, "", "") }.value();
+    site.upload(&replicated, 0.0, false);
+    submit(record, fronts, &replicated);
+    wait_for("the service does not start", secs(25), || site.running(SERVICE).len() == 2);
+    // A machine with much free room, in the zone of the one that is mostly in use.
+    site.set_capacity("da", "taichung-dc", 1);
+    let roomy = service("j-000102", 4.0, "da", "taichung-dc").value();
+    site.upload(&roomy, 0.0, false);
+    submit(record, fronts, &roomy);
+    wait_for("the last service does not start", secs(25), || !site.running("j-000102").is_empty());
+    let placed = |n: u32| site.machine_of(&format!("{SERVICE}/{n}"));
+    let Some(other) = (0..2).filter_map(placed).find(|(_, shape)| *shape == "xiao") else {
+        cannot_run("the replicas are not on the machines that the case needs")
+    };
+    record.note(format_args!("the replicas run on {:?} and {:?}", placed(0), placed(1)));
+    if !site.stops().is_empty() || Instant::now() > at(75.0) {
+        cannot_run("the services started too late");
+    }
+    sleep(at(75.5).saturating_duration_since(Instant::now()));
+    if trouble {
+        site.set_hangs(&other.0, true);
+    }
+    sleep(at(95.0).saturating_duration_since(Instant::now()));
+    status(record, fronts, SERVICE);
+    let stops: Vec<_> = site.stops().into_iter().filter(|stop| stop.job == SERVICE).collect();
+    record.note(format_args!("stops of running replicas of {SERVICE}: {stops:?}"));
+    if let Some(stop) = stops.iter().find(|stop| stop.others_running == 0) {
+        return Err(format!(
+            "{} on {} was stopped to be moved while no other replica of the service ran",
+            stop.thread, stop.machine
+        ));
+    }
+    Ok(())
+}
+
+/// The file of the emulated site for [`small_tasks`]: `BRIEF`'s second deployment, with one machine.
+fn emulated_site(ports: &[String]) -> String {
+    let mut text = format!("seed = 3\nlisten {{\n  users = \"{}\"\n  cloud = \"{}\"\n}}\n", ports[0], ports[1]);
+    let names = ["taoyuan-1", "taichung-1", "taoyuan-2"];
+    for (name, ports) in names.iter().zip(ports[2..].chunks(4)) {
+        let zone = format!("{}-dc", name.split('-').next().unwrap_or_default());
+        text += &format!(
+            "controller \"{name}\" {{\n  zone = \"{zone}\"\n  front = \"{}\"\n  internal = \"{}\"\n  door = \"{}\"\n  state = \"{}\"\n}}\n",
+            ports[0], ports[1], ports[2], ports[3]
+        );
+    }
+    text + r#"
+machine_type "da" {
+  cpus           = 64
+  memory_gb      = 256
+  cache_gb       = 35
+  fetch_gb_per_s = 0.8
+  price          = 2.81
+  spot_price     = 0.83
+  boot_s         = 2
+  capacity       = { taoyuan-dc = 4, taichung-dc = 4 }
+}
+team "orders-team" {
+  cpus     = 216
+  cpus_max = 896
+}
+team "menu-team" {
+  cpus     = 104
+  cpus_max = 272
+}
+workers {
+  report_s    = 1
+  lease_s     = 10
+  gang_wait_s = 35
+  gang_peer_s = 8
+  cancel_s    = 40
+}
+state {
+  rps       = 200
+  write_rps = 80
+  value_kb  = 16
+  txn_ops   = 12
+}
+cloud {
+  rps        = 5
+  list_lag_s = 8
+}
+limits {
+  cores           = 1
+  memory_mb       = 56
+  max_connections = 900
+}
+"#
+}
+
+/// The tasks of a job that a machine reports as running.
+fn running_on(machine: &str, job: &str) -> Option<usize> {
+    let (_, report) = http::request(machine, "GET", "/status", None, secs(2))?;
+    let is_of_job = |task: &&Value| {
+        task.str("thread").split('/').next() == Some(job) && task.str("status") == "running"
+    };
+    Some(report.list("threads").iter().filter(is_of_job).count())
+}
+
+/// A service runs; then another team submits an array of 2,500 small tasks, which all fit on the same
+/// machine. Without the disruption, the array has 250 tasks.
+pub fn small_tasks(folders: &Folders, record: &Arc<Record>, trouble: bool) -> Verdict {
+    const SERVICE: &str = "j-000100";
+    const ARRAY: &str = "j-000412";
+    let ports: Vec<String> = (0..14).map(|_| free_port()).collect();
+    let settings = start_emulated_site(folders, &emulated_site(&ports));
+    let names = ["taoyuan-1", "taichung-1", "taoyuan-2"];
+    for name in names {
+        start_controller(folders, &settings.join(format!("{name}.toml")), name);
+    }
+    let fronts: Vec<String> = ports[2..].chunks(4).map(|ports| ports[0].clone()).collect();
+    let doors: Vec<String> = ports[2..].chunks(4).map(|ports| ports[2].clone()).collect();
+    wait_until_healthy(&fronts, secs(15));
+    let service = Spec {
+        id: SERVICE,
+        pattern: "order-api",
+        owner: "orders-team",
+        weave: "standing",
+        rank: "prod",
+        threads: 2,
+        cpus: 2.0,
+        mem_gb: 2.3,
+        size_gb: 0.7,
+        shapes: None,
+        bay: None,
+        spread: false,
+        guess_s: 0.0,
+    };
+    submit(record, &doors, &service.value());
+    let mut machine = String::new();
+    wait_for("the service does not start", secs(30), || {
+        sleep(Duration::from_millis(450));
+        let list = http::request(&ports[1], "GET", "/machines?page=500", None, secs(2));
+        machine = list.and_then(|(_, list)| list.list("frames").first().map(|m| m.str("addr"))).unwrap_or_default();
+        !machine.is_empty() && running_on(&machine, SERVICE) == Some(2)
+    });
+    record.note(format_args!("machine {machine}: both replicas of {SERVICE} run"));
+    let array = Spec {
+        id: ARRAY,
+        pattern: "menu-report",
+        owner: "menu-team",
+        weave: "array",
+        rank: "idle",
+        threads: if trouble { 2500 } else { 250 },
+        cpus: 0.02,
+        mem_gb: 0.05,
+        size_gb: 0.5,
+        guess_s: 5.0,
+        ..service
+    };
+    submit(record, &doors, &array.value());
+    let accepted = Instant::now();
+    let mut started = false;
+    let mut service_down_since: Option<Instant> = None;
+    while accepted.elapsed() < secs(90) {
+        sleep(secs(2));
+        let (of_service, of_array) = (running_on(&machine, SERVICE), running_on(&machine, ARRAY));
+        let answer = status(record, &doors, ARRAY);
+        let is_done = answer.is_some_and(|answer| answer.str("status") == "done");
+        started |= is_done || of_array.is_some_and(|tasks| tasks > 0);
+        record.note(format_args!("machine {machine}: running {SERVICE}: {of_service:?}, {ARRAY}: {of_array:?}"));
+        match of_service {
+            Some(0) => _ = service_down_since.get_or_insert_with(Instant::now),
+            Some(_) => service_down_since = None,
+            None => {}
+        }
+        if is_done {
+            break;
+        }
+    }
+    status(record, &doors, SERVICE);
+    let down_s = service_down_since.map_or(0.0, |since| since.elapsed().as_secs_f64());
+    match (started, down_s > 20.0) {
+        (true, false) => Ok(()),
+        (_, true) => Err(format!(
+            "no replica of the accepted service {SERVICE} has run for {down_s:.0} s on the machine that has room for it; {ARRAY} started: {started}"
+        )),
+        (false, false) => Err(format!("no task of the accepted job {ARRAY} was started within 90 s")),
+    }
+}
--- /dev/null
+++ b/review/stand-ins-2/controllers.rs
@@ -0,0 +1,195 @@
+//! Starts the controllers, and the project's emulated site, as processes of their own.
+
+use std::fs::{self, File, OpenOptions};
+use std::io::Write;
+use std::net::TcpListener;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::Mutex;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::http;
+
+/// The processes that were started and not ended yet.
+static STARTED: Mutex<Vec<Child>> = Mutex::new(Vec::new());
+/// The file with their ids, from which `run-case.sh` ends them if this program is ended before.
+static PIDS: Mutex<Option<PathBuf>> = Mutex::new(None);
+
+pub struct Folders {
+    /// The repository.
+    pub root: PathBuf,
+    /// A temporary folder.
+    pub temp: PathBuf,
+}
+
+pub fn free_port() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("an address").to_string()
+}
+
+fn start(folders: &Folders, program: &Path, arguments: &[String], log: &str) -> u32 {
+    let log = File::create(folders.temp.join(log)).expect("a log file");
+    let output = log.try_clone().expect("a log file");
+    let child = Command::new(program)
+        .args(arguments)
+        .current_dir(&folders.root)
+        .env("LOG_LEVEL", "debug")
+        .stdin(Stdio::null())
+        .stdout(output)
+        .stderr(log)
+        .spawn()
+        .unwrap_or_else(|error| cannot_run(&format!("cannot start {}: {error}", program.display())));
+    let id = child.id();
+    let file = folders.temp.join("pids");
+    let pids = OpenOptions::new().create(true).append(true).open(&file);
+    let _ = pids.and_then(|mut pids| writeln!(pids, "{id}"));
+    *PIDS.lock().unwrap() = Some(file);
+    STARTED.lock().unwrap().push(child);
+    id
+}
+
+/// Starts a controller with the command of the deploy file.
+pub fn start_controller(folders: &Folders, settings: &Path, name: &str) -> u32 {
+    let deploy = fs::read_to_string(folders.root.join("deploy/service.toml")).unwrap_or_default();
+    let line = deploy.lines().find_map(|line| line.strip_prefix("run = "));
+    let run = line.unwrap_or_else(|| cannot_run("the deploy file names no command"));
+    let mut words: Vec<String> = run.trim_matches('"').split_whitespace().map(str::to_owned).collect();
+    words.push(settings.display().to_string());
+    let program = folders.root.join(&words[0]);
+    start(folders, &program, &words[1..], &format!("{name}.log"))
+}
+
+/// Starts the project's emulated site, which writes the controllers' settings.
+pub fn start_emulated_site(folders: &Folders, site: &str) -> PathBuf {
+    let (file, settings) = (folders.temp.join("site.hcl"), folders.temp.join("settings"));
+    fs::write(&file, site).expect("the site's file");
+    let arguments = ["emulate", "--site", &file.display().to_string(), "--settings", &settings.display().to_string()];
+    start(folders, &folders.root.join("target/release/sageloom"), &arguments.map(str::to_owned), "site.log");
+    let deadline = Instant::now() + Duration::from_secs(10);
+    while !settings.join("taoyuan-2.toml").exists() {
+        if Instant::now() > deadline {
+            cannot_run("the emulated site does not start");
+        }
+        thread::sleep(Duration::from_millis(50));
+    }
+    thread::sleep(Duration::from_millis(200));
+    settings
+}
+
+pub fn end_all() {
+    for child in STARTED.lock().unwrap().iter_mut() {
+        let _ = child.kill();
+        let _ = child.wait();
+    }
+    if let Some(file) = PIDS.lock().unwrap().take() {
+        let _ = fs::remove_file(file);
+    }
+}
+
+/// Ends everything: the case could not run.
+pub fn cannot_run(why: &str) -> ! {
+    eprintln!("the case could not run: {why}");
+    end_all();
+    std::process::exit(2)
+}
+
+/// Waits until all controllers are healthy.
+pub fn wait_until_healthy(fronts: &[String], limit: Duration) {
+    let deadline = Instant::now() + limit;
+    for front in fronts {
+        loop {
+            let answer = http::request(front, "GET", "/healthz", None, Duration::from_secs(1));
+            if answer.is_some_and(|(status, _)| status == 200) {
+                break;
+            }
+            if Instant::now() > deadline {
+                cannot_run("a controller does not become healthy");
+            }
+            thread::sleep(Duration::from_millis(100));
+        }
+    }
+}
+
+/// The settings of the controllers of a site like Lianfang's, with these addresses.
+pub struct SmallSite {
+    pub names: Vec<&'static str>,
+    pub zones: Vec<&'static str>,
+    pub fronts: Vec<String>,
+    pub internal: Vec<String>,
+    pub state: String,
+    pub cloud: String,
+}
+
+impl SmallSite {
+    pub fn new(state: String, cloud: String) -> Self {
+        let names = vec!["loomhost-0", "loomhost-1", "loomhost-2"];
+        let zones = vec!["taoyuan-dc", "taichung-dc", "taoyuan-dc"];
+        let ports = || (0..3).map(|_| free_port()).collect::<Vec<_>>();
+        Self { names, zones, fronts: ports(), internal: ports(), state, cloud }
+    }
+
+    pub fn fronts_by_name(&self) -> Vec<(String, String)> {
+        self.names.iter().map(|name| (*name).to_owned()).zip(self.fronts.iter().cloned()).collect()
+    }
+
+    /// Writes the settings file of each controller and starts it.
+    pub fn start(&self, folders: &Folders) {
+        for i in 0..3 {
+            let mut text = format!(
+                "node_name = \"{}\"\nzone = \"{}\"\nfront = \"{}\"\ninternal_addr = \"{}\"\n",
+                self.names[i], self.zones[i], self.fronts[i], self.internal[i]
+            );
+            for other in (0..3).filter(|other| *other != i) {
+                text += &format!(
+                    "\n[[peers]]\nnode_name = \"{}\"\nzone = \"{}\"\naddress = \"{}\"\n",
+                    self.names[other], self.zones[other], self.internal[other]
+                );
+            }
+            text += &format!("\n[external]\ncloud = \"{}\"\nstate = \"{}\"\n{FACTS}", self.cloud, self.state);
+            let file = folders.temp.join(format!("{}.toml", self.names[i]));
+            fs::write(&file, text).expect("a settings file");
+            start_controller(folders, &file, self.names[i]);
+        }
+    }
+}
+
+/// The facts of the brief's second deployment.
+const FACTS: &str = r#"
+[facts]
+size = 3
+zones = ["taoyuan-dc", "taichung-dc"]
+time_bound_ms = 5.0
+
+[[facts.teams]]
+name = "orders-team"
+cpus = 216.0
+cpus_max = 896.0
+
+[[facts.teams]]
+name = "menu-team"
+cpus = 104.0
+cpus_max = 272.0
+
+[facts.workers]
+report_s = 1.0
+lease_s = 10.0
+gang_wait_s = 35.0
+gang_peer_s = 8.0
+cancel_s = 40.0
+
+[facts.state]
+rps = 200.0
+write_rps = 80.0
+value_kb = 16.0
+txn_ops = 12
+
+[facts.cloud]
+rps = 5.0
+list_lag_s = 8.0
+
+[facts.limits]
+cores = 0.12
+memory_mb = 56.0
+max_connections = 900
+"#;
