--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -33,6 +33,7 @@
     shapes: Option<&'static str>,
     bay: Option<&'static str>,
     spread: bool,
+    one_zone: bool,
     guess_s: f64,
 }
 
@@ -53,7 +54,7 @@
             ("size_gb", Value::Float(size_gb)),
             ("shapes", self.shapes.map_or(Value::Nil, |shape| Value::List(vec![text(shape)]))),
             ("bay", self.bay.map_or(Value::Nil, text)),
-            ("one_zone", Value::Bool(false)),
+            ("one_zone", Value::Bool(self.one_zone)),
             ("spread", Value::Bool(self.spread)),
             ("loaner", Value::Bool(false)),
             ("guess_s", Value::Float(self.guess_s)),
@@ -164,6 +165,7 @@
         shapes: Some(shape),
         bay: Some(bay),
         spread: false,
+        one_zone: false,
         guess_s: 0.0,
     };
     // A machine that is mostly in use.
@@ -428,6 +430,7 @@
         shapes: None,
         bay: None,
         spread: false,
+        one_zone: false,
         guess_s: 0.0,
     };
     submit(record, &site.doors, &service.value());
@@ -522,6 +525,7 @@
         shapes: None,
         bay: None,
         spread: false,
+        one_zone: false,
         guess_s: 5.0,
     };
     submit(record, &site.doors, &array.value());
@@ -551,6 +555,7 @@
         shapes: Some("da"),
         bay: None,
         spread: false,
+        one_zone: false,
         guess_s: 5.0,
     };
     submit(record, &site.doors, &gang.value());
@@ -578,32 +583,73 @@
     }
 }
 
-/// A gang with a large image, in a zone whose only machines for it fetch slowly. Without the disruption the
-/// image is small.
-pub fn large_image(folders: &Folders, record: &Arc<Record>, trouble: bool) -> Verdict {
-    let site = start_emulated(folders, LIANFANG_CONTROLLERS, &(offers(&[XIAO, ZHONG, DA]) + LIANFANG));
+/// An array runs; then a gang of a higher rank, for one zone, for which the cloud has too few machines in any
+/// zone. Without the disruption it has enough.
+pub fn futile_preemption(folders: &Folders, record: &Arc<Record>, trouble: bool) -> Verdict {
+    let capacity =
+        if trouble { "taoyuan-dc = 1, taichung-dc = 1" } else { "taoyuan-dc = 4, taichung-dc = 1" };
+    let types = offers(&[Offer { capacity, ..DA }]);
+    let site = start_emulated(folders, LIANFANG_CONTROLLERS, &(types + LIANFANG));
+    let array = Spec {
+        id: "j-000801",
+        pattern: "menu-report",
+        owner: "menu-team",
+        weave: "array",
+        rank: "idle",
+        threads: 8,
+        cpus: 10.0,
+        mem_gb: 2.1,
+        size_gb: 0.5,
+        shapes: None,
+        bay: None,
+        spread: false,
+        one_zone: false,
+        guess_s: 15.0,
+    };
+    submit(record, &site.doors, &array.value());
+    let runs = |state: &str| state == "running";
+    let running = |job: &str| -> usize {
+        site.machines().iter().filter_map(|(.., address)| on_machine(address, job, runs)).sum()
+    };
+    wait_for("the array does not start", secs(20), || running(array.id) > 0);
     let gang = Spec {
-        id: "j-000701",
+        id: "j-000802",
         pattern: "demand-forecast",
-        owner: "menu-team",
+        owner: "orders-team",
         weave: "ensemble",
         rank: "high",
-        threads: 5,
-        cpus: 14.0,
-        mem_gb: 20.0,
-        size_gb: if trouble { 14.0 } else { 1.5 },
-        shapes: None,
-        bay: Some("taoyuan-dc"),
-        spread: false,
-        guess_s: 5.0,
+        threads: 2,
+        cpus: 60.0,
+        mem_gb: 100.0,
+        one_zone: true,
+        ..array
     };
     submit(record, &site.doors, &gang.value());
-    let started = site.was_started(record, gang.id, secs(90));
-    match started || site.machines().iter().any(|(_, shape, _)| shape == "da") {
-        true => Ok(()),
-        false => Err(format!(
-            "for the accepted job {} no machine was rented within 90 s on an idle site, and no task was started",
-            gang.id
-        )),
+    let accepted = Instant::now();
+    let (mut is_done, mut gang_started, mut last_try) = (false, false, 0);
+    while accepted.elapsed() < secs(80) && !is_done {
+        sleep(Duration::from_millis(700));
+        for (machine, _, address) in site.machines() {
+            let Some((_, report)) = http::request(&address, "GET", "/status", None, secs(2)) else { continue };
+            for task in report.list("threads") {
+                let thread = task.str("thread");
+                if thread.starts_with(array.id) {
+                    last_try = last_try.max(task.int("try"));
+                }
+                gang_started |= thread.starts_with(gang.id);
+                record.note(format_args!("{machine}: {thread} try {} {}", task.int("try"), task.str("status")));
+            }
+        }
+        is_done = status(record, &site.doors, array.id).is_some_and(|answer| answer.str("status") == "done");
+    }
+    status(record, &site.doors, gang.id);
+    record.note(format_args!("array done: {is_done}; its highest try: {last_try}; gang on machines: {gang_started}"));
+    if is_done || gang_started || last_try < 8 {
+        return Ok(());
     }
+    Err(format!(
+        "the running array {} was stopped and started again, up to try {last_try}, and is not done after 80 s; the \
+         gang {} that it made room for was never started",
+        array.id, gang.id
+    ))
 }
--- a/review/stand-ins-2/controllers.rs
+++ b/review/stand-ins-2/controllers.rs
@@ -6,6 +6,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -23,9 +24,19 @@
     pub temp: PathBuf,
 }
 
+/// The next port to try, below those that the system gives to outgoing connections.
+static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+
+/// A free port of this machine, for another process to listen on.
 pub fn free_port() -> String {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address").to_string()
+    let begin = 12_000 + (std::process::id() % 400) as u16 * 50;
+    NEXT_PORT.fetch_max(begin, Ordering::Relaxed);
+    loop {
+        let address = format!("127.0.0.1:{}", NEXT_PORT.fetch_add(1, Ordering::Relaxed));
+        if TcpListener::bind(&address).is_ok() {
+            return address;
+        }
+    }
 }
 
 fn start(folders: &Folders, program: &Path, arguments: &[String], log: &str) -> u32 {
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -31,7 +31,7 @@
     record.note(format_args!("case {case}, {} the disruption", if trouble { "with" } else { "without" }));
     let verdict = match case.as_str() {
         "eviction" => cases::eviction(&folders, &record, trouble),
-        "large-image" => cases::large_image(&folders, &record, trouble),
+        "futile-preemption" => cases::futile_preemption(&folders, &record, trouble),
         "large-tasks" => cases::large_tasks(&folders, &record, trouble),
         "small-tasks" => cases::small_tasks(&folders, &record, trouble),
         "starved-array" => cases::starved_array(&folders, &record, trouble),
