--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -1,7 +1,8 @@
 //! The cases.
 
-use std::sync::Arc;
-use std::thread::sleep;
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
 
 use crate::controllers::{
@@ -217,8 +218,20 @@
     /// Where users reach the controllers.
     doors: Vec<String>,
     cloud: String,
+    /// The machines that the cloud listed, and when.
+    listed: Mutex<Option<(Instant, Vec<Machine>)>>,
 }
 
+#[derive(Clone)]
+struct Machine {
+    name: String,
+    shape: String,
+    address: String,
+}
+
+/// How often the cloud is asked: the controllers need its few requests a second.
+const LIST_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Starts the emulated site and its controllers, each with a name and a zone. `rest`: the site's file from the
 /// machine types on.
 fn start_emulated(folders: &Folders, controllers: [(&str, &str); 3], rest: &str) -> Emulated {
@@ -237,20 +250,47 @@
     }
     let of_controllers = |i: usize| ports[2..].chunks(4).map(|ports| ports[i].clone()).collect::<Vec<_>>();
     wait_until_healthy(&of_controllers(0), secs(15));
-    Emulated { doors: of_controllers(2), cloud: ports[1].clone() }
+    Emulated { doors: of_controllers(2), cloud: ports[1].clone(), listed: Mutex::new(None) }
 }
 
 impl Emulated {
-    /// The machines that the cloud lists: name, type and address.
-    fn machines(&self) -> Vec<(String, String, String)> {
+    /// The machines that the cloud lists.
+    fn machines(&self) -> Vec<Machine> {
+        let mut listed = self.listed.lock().unwrap();
+        if let Some((at, machines)) = &*listed
+            && at.elapsed() < LIST_INTERVAL
+        {
+            return machines.clone();
+        }
         let list = http::request(&self.cloud, "GET", "/machines?page=500", None, secs(2));
-        let frames = list.map(|(_, list)| list.list("frames").to_vec()).unwrap_or_default();
-        frames.iter().map(|m| (m.str("id"), m.str("shape"), m.str("addr"))).collect()
+        let known = listed.take().map(|(_, machines)| machines).unwrap_or_default();
+        let machines = match list {
+            Some((200, list)) => {
+                let machine = |m: &Value| Machine { name: m.str("id"), shape: m.str("shape"), address: m.str("addr") };
+                list.list("frames").iter().map(machine).collect()
+            }
+            _ => known,
+        };
+        *listed = Some((Instant::now(), machines.clone()));
+        machines
+    }
+
+    /// How many tasks of each job run on all machines.
+    fn running_tasks(&self) -> HashMap<String, usize> {
+        let mut running = HashMap::new();
+        for machine in self.machines() {
+            let Some((_, report)) = http::request(&machine.address, "GET", "/status", None, secs(2)) else { continue };
+            for task in report.list("threads").iter().filter(|task| task.str("status") == "running") {
+                let job = task.str("thread").split('/').next().unwrap_or_default().to_owned();
+                *running.entry(job).or_default() += 1;
+            }
+        }
+        running
     }
 
     /// How many tasks of a job all machines report, in any state but ended.
     fn present(&self, job: &str) -> usize {
-        self.machines().iter().filter_map(|(.., address)| on_machine(address, job, |state| state != "ended")).sum()
+        self.machines().iter().filter_map(|m| on_machine(&m.address, job, |state| state != "ended")).sum()
     }
 
     /// Watches a job for this long or until it is done. Returns whether a task of it was on a machine, or it
@@ -264,7 +304,7 @@
             let answer = status(record, &self.doors, job);
             let is_done = answer.is_some_and(|answer| answer.str("status") == "done");
             started |= is_done || present > 0;
-            let shapes: Vec<&str> = machines.iter().map(|(_, shape, _)| shape.as_str()).collect();
+            let shapes: Vec<&str> = machines.iter().map(|m| m.shape.as_str()).collect();
             record.note(format_args!("tasks of {job} on machines: {present}; the cloud lists: {shapes:?}"));
             if is_done {
                 break;
@@ -390,16 +430,6 @@
     boot_s: 20,
     capacity: "taoyuan-dc = 16",
 };
-const ZHONG: Offer = Offer {
-    name: "zhong",
-    cpus: 16,
-    gpus: 0,
-    memory_gb: 64,
-    fetch_gb_per_s: 0.8,
-    price: 0.75,
-    boot_s: 25,
-    capacity: "taichung-dc = 3",
-};
 const DA: Offer = Offer {
     name: "da",
     cpus: 64,
@@ -438,7 +468,7 @@
     let runs = |state: &str| state == "running";
     wait_for("the service does not start", secs(25), || {
         sleep(Duration::from_millis(450));
-        machine = site.machines().first().map(|(.., address)| address.clone()).unwrap_or_default();
+        machine = site.machines().first().map(|m| m.address.clone()).unwrap_or_default();
         !machine.is_empty() && on_machine(&machine, SERVICE, runs) == Some(2)
     });
     record.note(format_args!("machine {machine}: both replicas of {SERVICE} run"));
@@ -535,54 +565,6 @@
     }
 }
 
-/// A gang takes most of its team's limit, and the cloud has too few machines for it. Then the same team
-/// submits a small array. Without the disruption the cloud has enough machines.
-pub fn starved_array(folders: &Folders, record: &Arc<Record>, trouble: bool) -> Verdict {
-    let capacity =
-        if trouble { "taoyuan-dc = 1, taichung-dc = 1" } else { "taoyuan-dc = 3, taichung-dc = 3" };
-    let types = offers(&[XIAO, ZHONG, Offer { capacity, ..DA }]);
-    let site = start_emulated(folders, LIANFANG_CONTROLLERS, &(types + LIANFANG));
-    let gang = Spec {
-        id: "j-000601",
-        pattern: "demand-forecast",
-        owner: "menu-team",
-        weave: "ensemble",
-        rank: "high",
-        threads: 9,
-        cpus: 30.0,
-        mem_gb: 100.0,
-        size_gb: 1.5,
-        shapes: Some("da"),
-        bay: None,
-        spread: false,
-        one_zone: false,
-        guess_s: 5.0,
-    };
-    submit(record, &site.doors, &gang.value());
-    sleep(secs(3));
-    let array = Spec {
-        id: "j-000602",
-        pattern: "menu-report",
-        weave: "array",
-        rank: "idle",
-        threads: 10,
-        cpus: 2.5,
-        mem_gb: 2.1,
-        shapes: None,
-        ..gang
-    };
-    submit(record, &site.doors, &array.value());
-    let started = site.was_started(record, array.id, secs(90));
-    status(record, &site.doors, gang.id);
-    match started {
-        true => Ok(()),
-        false => Err(format!(
-            "no task of the accepted job {} was started within 90 s, with idle machines and room in its team's limit",
-            array.id
-        )),
-    }
-}
-
 /// An array runs; then a gang of a higher rank, for one zone, for which the cloud has too few machines in any
 /// zone. Without the disruption it has enough.
 pub fn futile_preemption(folders: &Folders, record: &Arc<Record>, trouble: bool) -> Verdict {
@@ -607,11 +589,7 @@
         guess_s: 15.0,
     };
     submit(record, &site.doors, &array.value());
-    let runs = |state: &str| state == "running";
-    let running = |job: &str| -> usize {
-        site.machines().iter().filter_map(|(.., address)| on_machine(address, job, runs)).sum()
-    };
-    wait_for("the array does not start", secs(20), || running(array.id) > 0);
+    wait_for("the array does not start", secs(20), || site.running_tasks().contains_key(array.id));
     let gang = Spec {
         id: "j-000802",
         pattern: "demand-forecast",
@@ -629,7 +607,7 @@
     let (mut is_done, mut gang_started, mut last_try) = (false, false, 0);
     while accepted.elapsed() < secs(80) && !is_done {
         sleep(Duration::from_millis(700));
-        for (machine, _, address) in site.machines() {
+        for Machine { name: machine, address, .. } in site.machines() {
             let Some((_, report)) = http::request(&address, "GET", "/status", None, secs(2)) else { continue };
             for task in report.list("threads") {
                 let thread = task.str("thread");
@@ -653,3 +631,99 @@
         array.id, gang.id
     ))
 }
+
+/// How long without a pause no controller may be silent.
+const MAX_SILENCE: Duration = Duration::from_secs(40);
+
+/// A service and arrays of small tasks run on all machines; then a gang of 600 tasks of a higher rank comes.
+/// Without the disruption, the gang has 6 tasks.
+pub fn hanging_controllers(folders: &Folders, record: &Arc<Record>, trouble: bool) -> Verdict {
+    let site = start_emulated(folders, LIANFANG_CONTROLLERS, &(offers(&[XIAO]) + LIANFANG));
+    let service = Spec {
+        id: "j-000900",
+        pattern: "order-api",
+        owner: "orders-team",
+        weave: "standing",
+        rank: "prod",
+        threads: 2,
+        cpus: 1.0,
+        mem_gb: 2.3,
+        size_gb: 0.3,
+        shapes: None,
+        bay: None,
+        spread: false,
+        one_zone: false,
+        guess_s: 0.0,
+    };
+    submit(record, &site.doors, &service.value());
+    const ARRAYS: [&str; 7] =
+        ["j-000901", "j-000902", "j-000903", "j-000904", "j-000905", "j-000906", "j-000907"];
+    for id in ARRAYS {
+        let array = Spec {
+            id,
+            pattern: "menu-report",
+            owner: "menu-team",
+            weave: "array",
+            rank: "idle",
+            threads: 2700,
+            cpus: 0.0065,
+            mem_gb: 0.005,
+            guess_s: 400.0,
+            ..service
+        };
+        submit(record, &site.doors, &array.value());
+    }
+    wait_for("the arrays do not start", secs(45), || {
+        sleep(secs(1));
+        let running = site.running_tasks();
+        let tasks: usize = ARRAYS.iter().filter_map(|id| running.get(*id)).sum();
+        let replicas = running.get(service.id).copied().unwrap_or(0);
+        record.note(format_args!("tasks of the arrays that run: {tasks}; replicas of {}: {replicas}", service.id));
+        tasks >= 18_000 && replicas == 2
+    });
+    let gang = Spec {
+        id: "j-000910",
+        pattern: "demand-forecast",
+        weave: "ensemble",
+        rank: "high",
+        threads: if trouble { 600 } else { 6 },
+        cpus: 0.16,
+        mem_gb: 0.02,
+        guess_s: 5.0,
+        ..service
+    };
+    let answer = http::request(&site.doors[0], "POST", "/v1/jobs", Some(&gang.value()), secs(5));
+    record.note(format_args!("user: {} is submitted: {:?}", gang.id, answer.map(|a| a.0)));
+    let begun = Instant::now();
+    let (mut last_answer, mut longest) = (begun, Duration::ZERO);
+    while begun.elapsed() < secs(55) {
+        sleep(secs(1));
+        let ask = |door: &String| {
+            let (door, id) = (door.clone(), service.id);
+            thread::spawn(move || {
+                http::request(&door, "GET", &format!("/v1/jobs/{id}"), None, secs(2)).map(|answer| answer.0)
+            })
+        };
+        let asked: Vec<_> = site.doors.iter().map(ask).collect();
+        let answers: Vec<Option<u16>> = asked.into_iter().map(|asked| asked.join().ok().flatten()).collect();
+        record.note(format_args!(
+            "answers of the three controllers about {}: {answers:?}; tasks that run: {:?}",
+            service.id,
+            site.running_tasks()
+        ));
+        if answers.iter().any(Option::is_some) {
+            last_answer = Instant::now();
+        }
+        longest = longest.max(last_answer.elapsed());
+    }
+    let replicas = site.running_tasks().get(service.id).copied().unwrap_or(0);
+    record.note(format_args!("longest time without any answer: {longest:?}; replicas that run: {replicas}"));
+    if longest <= MAX_SILENCE {
+        return Ok(());
+    }
+    Err(format!(
+        "no controller has answered anything for {:.0} s; of the two replicas of {} {replicas} still run",
+        longest.as_secs_f64(),
+        service.id
+    ))
+}
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -32,9 +32,9 @@
     let verdict = match case.as_str() {
         "eviction" => cases::eviction(&folders, &record, trouble),
         "futile-preemption" => cases::futile_preemption(&folders, &record, trouble),
+        "hanging-controllers" => cases::hanging_controllers(&folders, &record, trouble),
         "large-tasks" => cases::large_tasks(&folders, &record, trouble),
         "small-tasks" => cases::small_tasks(&folders, &record, trouble),
-        "starved-array" => cases::starved_array(&folders, &record, trouble),
         _ => cannot_run("no such case"),
     };
     end_all();
