Review: a larger gang in the case of the hanging controllers

Need: the case must not depend on how fast the machine is. Twice the tasks, half the size each: the search takes twice as long.

--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -635,8 +635,8 @@
 /// How long without a pause no controller may be silent.
 const MAX_SILENCE: Duration = Duration::from_secs(40);
 
-/// A service and arrays of small tasks run on all machines; then a gang of 600 tasks of a higher rank comes.
-/// Without the disruption, the gang has 6 tasks.
+/// A service and arrays of small tasks run on all machines; then a gang of 1,200 tasks of a higher rank
+/// comes. Without the disruption, the gang has 12 tasks.
 pub fn hanging_controllers(folders: &Folders, record: &Arc<Record>, trouble: bool) -> Verdict {
     let site = start_emulated(folders, LIANFANG_CONTROLLERS, &(offers(&[XIAO]) + LIANFANG));
     let service = Spec {
@@ -686,9 +686,9 @@
         pattern: "demand-forecast",
         weave: "ensemble",
         rank: "high",
-        threads: if trouble { 600 } else { 6 },
-        cpus: 0.16,
-        mem_gb: 0.02,
+        threads: if trouble { 1200 } else { 12 },
+        cpus: 0.08,
+        mem_gb: 0.01,
         guess_s: 5.0,
         ..service
     };
