--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -665,8 +665,8 @@
             owner: "menu-team",
             weave: "array",
             rank: "idle",
-            threads: 2700,
-            cpus: 0.0065,
+            threads: 2600,
+            cpus: 0.0068,
             mem_gb: 0.005,
             guess_s: 400.0,
             ..service
