--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -76,7 +76,9 @@
             Some((status @ (200 | 201), _)) => {
                 return record.note(format_args!("user: {id} is accepted ({status})"));
             }
-            Some((status @ (400 | 422), body)) => cannot_run(&format!("{id} is refused: {status} {}", body.json())),
+            Some((status @ (400 | 422), body)) => {
+                cannot_run(&format!("{id} is refused: {status} {}", body.json()))
+            }
             answer => record.note(format_args!("user: {id} is not accepted yet: {:?}", answer.map(|a| a.0))),
         }
         if Instant::now() > deadline {
@@ -178,7 +180,8 @@
     // The service: one replica beside it, the other in the other zone.
     sleep(at(80.0 - 2.0 - refill_s(SERVICE)).saturating_duration_since(Instant::now()));
     site.set_capacity("xiao", "taoyuan-dc", 1);
-    let replicated = Spec { threads: 2, shapes: None, bay: None, spread: true, ..service(SERVICE, 2.0, "", "") }.value();
+    let replicated =
+        Spec { threads: 2, shapes: None, bay: None, spread: true, ..service(SERVICE, 2.0, "", "") }.value();
     site.upload(&replicated, 0.0, false);
     submit(record, fronts, &replicated);
     wait_for("the service does not start", secs(25), || site.running(SERVICE).len() == 2);
@@ -236,7 +239,8 @@
 /// machine types on.
 fn start_emulated(folders: &Folders, controllers: [(&str, &str); 3], rest: &str) -> Emulated {
     let ports: Vec<String> = (0..14).map(|_| free_port()).collect();
-    let mut text = format!("seed = 3\nlisten {{\n  users = \"{}\"\n  cloud = \"{}\"\n}}\n", ports[0], ports[1]);
+    let mut text =
+        format!("seed = 3\nlisten {{\n  users = \"{}\"\n  cloud = \"{}\"\n}}\n", ports[0], ports[1]);
     for ((name, zone), ports) in controllers.iter().zip(ports[2..].chunks(4)) {
         text += &format!(
             "controller \"{name}\" {{\n  zone = \"{zone}\"\n  front = \"{}\"\n  internal = \"{}\"\n  door = \"{}\"\n  state = \"{}\"\n}}\n",
@@ -266,7 +270,8 @@
         let known = listed.take().map(|(_, machines)| machines).unwrap_or_default();
         let machines = match list {
             Some((200, list)) => {
-                let machine = |m: &Value| Machine { name: m.str("id"), shape: m.str("shape"), address: m.str("addr") };
+                let machine =
+                    |m: &Value| Machine { name: m.str("id"), shape: m.str("shape"), address: m.str("addr") };
                 list.list("frames").iter().map(machine).collect()
             }
             _ => known,
@@ -279,7 +284,9 @@
     fn running_tasks(&self) -> HashMap<String, usize> {
         let mut running = HashMap::new();
         for machine in self.machines() {
-            let Some((_, report)) = http::request(&machine.address, "GET", "/status", None, secs(2)) else { continue };
+            let Some((_, report)) = http::request(&machine.address, "GET", "/status", None, secs(2)) else {
+                continue;
+            };
             for task in report.list("threads").iter().filter(|task| task.str("status") == "running") {
                 let job = task.str("thread").split('/').next().unwrap_or_default().to_owned();
                 *running.entry(job).or_default() += 1;
@@ -317,9 +324,8 @@
 /// The tasks of a job that a machine reports in such a state.
 fn on_machine(machine: &str, job: &str, is_counted: impl Fn(&str) -> bool) -> Option<usize> {
     let (_, report) = http::request(machine, "GET", "/status", None, secs(2))?;
-    let counts = |task: &&Value| {
-        task.str("thread").split('/').next() == Some(job) && is_counted(&task.str("status"))
-    };
+    let counts =
+        |task: &&Value| task.str("thread").split('/').next() == Some(job) && is_counted(&task.str("status"));
     Some(report.list("threads").iter().filter(counts).count())
 }
 
@@ -414,7 +420,15 @@
         format!(
             "machine_type \"{}\" {{\n  cpus = {}\n  gpus = {}\n  memory_gb = {}\n  cache_gb = 50\n  fetch_gb_per_s = {}\n  \
              price = {}\n  spot_price = {}\n  boot_s = {}\n  capacity = {{ {} }}\n}}\n",
-            o.name, o.cpus, o.gpus, o.memory_gb, o.fetch_gb_per_s, o.price, o.price / 3.0, o.boot_s, o.capacity
+            o.name,
+            o.cpus,
+            o.gpus,
+            o.memory_gb,
+            o.fetch_gb_per_s,
+            o.price,
+            o.price / 3.0,
+            o.boot_s,
+            o.capacity
         )
     };
     offers.iter().map(block).collect()
@@ -561,7 +575,9 @@
     submit(record, &site.doors, &array.value());
     match site.was_started(record, array.id, secs(90)) {
         true => Ok(()),
-        false => Err(format!("no task of the accepted job {} was started within 90 s on an idle site", array.id)),
+        false => {
+            Err(format!("no task of the accepted job {} was started within 90 s on an idle site", array.id))
+        }
     }
 }
 
@@ -608,20 +624,28 @@
     while accepted.elapsed() < secs(80) && !is_done {
         sleep(Duration::from_millis(700));
         for Machine { name: machine, address, .. } in site.machines() {
-            let Some((_, report)) = http::request(&address, "GET", "/status", None, secs(2)) else { continue };
+            let Some((_, report)) = http::request(&address, "GET", "/status", None, secs(2)) else {
+                continue;
+            };
             for task in report.list("threads") {
                 let thread = task.str("thread");
                 if thread.starts_with(array.id) {
                     last_try = last_try.max(task.int("try"));
                 }
                 gang_started |= thread.starts_with(gang.id);
-                record.note(format_args!("{machine}: {thread} try {} {}", task.int("try"), task.str("status")));
+                record.note(format_args!(
+                    "{machine}: {thread} try {} {}",
+                    task.int("try"),
+                    task.str("status")
+                ));
             }
         }
         is_done = status(record, &site.doors, array.id).is_some_and(|answer| answer.str("status") == "done");
     }
     status(record, &site.doors, gang.id);
-    record.note(format_args!("array done: {is_done}; its highest try: {last_try}; gang on machines: {gang_started}"));
+    record.note(format_args!(
+        "array done: {is_done}; its highest try: {last_try}; gang on machines: {gang_started}"
+    ));
     if is_done || gang_started || last_try < 8 {
         return Ok(());
     }
@@ -678,7 +702,10 @@
         let running = site.running_tasks();
         let tasks: usize = ARRAYS.iter().filter_map(|id| running.get(*id)).sum();
         let replicas = running.get(service.id).copied().unwrap_or(0);
-        record.note(format_args!("tasks of the arrays that run: {tasks}; replicas of {}: {replicas}", service.id));
+        record.note(format_args!(
+            "tasks of the arrays that run: {tasks}; replicas of {}: {replicas}",
+            service.id
+        ));
         tasks >= 18_000 && replicas == 2
     });
     let gang = Spec {
--- a/review/stand-ins-2/controllers.rs
+++ b/review/stand-ins-2/controllers.rs
@@ -75,7 +75,8 @@
 pub fn start_emulated_site(folders: &Folders, site: &str, controllers: &[&str]) -> PathBuf {
     let (file, settings) = (folders.temp.join("site.hcl"), folders.temp.join("settings"));
     fs::write(&file, site).expect("the site's file");
-    let arguments = ["emulate", "--site", &file.display().to_string(), "--settings", &settings.display().to_string()];
+    let arguments =
+        ["emulate", "--site", &file.display().to_string(), "--settings", &settings.display().to_string()];
     start(folders, &folders.root.join("target/release/sageloom"), &arguments.map(str::to_owned), "site.log");
     let deadline = Instant::now() + Duration::from_secs(10);
     while !controllers.iter().all(|name| settings.join(format!("{name}.toml")).exists()) {
--- a/review/stand-ins-2/site.rs
+++ b/review/stand-ins-2/site.rs
@@ -334,7 +334,9 @@
                         self.record.note(format_args!("{name}: {thread} try {attempt} runs"));
                     }
                 }
-                State::Running if now - task.since >= seconds(job.run_s) && (job.fails || !job.is_service) => {
+                State::Running
+                    if now - task.since >= seconds(job.run_s) && (job.fails || !job.is_service) =>
+                {
                     let cause = if job.fails { "error" } else { "done" };
                     (task.state, task.since) = (State::Ended(cause), now);
                     self.record.note(format_args!("{name}: {thread} try {attempt} ended: {cause}"));
@@ -358,7 +360,11 @@
                 }
                 let now = Instant::now();
                 let state = format!("{:?} {}", tasks_value(machine), machine.stint);
-                if now < machine.up_at || machine.hangs || now < not_before || (now < next_at && state == shown) {
+                if now < machine.up_at
+                    || machine.hangs
+                    || now < not_before
+                    || (now < next_at && state == shown)
+                {
                     continue;
                 }
                 shown = state;
--- a/review/stand-ins-2/state.rs
+++ b/review/stand-ins-2/state.rs
@@ -143,18 +143,22 @@
         let after = request.parameter("after").unwrap_or("");
         let page = request.number("page").unwrap_or(1000).min(1000) as usize;
         let (mut entries, mut bytes, mut has_next) = (Vec::new(), 0, false);
-        for (key, entry) in data.keys.iter().filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after) {
+        for (key, entry) in
+            data.keys.iter().filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after)
+        {
             if entries.len() >= page || bytes > PAGE_LIMIT - 32 * 1024 {
                 has_next = true;
                 break;
             }
-            let entry =
-                map(vec![("k", text(key)), ("v", entry.value.clone()), ("stamp", int(entry.stamp))]);
+            let entry = map(vec![("k", text(key)), ("v", entry.value.clone()), ("stamp", int(entry.stamp))]);
             bytes += entry.json().len();
             entries.push(entry);
         }
-        let fields =
-            vec![("entries", Value::List(entries)), ("has_next", Value::Bool(has_next)), ("epoch", int(data.epoch))];
+        let fields = vec![
+            ("entries", Value::List(entries)),
+            ("has_next", Value::Bool(has_next)),
+            ("epoch", int(data.epoch)),
+        ];
         response(200, map(fields))
     }
 
@@ -164,10 +168,13 @@
         let until = Instant::now() + Duration::from_millis(request.number("hold_ms").unwrap_or(0));
         let mut data = self.data.lock().unwrap();
         loop {
-            if data.log.len() >= KEPT_CHANGES && data.log.front().is_some_and(|(epoch, ..)| *epoch > after + 1) {
+            if data.log.len() >= KEPT_CHANGES
+                && data.log.front().is_some_and(|(epoch, ..)| *epoch > after + 1)
+            {
                 return error(410, "too old");
             }
-            let is_new = |(epoch, key, _): &&(u64, String, Option<Value>)| *epoch > after && key.starts_with(&prefix);
+            let is_new =
+                |(epoch, key, _): &&(u64, String, Option<Value>)| *epoch > after && key.starts_with(&prefix);
             let news: Vec<Value> = data.log.iter().filter(is_new).map(change).collect();
             let left = until.saturating_duration_since(Instant::now());
             if !news.is_empty() || left.is_zero() {
@@ -193,9 +200,8 @@
         if !data.writes.take(changes.len() as f64) {
             return error(429, "too many changes");
         }
-        let has_lease = |change: &Value| {
-            change.get("hold").is_none_or(|_| data.leases.contains_key(&change.int("hold")))
-        };
+        let has_lease =
+            |change: &Value| change.get("hold").is_none_or(|_| data.leases.contains_key(&change.int("hold")));
         if !changes.iter().all(has_lease) {
             return error(400, "no such lease");
         }
@@ -254,8 +260,12 @@
 
     fn end_lease(&mut self, lease: u64) {
         self.leases.remove(&lease);
-        let held: Vec<String> =
-            self.keys.iter().filter(|(_, entry)| entry.hold == Some(lease)).map(|(key, _)| key.clone()).collect();
+        let held: Vec<String> = self
+            .keys
+            .iter()
+            .filter(|(_, entry)| entry.hold == Some(lease))
+            .map(|(key, _)| key.clone())
+            .collect();
         if !held.is_empty() {
             self.epoch += 1;
             held.iter().for_each(|key| self.remove(key));
