--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -6,11 +6,10 @@
 use std::time::{Duration, Instant};
 
 use crate::controllers::{
-    Folders, SmallSite, cannot_run, free_port, start_controller, start_emulated_site, wait_until_healthy,
+    Folders, cannot_run, free_port, start_controller, start_emulated_site, wait_until_healthy,
 };
 use crate::http;
-use crate::site::{MachineType, Record, Site, WorkerTimes};
-use crate::state::{Limits, StateService};
+use crate::record::Record;
 use crate::value::{Value, int, map, text};
 
 /// `Err`: the rule was broken, and how.
@@ -109,113 +108,6 @@
     }
 }
 
-fn machine_types() -> Vec<MachineType> {
-    const BAYS: [&str; 2] = ["taoyuan-dc", "taichung-dc"];
-    let t = |label, cpus, mem_gb, price, fetch_gb_per_s, startup_s| MachineType {
-        label,
-        cpus,
-        mem_gb,
-        price,
-        spot_price: price / 3.0,
-        local_gb: 50.0,
-        fetch_gb_per_s,
-        startup_s,
-        bays: &BAYS,
-    };
-    vec![
-        t("xiao", 8.0, 16.0, 0.33, 0.3, 20.0),
-        t("zhong", 16.0, 64.0, 0.75, 0.8, 25.0),
-        t("da", 64.0, 256.0, 2.81, 0.2, 40.0),
-    ]
-}
-
-/// When the rescheduler's budget of a service has first refilled, in seconds after the job was
-/// accepted: a minute, and up to a quarter more by the job's id.
-fn refill_s(id: &str) -> f64 {
-    let hash = id.bytes().fold(7u64, |hash, byte| hash.wrapping_mul(31).wrapping_add(u64::from(byte)));
-    60.0 + 60.0 * (hash % 256) as f64 / 1024.0
-}
-
-/// A service of two replicas. One replica is on a crowded machine, from which it may be moved a minute
-/// after the start. Some seconds before, the machine of the other replica hangs.
-pub fn eviction(folders: &Folders, record: &Arc<Record>, trouble: bool) -> Verdict {
-    let limits = Limits { rps: 200.0, write_rps: 80.0, value_kb: 16.0, txn_ops: 12 };
-    let times = WorkerTimes { report_s: 1.0, lease_s: 10.0, list_lag_s: 8.0 };
-    let site = Site::new(record.clone(), machine_types(), times, 1.5);
-    let state = StateService::start(limits);
-    let state_address = http::serve(Arc::new(move |request| state.handle(request)));
-    let cloud = site.clone();
-    let cloud_address = http::serve(Arc::new(move |request| cloud.cloud_request(request)));
-    let small_site = SmallSite::new(state_address, cloud_address);
-    site.set_fronts(small_site.fronts_by_name());
-    let started = Instant::now();
-    let at = |s: f64| started + Duration::from_secs_f64(s);
-    small_site.start(folders);
-    wait_until_healthy(&small_site.fronts, secs(10));
-    let fronts = &small_site.fronts;
-
-    const SERVICE: &str = "j-000200";
-    let service = |id, cpus, shape, bay| Spec {
-        id,
-        pattern: "order-api",
-        owner: "orders-team",
-        weave: "standing",
-        rank: "prod",
-        threads: 1,
-        cpus,
-        mem_gb: 2.3,
-        size_gb: 0.7,
-        shapes: Some(shape),
-        bay: Some(bay),
-        spread: false,
-        one_zone: false,
-        guess_s: 0.0,
-    };
-    // A machine that is mostly in use.
-    site.set_capacity("zhong", "taichung-dc", 1);
-    let filler = service("j-000101", 10.0, "zhong", "taichung-dc").value();
-    site.upload(&filler, 0.0, false);
-    submit(record, fronts, &filler);
-    wait_for("the first service does not start", secs(14), || !site.running("j-000101").is_empty());
-    // The service: one replica beside it, the other in the other zone.
-    sleep(at(80.0 - 2.0 - refill_s(SERVICE)).saturating_duration_since(Instant::now()));
-    site.set_capacity("xiao", "taoyuan-dc", 1);
-    let replicated =
-        Spec { threads: 2, shapes: None, bay: None, spread: true, ..service(SERVICE, 2.0, "", "") }.value();
-    site.upload(&replicated, 0.0, false);
-    submit(record, fronts, &replicated);
-    wait_for("the service does not start", secs(25), || site.running(SERVICE).len() == 2);
-    // A machine with much free room, in the zone of the one that is mostly in use.
-    site.set_capacity("da", "taichung-dc", 1);
-    let roomy = service("j-000102", 4.0, "da", "taichung-dc").value();
-    site.upload(&roomy, 0.0, false);
-    submit(record, fronts, &roomy);
-    wait_for("the last service does not start", secs(25), || !site.running("j-000102").is_empty());
-    let placed = |n: u32| site.machine_of(&format!("{SERVICE}/{n}"));
-    let Some(other) = (0..2).filter_map(placed).find(|(_, shape)| *shape == "xiao") else {
-        cannot_run("the replicas are not on the machines that the case needs")
-    };
-    record.note(format_args!("the replicas run on {:?} and {:?}", placed(0), placed(1)));
-    if !site.stops().is_empty() || Instant::now() > at(75.0) {
-        cannot_run("the services started too late");
-    }
-    sleep(at(75.5).saturating_duration_since(Instant::now()));
-    if trouble {
-        site.set_hangs(&other.0, true);
-    }
-    sleep(at(95.0).saturating_duration_since(Instant::now()));
-    status(record, fronts, SERVICE);
-    let stops: Vec<_> = site.stops().into_iter().filter(|stop| stop.job == SERVICE).collect();
-    record.note(format_args!("stops of running replicas of {SERVICE}: {stops:?}"));
-    if let Some(stop) = stops.iter().find(|stop| stop.others_running == 0) {
-        return Err(format!(
-            "{} on {} was stopped to be moved while no other replica of the service ran",
-            stop.thread, stop.machine
-        ));
-    }
-    Ok(())
-}
-
 /// A site with the project's stand-ins, and three controllers.
 struct Emulated {
     /// Where users reach the controllers.
@@ -444,6 +336,16 @@
     boot_s: 20,
     capacity: "taoyuan-dc = 16",
 };
+const ZHONG: Offer = Offer {
+    name: "zhong",
+    cpus: 16,
+    gpus: 0,
+    memory_gb: 64,
+    fetch_gb_per_s: 0.8,
+    price: 0.75,
+    boot_s: 25,
+    capacity: "taichung-dc = 3",
+};
 const DA: Offer = Offer {
     name: "da",
     cpus: 64,
@@ -581,6 +483,54 @@
     }
 }
 
+/// A gang takes most of its team's limit, and the cloud has too few machines for it. Then the same team
+/// submits a small array. Without the disruption the cloud has enough machines.
+pub fn starved_array(folders: &Folders, record: &Arc<Record>, trouble: bool) -> Verdict {
+    let capacity =
+        if trouble { "taoyuan-dc = 1, taichung-dc = 1" } else { "taoyuan-dc = 3, taichung-dc = 3" };
+    let types = offers(&[XIAO, ZHONG, Offer { capacity, ..DA }]);
+    let site = start_emulated(folders, LIANFANG_CONTROLLERS, &(types + LIANFANG));
+    let gang = Spec {
+        id: "j-000601",
+        pattern: "demand-forecast",
+        owner: "menu-team",
+        weave: "ensemble",
+        rank: "high",
+        threads: 9,
+        cpus: 30.0,
+        mem_gb: 100.0,
+        size_gb: 1.5,
+        shapes: Some("da"),
+        bay: None,
+        spread: false,
+        one_zone: false,
+        guess_s: 5.0,
+    };
+    submit(record, &site.doors, &gang.value());
+    sleep(secs(3));
+    let array = Spec {
+        id: "j-000602",
+        pattern: "menu-report",
+        weave: "array",
+        rank: "idle",
+        threads: 10,
+        cpus: 2.5,
+        mem_gb: 2.1,
+        shapes: None,
+        ..gang
+    };
+    submit(record, &site.doors, &array.value());
+    let started = site.was_started(record, array.id, secs(90));
+    status(record, &site.doors, gang.id);
+    match started {
+        true => Ok(()),
+        false => Err(format!(
+            "no task of the accepted job {} was started within 90 s, with idle machines and room in its team's limit",
+            array.id
+        )),
+    }
+}
+
 /// An array runs; then a gang of a higher rank, for one zone, for which the cloud has too few machines in any
 /// zone. Without the disruption it has enough.
 pub fn futile_preemption(folders: &Folders, record: &Arc<Record>, trouble: bool) -> Verdict {
--- a/review/stand-ins-2/http.rs
+++ b/review/stand-ins-2/http.rs
@@ -1,88 +1,11 @@
-//! HTTP/1.1 over TCP on loopback: a server with a thread for each connection, and a client.
+//! An HTTP/1.1 client for loopback addresses.
 
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{TcpListener, TcpStream};
-use std::sync::Arc;
-use std::thread;
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
 use crate::value::Value;
 
-pub struct Request {
-    pub method: String,
-    pub path: String,
-    pub query: Vec<(String, String)>,
-    pub body: Vec<u8>,
-}
-
-impl Request {
-    pub fn parameter(&self, name: &str) -> Option<&str> {
-        self.query.iter().find(|(known, _)| known == name).map(|(_, value)| value.as_str())
-    }
-
-    pub fn number(&self, name: &str) -> Option<u64> {
-        self.parameter(name)?.parse().ok()
-    }
-}
-
-pub struct Response {
-    pub status: u16,
-    pub body: Value,
-}
-
-pub fn response(status: u16, body: Value) -> Option<Response> {
-    Some(Response { status, body })
-}
-
-/// Handles a request. `None`: it is never answered.
-pub type Handler = Arc<dyn Fn(Request) -> Option<Response> + Send + Sync>;
-
-/// Serves an address of this machine on a free port, which is returned.
-pub fn serve(handler: Handler) -> String {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let address = listener.local_addr().expect("an address").to_string();
-    thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            let handler = handler.clone();
-            thread::spawn(move || serve_connection(stream, &handler));
-        }
-    });
-    address
-}
-
-fn serve_connection(stream: TcpStream, handler: &Handler) -> Option<()> {
-    let _ = stream.set_nodelay(true);
-    let mut reader = BufReader::new(stream.try_clone().ok()?);
-    let mut writer = stream;
-    loop {
-        let request = read_request(&mut reader)?;
-        let Some(Response { status, body }) = handler(request) else {
-            // Silence, until the client closes the connection.
-            let mut rest = Vec::new();
-            let _ = reader.read_to_end(&mut rest);
-            return None;
-        };
-        let body = body.encode();
-        let head = format!(
-            "HTTP/1.1 {status} X\r\ncontent-type: application/msgpack\r\ncontent-length: {}\r\n\r\n",
-            body.len()
-        );
-        writer.write_all(&[head.as_bytes(), &body].concat()).ok()?;
-    }
-}
-
-fn read_request(reader: &mut BufReader<TcpStream>) -> Option<Request> {
-    let (first, length) = read_head(reader)?;
-    let mut words = first.split_whitespace();
-    let (method, target) = (words.next()?.to_owned(), words.next()?.to_owned());
-    let mut body = vec![0; length];
-    reader.read_exact(&mut body).ok()?;
-    let (path, query) = target.split_once('?').unwrap_or((&target, ""));
-    let pair = |pair: &str| pair.split_once('=').map(|(name, value)| (name.to_owned(), value.to_owned()));
-    let query = query.split('&').filter_map(pair).collect();
-    Some(Request { method, path: path.to_owned(), query, body })
-}
-
 /// Reads the head of a message: its first line, and the length of the body.
 fn read_head(reader: &mut BufReader<TcpStream>) -> Option<(String, usize)> {
     let mut first = String::new();
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -4,8 +4,7 @@
 mod cases;
 mod controllers;
 mod http;
-mod site;
-mod state;
+mod record;
 mod value;
 
 use std::path::{Path, PathBuf};
@@ -13,7 +12,7 @@
 use std::time::Duration;
 
 use controllers::{Folders, cannot_run, end_all};
-use site::Record;
+use record::Record;
 
 /// A script has 120 seconds.
 const TIME_LIMIT: Duration = Duration::from_secs(116);
@@ -30,11 +29,11 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     record.note(format_args!("case {case}, {} the disruption", if trouble { "with" } else { "without" }));
     let verdict = match case.as_str() {
-        "eviction" => cases::eviction(&folders, &record, trouble),
         "futile-preemption" => cases::futile_preemption(&folders, &record, trouble),
         "hanging-controllers" => cases::hanging_controllers(&folders, &record, trouble),
         "large-tasks" => cases::large_tasks(&folders, &record, trouble),
         "small-tasks" => cases::small_tasks(&folders, &record, trouble),
+        "starved-array" => cases::starved_array(&folders, &record, trouble),
         _ => cannot_run("no such case"),
     };
     end_all();
--- a/review/stand-ins-2/value.rs
+++ b/review/stand-ins-2/value.rs
@@ -40,15 +40,6 @@
         }
     }
 
-    /// A number; 0 if there is none.
-    pub fn num(&self, field: &str) -> f64 {
-        match self.get(field) {
-            Some(Int(number)) => *number as f64,
-            Some(Float(number)) => *number,
-            _ => 0.0,
-        }
-    }
-
     /// An integer; 0 if there is none.
     pub fn int(&self, field: &str) -> u64 {
         match self.get(field) {
