Messages to workers are divided, and machines get as many tasks as they can report

Cause: the protocol limits bodies to 64 KiB, and nothing limited the commands of a message or the tasks of a machine. /commands got 413, which counted as a lost request, so that the same commands were sent again without end. The response to the heartbeat had them, too; the worker could not take it and lost its lease. The statuses of some 1,200 tasks do not fit into a heartbeat either.

Change: a message has as many commands as fit, stops first; the others follow after the answer. That holds for /commands and for responses to heartbeats, direct and relayed, with the stops of cancelled tasks. The number of tasks is a resource of a machine, so that placement, preemption, scale-out and drains know it; the owner launches a task only if it can be reported beside those that the worker has not forgotten yet. 413 means that nothing was executed and the worker is reachable: further messages have half as many bytes of commands.

Why it works: no body that the protocol limits can exceed its limit any more, by the longest names, numbers and states that it allows, and what did not fit is sent as soon as the rest took effect.

Put back as a whole (no division, no limit of tasks), all three tests in large_messages.rs fail: 68 KB of commands, 71 KB of heartbeat, not served. Put back alone: - division in the reconciliation: commands_refused_for_their_size_... and stops_that_do_not_fit_... - division of mixed responses, of stops of cancelled jobs: responses_that_stop_many_tasks_... - launches beyond the heartbeat: tasks_are_launched_only_as_the_heartbeat_has_space_for_them - unsent stops taken for sent: stops_that_do_not_fit_into_a_message_follow_with_the_next_one - 413 as a lost request: commands_that_a_worker_refuses_for_their_size_..., its failures: commands_refused_for_their_size_... - tasks of a machine: a_machine_gets_no_more_tasks_than_it_can_report

The simulation measures every such body in all its plays, and its machines know each task's CPUs from the job.

--- a/crates/daemon/src/autoscaler/demand.rs
+++ b/crates/daemon/src/autoscaler/demand.rs
@@ -165,9 +165,9 @@
         let team_usage = &self.state.records.replica.team_usage;
         let free_quota = self.free_quotas.entry(&spec.team).or_insert_with(|| {
             let used = team_usage.get(&spec.team).copied().unwrap_or_default();
-            team.limit().plus_scaled(used.without_memory(), -1.0)
+            team.limit().plus_scaled(used.counted_in_quota(), -1.0)
         });
-        let size = Resources::of_task(spec).without_memory();
+        let size = Resources::of_task(spec).counted_in_quota();
         let admitted = waiting.min(size.count_fitting_in(*free_quota));
         *free_quota = free_quota.plus_scaled(size, -f64::from(admitted));
         Some(admitted)
--- a/crates/daemon/src/scheduler/mod.rs
+++ b/crates/daemon/src/scheduler/mod.rs
@@ -21,7 +21,7 @@
 pub use run::{detect_pauses, run_scheduler};
 
 #[cfg(test)]
-pub(crate) use commands::record_response;
+pub(crate) use commands::{CommandsOutcome, record_outcome};
 #[cfg(test)]
 pub(crate) use commit::commit;
 #[cfg(test)]
--- a/crates/daemon/src/scheduler/placement/pass.rs
+++ b/crates/daemon/src/scheduler/placement/pass.rs
@@ -267,7 +267,7 @@
             return;
         }
         let in_use = self.inventory.team_usage.get(&spec.team).copied().unwrap_or_default();
-        let remaining_quota = team.limit().plus_scaled(in_use.without_memory(), -1.0);
+        let remaining_quota = team.limit().plus_scaled(in_use.counted_in_quota(), -1.0);
         if size.count_fitting_in(remaining_quota) < spec.tasks {
             return;
         }
--- a/crates/daemon/src/scheduler/placement/preemption.rs
+++ b/crates/daemon/src/scheduler/placement/preemption.rs
@@ -117,7 +117,7 @@
         let Candidate { spec, team, priority, size, .. } = *candidate;
         let replica = self.replica;
         let in_use = replica.team_usage.get(&spec.team).copied().unwrap_or_default();
-        let remaining_quota = team.limit().plus_scaled(in_use.without_memory(), -1.0);
+        let remaining_quota = team.limit().plus_scaled(in_use.counted_in_quota(), -1.0);
         if size.count_fitting_in(remaining_quota) < tasks {
             let preemptor = (spec, priority);
             let victims = preempt::find_victims_within_team(replica, self.inventory, preemptor, tasks, team)?;
--- a/crates/daemon/src/scheduler/placement/quota_claims.rs
+++ b/crates/daemon/src/scheduler/placement/quota_claims.rs
@@ -97,8 +97,9 @@
     let pending = pending_task_count(job);
     let team = controller.team(&spec.team).filter(|_| pending > 0)?;
     let is_gang = spec.kind == JobKind::Gang;
-    let size = Resources::of_task(spec).without_memory();
-    let max_tasks = size.count_fitting_in(team.limit().plus_scaled(used_by_replicas.without_memory(), -1.0));
+    let size = Resources::of_task(spec).counted_in_quota();
+    let max_tasks =
+        size.count_fitting_in(team.limit().plus_scaled(used_by_replicas.counted_in_quota(), -1.0));
     let tasks = if is_gang && pending > max_tasks { 0 } else { pending.min(max_tasks) };
     (tasks > 0).then(|| QuotaClaim {
         team: spec.team.clone(),
--- a/crates/daemon/src/state/guaranteed_jobs.rs
+++ b/crates/daemon/src/state/guaranteed_jobs.rs
@@ -49,7 +49,7 @@
     for OpenJob { id, spec, .. } in jobs {
         let Some(team) = teams.iter().find(|team| team.name == spec.team) else { continue };
         let sum = used.entry(&spec.team).or_default();
-        *sum = sum.plus_scaled(Resources::of_task(spec).without_memory(), f64::from(spec.tasks));
+        *sum = sum.plus_scaled(Resources::of_task(spec).counted_in_quota(), f64::from(spec.tasks));
         if sum.fits(team.guarantee()) {
             guaranteed.insert(id.to_owned());
         }
--- a/crates/daemon/src/worker/command_channel.rs
+++ b/crates/daemon/src/worker/command_channel.rs
@@ -5,7 +5,7 @@
 
 use std::time::{Duration, Instant};
 
-use wire::Command;
+use wire::{Command, MAX_COMMANDS_BYTES};
 
 use super::FencingToken;
 
@@ -15,6 +15,8 @@
 const MAX_BACKOFF_FACTOR: u32 = 6;
 /// Number of failures in a row after which commands are considered not to reach the worker.
 const MAX_FAILURES: u32 = 3;
+/// Least bytes that the commands in a message are reduced to.
+const MIN_COMMANDS_BYTES: usize = 1024;
 /// Minimum time after a request before a request that has only forget commands is sent.
 const FORGET_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -46,6 +48,8 @@
     sent_at: Option<Instant>,
     /// Failed requests since the last success.
     failures: u32,
+    /// Most bytes of the commands in a message.
+    max_command_bytes: usize,
 }
 
 impl CommandChannel {
@@ -61,6 +65,7 @@
             retry_at: None,
             sent_at: None,
             failures: 0,
+            max_command_bytes: MAX_COMMANDS_BYTES,
         }
     }
 
@@ -183,6 +188,23 @@
         true
     }
 
+    /// Most bytes of the commands in a message.
+    pub(super) fn max_command_bytes(&self) -> usize {
+        self.max_command_bytes
+    }
+
+    /// Notes that the request with this token was refused for its size. The worker is reachable, but
+    /// the same commands would be refused again.
+    pub(super) fn refuse_as_too_large(&mut self, token: FencingToken, now: Instant) -> bool {
+        let failures = self.failures;
+        let is_pending = self.fail(token, now);
+        if is_pending && self.max_command_bytes > MIN_COMMANDS_BYTES {
+            self.max_command_bytes = (self.max_command_bytes / 2).max(MIN_COMMANDS_BYTES);
+            self.failures = failures;
+        }
+        is_pending
+    }
+
     /// Notes that the request with this token was not answered.
     pub(super) fn fail(&mut self, token: FencingToken, now: Instant) -> bool {
         let Some(request) = self.pending.take_if(|request| request.token == token) else { return false };
--- a/crates/daemon/src/worker/mod.rs
+++ b/crates/daemon/src/worker/mod.rs
@@ -275,6 +275,14 @@
         }
     }
 
+    /// Notes that the worker refused the request with this token for its size: further messages carry
+    /// fewer commands.
+    pub fn commands_too_large(&mut self, token: FencingToken, now: Instant) {
+        if self.commands.refuse_as_too_large(token, now) {
+            self.request_reconciliation();
+        }
+    }
+
     /// Whether tasks of several jobs fail on the machine, as opposed to one job that fails on every
     /// machine.
     pub fn is_unhealthy(&self) -> bool {
--- a/crates/daemon/src/worker/reconcile.rs
+++ b/crates/daemon/src/worker/reconcile.rs
@@ -5,7 +5,7 @@
 
 use sched::records::TerminationReason;
 use sched::replica::Replica;
-use wire::{Command, JobState, TaskState, TaskStatus};
+use wire::{Command, JobState, TaskState, TaskStatus, split_off_excess_commands};
 
 use super::command_channel::is_launch;
 use super::tracked_tasks::{ComparisonContext, Findings};
@@ -22,7 +22,8 @@
 pub struct ReconciliationPlan {
     /// Assignments that are proven to be over, and how they ended.
     pub terminations: Vec<(AssignmentId, TerminationReason)>,
-    /// The commands for the worker.
+    /// The commands for the worker: as many of those that it needs as fit into a message. The others
+    /// follow once it has answered.
     pub commands: Vec<Command>,
     /// Whether the worker has to show a newer token before more can be proven. It is then sent a
     /// request even without commands.
@@ -50,7 +51,7 @@
             highest_seen: self.commands.highest_seen(),
             may_launch: limits.is_replica_fresh_to_launch(now),
         };
-        let mut findings = Findings::default();
+        let mut findings = self.tasks.begin_comparison();
         for (job_id, job, assignment) in replica.assignments(machine) {
             self.tasks.compare_assignment(&mut findings, job_id, job, assignment, &context);
         }
@@ -72,9 +73,11 @@
     /// Builds the plan from the findings. The next reconciliation is soon if anything is
     /// outstanding.
     fn plan(&mut self, findings: Findings<'_>, now: Instant) -> ReconciliationPlan {
-        let Findings { terminations, forgets: mut commands, needs_token_acknowledgement, .. } = findings;
-        commands.extend(findings.stops);
+        let Findings { terminations, stops: mut commands, needs_token_acknowledgement, .. } = findings;
+        commands.extend(findings.forgets);
         commands.extend(findings.launches);
+        let unsent = split_off_excess_commands(&mut commands, self.commands.max_command_bytes());
+        self.tasks.note_unsent_stops(&unsent, now);
         let is_outstanding = !terminations.is_empty()
             || !commands.is_empty()
             || needs_token_acknowledgement
@@ -85,9 +88,12 @@
         ReconciliationPlan { terminations, commands, needs_token_acknowledgement }
     }
 
-    /// The stop commands that every response which renews the worker's lease has to contain.
+    /// The stop commands that every response which renews the worker's lease has to contain, as many as
+    /// fit. A response that takes effect leaves fewer for the next.
     pub fn stops_of_cancelled_jobs(&self, replica: &Replica) -> Vec<Command> {
-        stops_of_cancelled_jobs(self.tasks.statuses(), replica)
+        let mut stops = stops_of_cancelled_jobs(self.tasks.statuses(), replica);
+        split_off_excess_commands(&mut stops, self.commands.max_command_bytes());
+        stops
     }
 
     /// The commands for the response to a heartbeat: launches and stops. Forget commands are never
@@ -107,6 +113,7 @@
         let further: Vec<Command> = planned.into_iter().filter(|c| !commands.contains(c)).collect();
         commands.extend(further);
         commands.retain(|c| !matches!(c, Command::Forget { .. }));
+        split_off_excess_commands(&mut commands, self.commands.max_command_bytes());
         if commands.iter().any(is_launch) {
             self.commands.note_launches_in_response();
         }
--- a/crates/daemon/src/worker/tracked_tasks.rs
+++ b/crates/daemon/src/worker/tracked_tasks.rs
@@ -4,7 +4,7 @@
 
 use sched::hash::{HashMap, HashSet};
 use sched::records::{Assignment, JobRecord, Phase, TerminationReason};
-use wire::{Command, ExitReason, TaskState, TaskStatus};
+use wire::{Command, ExitReason, HeartbeatSpace, TaskState, TaskStatus};
 
 use super::{AssignmentId, FencingToken, WorkerLimits};
 
@@ -31,9 +31,24 @@
     pub(super) may_launch: bool,
 }
 
+impl Findings<'_> {
+    /// Launches a task, unless the replica is too old for that, or the worker could not report the
+    /// task beside all others.
+    fn launch_if_possible(&mut self, command: Command, context: &ComparisonContext<'_>) {
+        let Command::Start { task, .. } = &command else { return };
+        if context.may_launch && self.heartbeat_space.take(task) {
+            self.launches.push(command);
+        } else {
+            self.has_withheld_launch = true;
+        }
+    }
+}
+
 /// The findings of a comparison.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Findings<'r> {
+    /// The space for further tasks in the worker's heartbeats.
+    heartbeat_space: HeartbeatSpace,
     /// The assigned attempt of each task, by job and task.
     attempts: HashMap<(&'r str, u32), u64>,
     assigned: HashSet<AssignmentId>,
@@ -43,7 +58,7 @@
     pub(super) launches: Vec<Command>,
     /// Whether the worker has to show a newer token before the absence of tasks proves anything.
     pub(super) needs_token_acknowledgement: bool,
-    /// Whether a launch waits for a fresher replica.
+    /// Whether a launch waits for a fresher replica, or until the worker has forgotten other tasks.
     pub(super) has_withheld_launch: bool,
 }
 
@@ -133,6 +148,21 @@
         !self.orphaned_since.is_empty() || !self.stopped_at.is_empty()
     }
 
+    /// Begins a comparison.
+    pub(super) fn begin_comparison<'r>(&self) -> Findings<'r> {
+        Findings {
+            heartbeat_space: HeartbeatSpace::beside(&self.statuses),
+            attempts: HashMap::default(),
+            assigned: HashSet::default(),
+            terminations: Vec::new(),
+            forgets: Vec::new(),
+            stops: Vec::new(),
+            launches: Vec::new(),
+            needs_token_acknowledgement: false,
+            has_withheld_launch: false,
+        }
+    }
+
     /// Compares an assignment with the worker's status.
     pub(super) fn compare_assignment<'r>(
         &mut self,
@@ -168,11 +198,7 @@
             // A proven termination may be recorded at any moment, so the assignment must not be
             // launched any more.
             None if should_run && !self.seen.contains(&id) && !self.is_proven_over(&id) => {
-                if context.may_launch {
-                    findings.launches.push(Command::Start { task: name, attempt });
-                } else {
-                    findings.has_withheld_launch = true;
-                }
+                findings.launch_if_possible(Command::Start { task: name, attempt }, context);
             }
             // The task was seen before and is gone now: the worker was restarted.
             None if context.absence_is_proof && is_fenced => {
@@ -210,6 +236,18 @@
         Some(Command::Stop { task, attempt: id.attempt, grace_s })
     }
 
+    /// Notes that the stop commands among these were not sent for lack of space in the message, after
+    /// they were issued at this time.
+    pub(super) fn note_unsent_stops(&mut self, commands: &[Command], issued_at: Instant) {
+        for command in commands {
+            let Command::Stop { task, attempt, .. } = command else { continue };
+            let Some(id) = AssignmentId::from_task_name(task, *attempt) else { continue };
+            if self.stopped_at.get(&id) == Some(&issued_at) {
+                self.stopped_at.remove(&id);
+            }
+        }
+    }
+
     /// Drops the state of assignments that are no longer on record.
     pub(super) fn retain_assigned(&mut self, findings: &Findings<'_>) {
         self.proven_at.retain(|id, _| findings.assigned.contains(id));
--- a/crates/daemon/src/worker_client.rs
+++ b/crates/daemon/src/worker_client.rs
@@ -7,9 +7,6 @@
 
 use crate::controller::Controller;
 
-/// Maximum size of a worker's status, in bytes.
-const MAX_STATUS_BYTES: usize = wire::BODY_LIMIT * 4;
-
 /// Requests the status of the worker at an address. Returns `None` if the response is not from the
 /// worker of this machine.
 pub async fn fetch_status(
@@ -18,8 +15,8 @@
     addr: &str,
     timeout: Duration,
 ) -> Result<Option<Heartbeat>, NetError> {
-    let request =
-        controller.worker_http.request(addr, "GET", "/status", Vec::new(), MAX_STATUS_BYTES, timeout);
+    let max_bytes = wire::ENCODED_BODY_LIMIT;
+    let request = controller.worker_http.request(addr, "GET", "/status", Vec::new(), max_bytes, timeout);
     let response = request.await?;
     Ok(wire::decode::<Heartbeat>(&response.body).ok().filter(|status| status.machine == machine))
 }
--- a/crates/daemon/tests/unit/fault_days/checker.rs
+++ b/crates/daemon/tests/unit/fault_days/checker.rs
@@ -6,7 +6,7 @@
 use wire::{Heartbeat, HeartbeatResponse, JobKind, JobState};
 
 use super::machines::{CANCEL_MS, Machine};
-use super::users::{Job, UNKNOWN_JOB, cpus_of, is_reverted};
+use super::users::{Job, UNKNOWN_JOB, is_reverted};
 use super::{Simulation, TEAM_U_MAX_CPUS, cpus, job_of};
 
 /// The longest time that queries of a job may remain unanswered while there are faults.
@@ -102,7 +102,7 @@
         let mut used: BTreeMap<&str, f64> = BTreeMap::new();
         for (_, _, task) in self.active_tasks() {
             let Some(job) = self.jobs.get(job_of(task)) else { continue };
-            *used.entry(job.spec.team.as_str()).or_default() += cpus_of(task);
+            *used.entry(job.spec.team.as_str()).or_default() += job.spec.cpus;
         }
         let exceeds = |team: &str, limit: f64| used.get(team).is_some_and(|u| *u > limit + 1e-6);
         if exceeds("t", self.team_t_max_cpus) || exceeds("u", TEAM_U_MAX_CPUS) {
@@ -125,7 +125,7 @@
     }
 
     pub(super) fn is_done(&self, job: &str) -> bool {
-        let tasks = super::users::tasks_of(job);
+        let tasks = self.tasks_of(job);
         (0..tasks).all(|n| self.done_tasks.contains(&format!("{job}/{n}")))
     }
 
@@ -214,7 +214,7 @@
         let mut active_counts: BTreeMap<String, u32> = BTreeMap::new();
         for (_, _, task) in self.active_tasks() {
             let Some(job) = self.jobs.get(job_of(task)) else { continue };
-            *used.entry(job.spec.team.clone()).or_default() += cpus_of(task);
+            *used.entry(job.spec.team.clone()).or_default() += job.spec.cpus;
             *active_counts.entry(job.spec.id.clone()).or_default() += 1;
         }
         let mut violations: Vec<(&'static str, String)> = Vec::new();
--- a/crates/daemon/tests/unit/fault_days/machines.rs
+++ b/crates/daemon/tests/unit/fault_days/machines.rs
@@ -13,7 +13,7 @@
     TaskStatus,
 };
 
-use super::network::Endpoint;
+use super::network::{Endpoint, is_too_large};
 use super::{CONTROLLERS, Defect, Simulation, Site};
 use crate::worker::FencingToken;
 
@@ -29,6 +29,8 @@
     pub(super) state: TaskState,
     cause: Option<ExitReason>,
     checkpointed: Option<bool>,
+    /// The CPUs that it takes.
+    cpus: f64,
     /// When the current state ends without a command.
     ends_at: u64,
     /// Since when a running task of a gang has been without some of its peers.
@@ -108,8 +110,7 @@
     }
 
     pub(super) fn used_cpus(&self) -> f64 {
-        // Each task uses one or two CPUs, depending on the number of its job.
-        self.tasks.iter().filter(|(_, t)| t.is_active()).map(|((t, _), _)| super::users::cpus_of(t)).sum()
+        self.tasks.values().filter(|task| task.is_active()).map(|task| task.cpus).sum()
     }
 
     fn expire_lease(&mut self, now: u64, defect: Defect) {
@@ -272,6 +273,8 @@
     /// them has been missing for too long.
     fn advance_gangs(&mut self) {
         let now = self.ms();
+        let jobs = &self.jobs;
+        let gang_size = |job: &str| jobs.get(job).map_or(0, |job| job.spec.tasks) as usize;
         let mut present: BTreeMap<(String, u64), BTreeSet<String>> = BTreeMap::new();
         let mut running_gangs: BTreeMap<(String, u64), BTreeSet<String>> = BTreeMap::new();
         for machine in
@@ -296,7 +299,7 @@
         {
             for ((task, attempt), execution) in &mut machine.tasks {
                 let key = (super::job_of(task).to_owned(), *attempt);
-                let gang_size = super::users::tasks_of(&key.0) as usize;
+                let gang_size = gang_size(&key.0);
                 if super::users::kind_of(task) != JobKind::Gang {
                     continue;
                 }
@@ -326,7 +329,7 @@
             }
         }
         for job in done {
-            (0..super::users::tasks_of(&job)).for_each(|n| {
+            (0..self.tasks_of(&job)).for_each(|n| {
                 self.done_tasks.insert(format!("{job}/{n}"));
             });
             self.task_done(&format!("{job}/0"));
@@ -342,14 +345,14 @@
             let Some(machine) = self.machines.get_mut(id) else { return };
             match command {
                 Command::Start { task, attempt } => {
+                    let job = self.jobs.get(super::job_of(task));
+                    let cpus = job.map_or_else(|| super::users::cpus_of(task), |job| job.spec.cpus);
                     if machine.tasks.contains_key(&(task.clone(), *attempt)) {
                         continue;
                     }
                     let refusal = if machine.tasks.iter().any(|((t, _), s)| t == task && s.is_active()) {
                         Some(ExitReason::TaskInUse)
-                    } else if machine.used_cpus() + super::users::cpus_of(task)
-                        > super::cpus(&machine.machine_type) + 1e-6
-                    {
+                    } else if machine.used_cpus() + cpus > super::cpus(&machine.machine_type) + 1e-6 {
                         Some(ExitReason::NoCapacity)
                     } else if defect == Defect::StartsIgnored {
                         continue;
@@ -364,6 +367,7 @@
                         state,
                         cause: refusal,
                         checkpointed: None,
+                        cpus,
                         ends_at: now + fetch_ms,
                         incomplete_since: None,
                     };
@@ -454,6 +458,9 @@
             let machine = simulation.machines.get_mut(id)?;
             return Some((200, wire::encode(&machine.heartbeat(id, now, defect))));
         }
+        if is_too_large(&request.body) || request.body.len() > simulation.max_worker_message_bytes {
+            return Some((413, Vec::new()));
+        }
         let Ok(commands) = wire::decode::<Commands>(&request.body) else { return Some((400, Vec::new())) };
         let machine = simulation.machines.get_mut(id)?;
         if commands.fencing_token < machine.fencing_token
@@ -510,7 +517,9 @@
         if !site.wait_while_hung(&id).await {
             return;
         }
-        let answer = answer.filter(|_| site.ms() <= sent_at + 4000);
+        let max_bytes = site.lock().max_worker_message_bytes;
+        let is_accepted = |body: &[u8]| !is_too_large(body) && body.len() <= max_bytes;
+        let answer = answer.filter(|a| site.ms() <= sent_at + 4000 && is_accepted(&a.body));
         let pause = {
             let mut simulation = site.lock();
             let pause = simulation.rng.random_range(0..500);
--- a/crates/daemon/tests/unit/fault_days/mod.rs
+++ b/crates/daemon/tests/unit/fault_days/mod.rs
@@ -16,6 +16,7 @@
 mod failing_machines;
 mod faults;
 mod key_value_store;
+mod large_messages;
 mod late_copies;
 mod late_requests;
 mod machines;
@@ -166,6 +167,8 @@
     /// Heartbeats to deliver again: time, controller, heartbeat.
     pending_duplicates: Vec<(u64, usize, Heartbeat)>,
     cluster_map_changed: bool,
+    /// Workers refuse larger requests and drop larger answers, in bytes.
+    max_worker_message_bytes: usize,
     /// Heartbeats that showed a later epoch than the controller knew that received them.
     heartbeats_to_superseded: usize,
     /// Stopped tasks that `StoppedTaskRestarted` will restart: time, machine, task, attempt.
@@ -281,6 +284,7 @@
             duplicates_for_next_leader: Vec::new(),
             pending_duplicates: Vec::new(),
             cluster_map_changed: false,
+            max_worker_message_bytes: usize::MAX,
             heartbeats_to_superseded: 0,
             pending_restarts: Vec::new(),
             cancel_on_completion: (0.0, 0),
--- a/crates/daemon/tests/unit/fault_days/network.rs
+++ b/crates/daemon/tests/unit/fault_days/network.rs
@@ -107,9 +107,15 @@
             if !site.deliver(&from, &to, true, &request.path).await {
                 std::future::pending::<()>().await;
             }
+            site.lock().check_body(&from, &to, &request.body);
             let path = request.path.clone();
             let commands = (path == COMMANDS_PATH).then(|| request.body.clone());
             let served = site.serve(&from, &to, request).await;
+            if let Some((_, body)) = &served
+                && matches!(from, Endpoint::Machine(_) | Endpoint::User)
+            {
+                site.lock().check_body(&to, &from, body);
+            }
             if let (Endpoint::Machine(machine), Some(commands), Some((200, _))) = (&to, commands, &served) {
                 site.lock().copy_start_commands(machine, commands);
             }
@@ -173,6 +179,18 @@
 }
 
 impl Simulation {
+    /// Checks that a body which the protocol limits is within its limit. Controllers agree on other
+    /// limits among themselves.
+    fn check_body(&mut self, from: &Endpoint, to: &Endpoint, body: &[u8]) {
+        if matches!((from, to), (Endpoint::Controller(_), Endpoint::Controller(_))) {
+            return;
+        }
+        if is_too_large(body) {
+            let detail = format!("{} bytes of MessagePack from {from:?} to {to:?}", body.len());
+            self.record_violation("too_large", detail);
+        }
+    }
+
     /// Until when a request is held up on its way, if it has a start command.
     fn hold_start(&mut self, request: &Request) -> Option<u64> {
         let until = self.held_starts.until;
@@ -258,6 +276,17 @@
     }
 }
 
+/// Whether a body is larger than the protocol permits, which measures bodies as JSON.
+pub(super) fn is_too_large(body: &[u8]) -> bool {
+    // No value takes more than this many times its bytes in JSON.
+    const MAX_JSON_FACTOR: usize = 6;
+    if body.len() * MAX_JSON_FACTOR <= wire::BODY_LIMIT {
+        return false;
+    }
+    let json = wire::decode::<serde_json::Value>(body).map(|value| value.to_string().len());
+    json.is_ok_and(|bytes| bytes > wire::BODY_LIMIT)
+}
+
 /// Start commands that are sent straight to machines are held up on their way until then.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct HeldStarts {
--- a/crates/daemon/tests/unit/fault_days/users.rs
+++ b/crates/daemon/tests/unit/fault_days/users.rs
@@ -116,6 +116,11 @@
 }
 
 impl Simulation {
+    /// The number of tasks of a job; 0 if nobody has submitted it.
+    pub(super) fn tasks_of(&self, job: &str) -> u32 {
+        self.jobs.get(job).map_or(0, |job| job.spec.tasks)
+    }
+
     /// Creates the next job; some jobs depend on one of the latest accepted jobs.
     pub(super) fn next_job(&mut self) -> String {
         self.submitted_jobs += 1;
--- a/crates/daemon/tests/unit/faults_machines.rs
+++ b/crates/daemon/tests/unit/faults_machines.rs
@@ -16,7 +16,7 @@
 use crate::api::heartbeats::{HeartbeatOutcome, HeartbeatRoute, process_heartbeat};
 use crate::controller::Controller;
 use crate::operators::OperatorSettings;
-use crate::scheduler;
+use crate::scheduler::{self, CommandsOutcome};
 use crate::settings::Settings;
 use crate::settings::tests::EXAMPLE;
 use crate::worker::tests::spec;
@@ -182,13 +182,9 @@
         commands: &Commands,
         heartbeat: Option<Heartbeat>,
     ) {
-        scheduler::record_response(
-            &mut self.controllers[n].state(),
-            machine,
-            commands.fencing_token.into(),
-            heartbeat,
-            self.now,
-        );
+        let outcome = heartbeat.map_or(CommandsOutcome::Unknown, CommandsOutcome::Answered);
+        let token = commands.fencing_token.into();
+        scheduler::record_outcome(&mut self.controllers[n].state(), machine, token, outcome, self.now);
     }
 
     fn job(&self, id: &str) -> Box<JobRecord> {
--- a/crates/daemon/tests/unit/faults_superseded.rs
+++ b/crates/daemon/tests/unit/faults_superseded.rs
@@ -87,8 +87,8 @@
             Evidence::RelayedHeartbeat => receive(&heartbeat, HeartbeatRoute::Relayed),
             Evidence::RejectedCommands => {
                 let token = worker.fencing_token.into();
-                let status = Some(heartbeat);
-                scheduler::record_response(&mut controller.state(), worker.id, token, status, now);
+                let outcome = CommandsOutcome::Answered(heartbeat);
+                scheduler::record_outcome(&mut controller.state(), worker.id, token, outcome, now);
             }
             Evidence::ProbedStatus => {
                 record_status(&mut controller.state(), worker.id, Some(heartbeat), now);
--- a/crates/daemon/tests/unit/worker.rs
+++ b/crates/daemon/tests/unit/worker.rs
@@ -1,5 +1,6 @@
 use super::reconcile::ReconciliationPlan;
 use super::*;
+use sched::hash::HashSet;
 use sched::records::*;
 use sched::replica::{RecordChange, Replica};
 use wire::{ExitReason, JobKind, JobSpec, Priority, TaskState, TaskStatus};
@@ -460,3 +461,113 @@
     assert_eq!(grace(DesiredState::Running, Phase::Cancelled), Some(0.0));
     assert_eq!(grace(DesiredState::Running, Phase::Active), None);
 }
+
+/// A worker whose machine has so many assignments of one job; it reports none of them.
+fn worker_with_assignments(tasks: u32, phase: Phase, now: Instant) -> (Worker, Replica) {
+    let assigned = |task| Assignment { task, ..assigned(DesiredState::Running).remove(0) };
+    let replica = replica_with((0..tasks).map(assigned).collect(), phase);
+    let mut worker = Worker::new("a".into(), 5, now);
+    worker.receive_heartbeat(heartbeat(1, first_token(5), &[]), now);
+    (worker, replica)
+}
+
+fn statuses(tasks: u32, state: TaskState) -> Vec<TaskStatus> {
+    let status = |n| TaskStatus {
+        task: format!("j-1/{n}"),
+        attempt: 1,
+        state,
+        cause: (state == TaskState::Exited).then_some(ExitReason::Done),
+        checkpointed: None,
+    };
+    (0..tasks).map(status).collect()
+}
+
+/// More stops than fit into one message: those that did not fit were taken for sent, so that they
+/// followed only after their retry delay.
+#[test]
+fn stops_that_do_not_fit_into_a_message_follow_with_the_next_one() {
+    const TASKS: u32 = 2000;
+    let now = Instant::now();
+    let (mut worker, mut replica) = worker_with_assignments(TASKS, Phase::Active, now);
+    let status = |sequence, state| Heartbeat {
+        tasks: statuses(TASKS, state),
+        ..heartbeat(sequence, first_token(5), &[])
+    };
+    worker.receive_heartbeat(status(2, TaskState::Running), now);
+    let mut record = replica.jobs["j-1"].value.clone();
+    record.assignments.iter_mut().for_each(|a| a.desired = DesiredState::Stopped);
+    replica.apply(RecordChange::Job("j-1".into(), Some(record)), 3);
+    let mut stopped = HashSet::default();
+    let mut messages = 0;
+    while stopped.len() < TASKS as usize {
+        let commands = worker.reconcile("host-1", &replica, &limits(now), now).commands;
+        assert!(commands.iter().all(|c| matches!(c, Command::Stop { .. })) && !commands.is_empty());
+        stopped.extend(commands.into_iter().map(|c| format!("{c:?}")));
+        messages += 1;
+    }
+    assert!((2..=4).contains(&messages), "{messages} messages");
+}
+
+/// Starts of tasks that the worker could not report beside the others, which it has not forgotten yet.
+#[test]
+fn tasks_are_launched_only_as_the_heartbeat_has_space_for_them() {
+    let now = Instant::now();
+    let most = wire::MAX_TASKS_PER_MACHINE as u32;
+    let (mut worker, replica) = worker_with_assignments(most, Phase::Active, now);
+    let launches = |worker: &mut Worker| {
+        let commands = worker.reconcile("host-1", &replica, &limits(now), now).commands;
+        commands.iter().filter(|c| matches!(c, Command::Start { .. })).count()
+    };
+    assert_eq!(launches(&mut worker), most as usize);
+    let exited = |n| TaskStatus { task: format!("j-9/{n}"), ..statuses(1, TaskState::Exited).remove(0) };
+    let tasks = (0..most).map(exited).collect();
+    worker.receive_heartbeat(Heartbeat { tasks, ..heartbeat(2, first_token(5), &[]) }, now);
+    assert!(launches(&mut worker) < most as usize / 2);
+    worker.receive_heartbeat(heartbeat(3, first_token(5), &[]), now);
+    assert_eq!(launches(&mut worker), most as usize);
+}
+
+/// 413 counted as a lost request, after which the same commands were sent again.
+#[test]
+fn commands_refused_for_their_size_are_sent_in_smaller_messages_to_a_reachable_worker() {
+    let mut now = Instant::now();
+    let (mut worker, replica) = worker_with_assignments(500, Phase::Active, now);
+    let mut counts = Vec::new();
+    for _ in 0..5 {
+        let commands = worker.reconcile("host-1", &replica, &limits(now), now).commands;
+        counts.push(commands.len());
+        let token = worker.begin_commands(&commands, now).expect("a token");
+        worker.commands_too_large(token, now);
+        now += Duration::from_secs(3);
+    }
+    assert!(counts.is_sorted_by(|a, b| a > b) && counts[4] < counts[0] / 10, "{counts:?}");
+    assert!(worker.receives_commands(), "the worker answers");
+}
+
+/// The response that stops all tasks of cancelled jobs was larger than a response may be, so that the
+/// worker dropped it and lost its lease.
+#[test]
+fn responses_that_stop_many_tasks_are_within_the_limit_of_responses() {
+    const TASKS: u32 = 2000;
+    let start = Instant::now();
+    let (mut worker, replica) = worker_with_assignments(TASKS, Phase::Cancelled, start);
+    let cancelled = statuses(TASKS, TaskState::Running);
+    let orphan = |n| TaskStatus { task: format!("j-9/{n}"), ..cancelled[0].clone() };
+    let tasks: Vec<TaskStatus> = cancelled.iter().cloned().chain((0..TASKS).map(orphan)).collect();
+    let running = |sequence| Heartbeat { tasks: tasks.clone(), ..heartbeat(sequence, first_token(5), &[]) };
+    worker.receive_heartbeat(running(2), start);
+    let stops_of_cancelled = [
+        worker.commands_for_heartbeat("host-1", &replica, &limits(start), start),
+        worker.stops_of_cancelled_jobs(&replica),
+    ];
+    // The tasks without an assignment are stopped, too, while the first stops are not repeated yet.
+    let later = start + Duration::from_millis(1600);
+    worker.receive_heartbeat(running(3), later);
+    let mixed = worker.commands_for_heartbeat("host-1", &replica, &limits(later), later);
+    for commands in stops_of_cancelled.into_iter().chain([mixed]) {
+        let stops = commands.iter().filter(|c| matches!(c, Command::Stop { .. })).count();
+        let response = wire::HeartbeatResponse { fencing_token: u64::MAX, commands };
+        let bytes = serde_json::to_vec(&response).expect("plain data").len();
+        assert!(bytes <= wire::BODY_LIMIT && stops > 500, "{stops} stops in {bytes} bytes");
+    }
+}
--- a/crates/sched/src/autoscaling/admission.rs
+++ b/crates/sched/src/autoscaling/admission.rs
@@ -19,6 +19,6 @@
 pub fn within_quota(spec: &JobSpec, team: &Team) -> bool {
     let tasks = if spec.kind == JobKind::Array { 1 } else { spec.tasks };
     Resources::default()
-        .plus_scaled(Resources::of_task(spec).without_memory(), f64::from(tasks))
+        .plus_scaled(Resources::of_task(spec).counted_in_quota(), f64::from(tasks))
         .fits(team.limit())
 }
--- a/crates/sched/src/inventory.rs
+++ b/crates/sched/src/inventory.rs
@@ -70,7 +70,7 @@
     pub(crate) fn class(&self) -> SlotClass {
         SlotClass {
             kind: self.kind,
-            used: [self.used.cpus, self.used.gpus, self.used.memory_gb].map(f64::to_bits),
+            used: [self.used.cpus, self.used.gpus, self.used.memory_gb, self.used.tasks].map(f64::to_bits),
         }
     }
 
@@ -85,8 +85,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct SlotClass {
     kind: usize,
-    /// CPUs, GPUs and memory in use, as the bit patterns of the floating-point values.
-    used: [u64; 3],
+    /// CPUs, GPUs, memory and tasks in use, as the bit patterns of the floating-point values.
+    used: [u64; 4],
 }
 
 /// The machines, and the resources that each team uses.
--- a/crates/sched/src/placement/gpu_capacity.rs
+++ b/crates/sched/src/placement/gpu_capacity.rs
@@ -22,7 +22,9 @@
         Some(gpu_job) => Resources::of_task(gpu_job),
         // No GPU job has been seen yet: assume one GPU per task and the same share of the CPUs.
         None if slot.spot => return 0,
-        None => Resources { cpus: slot.capacity.cpus / slot.capacity.gpus, gpus: 1.0, memory_gb: 0.0 },
+        None => {
+            Resources { cpus: slot.capacity.cpus / slot.capacity.gpus, gpus: 1.0, memory_gb: 0.0, tasks: 1.0 }
+        }
     };
     let free = slot.capacity.plus_scaled(used, -1.0);
     let free_afterwards = free.plus_scaled(Resources::of_task(spec), -1.0);
--- a/crates/sched/src/placement/place.rs
+++ b/crates/sched/src/placement/place.rs
@@ -115,7 +115,7 @@
 ) -> Vec<u32> {
     let max_tasks = if spec.kind == JobKind::Gang { usize::MAX } else { limits.max_tasks };
     let team_usage = inventory.team_usage.get(&spec.team).copied().unwrap_or_default();
-    let remaining_quota = team.limit().plus_scaled(team_usage.without_memory(), -1.0);
+    let remaining_quota = team.limit().plus_scaled(team_usage.counted_in_quota(), -1.0);
     let quota_tasks = Resources::of_task(spec).count_fitting_in(remaining_quota) as usize;
     let window_end = job.done.first_missing().saturating_add(limits.task_window);
     pending_tasks(job).take_while(|task| *task < window_end).take(max_tasks.min(quota_tasks)).collect()
--- a/crates/sched/src/preempt.rs
+++ b/crates/sched/src/preempt.rs
@@ -222,15 +222,15 @@
     team: &Team,
 ) -> Option<Vec<Victim>> {
     let required =
-        Resources::default().plus_scaled(Resources::of_task(spec).without_memory(), f64::from(tasks));
+        Resources::default().plus_scaled(Resources::of_task(spec).counted_in_quota(), f64::from(tasks));
     let team_usage = replica.team_usage.get(&spec.team).copied().unwrap_or_default();
-    let mut free = team.limit().plus_scaled(team_usage.without_memory(), -1.0);
+    let mut free = team.limit().plus_scaled(team_usage.counted_in_quota(), -1.0);
     let mut candidates: Vec<TeamCandidate> = Vec::new();
     // Does not use `Replica::open_jobs`: its iterator takes a fifth of the time of this search.
     for job_id in &replica.open_job_ids {
         let Some(job) = replica.jobs.get(job_id).map(|job| &job.value) else { continue };
         let Some(other) = job.spec.as_deref().filter(|other| other.team == spec.team) else { continue };
-        let size = Resources::of_task(other).without_memory();
+        let size = Resources::of_task(other).counted_in_quota();
         let other_priority = job.priority().unwrap_or(other.priority);
         let may_stop = other_priority < priority && other.kind == JobKind::Array;
         for assignment in &job.assignments {
--- a/crates/sched/tests/unit/inventory.rs
+++ b/crates/sched/tests/unit/inventory.rs
@@ -84,7 +84,7 @@
         inventory.begin();
         for _ in 0..rng.below(6) {
             let machine: Name = name(rng.below(machines)).as_str().into();
-            let size = Resources { cpus: 0.1, gpus: 0.0, memory_gb: 0.3 };
+            let size = Resources { cpus: 0.1, gpus: 0.0, memory_gb: 0.3, tasks: 1.0 };
             inventory.reserve(&[machine], size, [1.0, -1.0][rng.below(2)]);
         }
         inventory.roll_back();
--- a/crates/sched/tests/unit/placement.rs
+++ b/crates/sched/tests/unit/placement.rs
@@ -111,6 +111,28 @@
     assert_eq!(place_job(&replica, "j-1", &team()), [(0, "b1".to_owned())]);
 }
 
+/// A machine got as many small tasks as its CPUs and memory allow, which it could not report.
+#[test]
+fn a_machine_gets_no_more_tasks_than_it_can_report() {
+    let most = wire::MAX_TASKS_PER_MACHINE as u32;
+    let mut replica = replica_with(&[("a1", "m", "a", false), ("a2", "m", "a", false)]);
+    let mut array = spec("j-1", JobKind::Array, 3 * most);
+    (array.cpus, array.memory_gb) = (0.0, 0.0);
+    add_job(&mut replica, array, &[]);
+    add_job(&mut replica, spec("j-2", JobKind::Service, 1), &[(0, "a1")]);
+    let mut job = replica.jobs["j-1"].value.as_ref().clone();
+    let limits = Limits {
+        max_tasks: usize::MAX,
+        task_window: u32::MAX,
+        may_strand_gpus: false,
+        gang_wait_s: 0.0,
+        now_ms: 1000,
+    };
+    let placed = place(&replica, &mut inventory(&replica), &mut job, &team(), |_| true, limits);
+    let on = |machine: &str| placed.iter().filter(|a| *a.machine == *machine).count() as u32;
+    assert_eq!((on("a1"), on("a2")), (most - 1, most));
+}
+
 #[test]
 fn a_gang_is_placed_whole_in_one_zone_or_not_at_all() {
     let mut replica = replica_with(&[("a1", "m", "a", false), ("b1", "m", "b", false)]);
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,11 +5,13 @@
 
 mod cloud_and_store;
 mod jobs;
+mod message_size;
 mod scan;
 mod workers;
 
 pub use cloud_and_store::*;
 pub use jobs::*;
+pub use message_size::*;
 pub use workers::*;
 
 use std::time::Duration;
--- a/crates/wire/src/scan.rs
+++ b/crates/wire/src/scan.rs
@@ -218,7 +218,7 @@
 
     fn text(&mut self, length: usize) -> Result<Token<'m>, DecodeError> {
         let text = self.take(length)?;
-        let json_bytes = text.iter().map(|byte| json_bytes_in_text(*byte)).sum::<usize>();
+        let json_bytes = json_bytes_of_bytes(text);
         Ok(Token { contents: Contents::Text(text), json_bytes: json_bytes + JSON_DELIMITER_BYTES })
     }
 
@@ -251,6 +251,15 @@
     Token { contents: Contents::Map { pairs }, json_bytes: JSON_DELIMITER_BYTES + colons + commas }
 }
 
+/// Bytes that a text takes in JSON, without its quotes.
+pub(crate) fn json_bytes_of_text(text: &str) -> usize {
+    json_bytes_of_bytes(text.as_bytes())
+}
+
+fn json_bytes_of_bytes(text: &[u8]) -> usize {
+    text.iter().map(|byte| json_bytes_in_text(*byte)).sum()
+}
+
 /// Bytes that a byte of a text takes in JSON.
 fn json_bytes_in_text(byte: u8) -> usize {
     match byte {
