Jobs that fit only on machines with GPUs get them

Cause: capacity that GPU jobs could use was kept from every array and gang without GPUs, for any time, whether or not the job had another machine type and whether or not there was a GPU job: in placement, scale-out, the release of idle machines and preemption.

Change: a job that fits on no machine type without GPUs, of those that it allows, may use the others. It is not placed where a waiting GPU job could be, so that GPU jobs wait for one of its tasks at most. After 60 s, two thirds of the 90 s for which no job may wait beside room for it, one task of an array of which nothing is on a machine, or a gang, is placed even so, also if it has other machine types.

On related paths: a drain counted on capacity that placement keeps for GPU jobs, and stopped tasks that were not started again; a zone whose only machines are kept for GPU jobs was chosen for a gang with one_zone, and no machine was ever requested; machines kept for GPU jobs counted as those that fetch a gang's image fast enough, so that all others were left out.

Why it works: each place asks the same question, whether the job has an alternative, and every reservation for GPU jobs ends.

--- a/crates/daemon/src/autoscaler/demand.rs
+++ b/crates/daemon/src/autoscaler/demand.rs
@@ -39,14 +39,17 @@
     }
 }
 
-/// The machine types that fetch a gang's image too slowly; empty if all allowed types do.
+/// The machine types that fetch a gang's image too slowly; empty if all types do that the gang may use.
 pub fn unsuitable_types(controller: &Controller, state: &ControllerState, spec: &JobSpec) -> Vec<Name> {
     let max_wait_s = controller.settings.facts.workers.gang_wait_s;
+    let types = &state.records.replica.machine_types;
+    let may_use_gpu_machines = placement::may_use_gpu_machines(spec, types);
     let is_allowed = |machine_type: &&MachineType| {
         Resources::of_task(spec).fits(Resources::of_type(machine_type))
             && spec.types.as_ref().is_none_or(|types| types.contains(&machine_type.name))
+            && (may_use_gpu_machines || machine_type.gpus == 0.0)
     };
-    let types = state.records.replica.machine_types.values();
+    let types = types.values();
     let (slow, fast): (Vec<_>, Vec<_>) = types
         .filter(is_allowed)
         .partition(|machine_type| placement::image_fetch_too_slow(spec, machine_type, max_wait_s));
--- a/crates/daemon/src/scheduler/placement/mod.rs
+++ b/crates/daemon/src/scheduler/placement/mod.rs
@@ -2,6 +2,7 @@
 
 mod drain_holds;
 mod gang_capacity;
+mod gpu_machines;
 mod pass;
 mod preemption;
 mod queue;
@@ -83,6 +84,7 @@
         longest_waiting,
         scheduling,
         running: None,
+        waiting_gpu_jobs: None,
         expected_services: forecast::expected_services(replica, now_ms),
     };
     for id in queue {
--- a/crates/daemon/src/scheduler/placement/pass.rs
+++ b/crates/daemon/src/scheduler/placement/pass.rs
@@ -36,6 +36,8 @@
     pub(super) scheduling: &'a mut SchedulingState,
     /// All running tasks; collected by the first search for victims.
     pub(super) running: Option<RunningTasks<'r>>,
+    /// The GPU jobs with pending tasks; collected for the first job that could take their capacity.
+    pub(super) waiting_gpu_jobs: Option<Vec<&'r JobSpec>>,
     /// Forecast service tasks, as a spec and a count, until capacity is reserved for them. Services
     /// have to start within seconds, so their capacity has to exist when they are submitted.
     pub(super) expected_services: Option<(JobSpec, u32)>,
@@ -55,11 +57,11 @@
 }
 
 /// The outcome of a search for machines.
-struct PlacementAttempt {
+pub(super) struct PlacementAttempt {
     /// The new assignments; empty if there is no capacity.
-    assignments: Vec<Assignment>,
+    pub(super) assignments: Vec<Assignment>,
     /// Whether preemption may use capacity that GPU jobs use or could use.
-    may_displace_gpu_jobs: bool,
+    pub(super) may_displace_gpu_jobs: bool,
 }
 
 impl PlacementPass<'_, '_> {
@@ -145,19 +147,26 @@
             gang_wait_s: self.controller.settings.facts.workers.gang_wait_s,
             now_ms: self.context.now_ms,
         };
-        let assignments = self.place_within_claims(candidate, job, limits);
-        if assignments.is_empty() && candidate.spec.kind == JobKind::Service && !candidate.is_in_shard {
-            let limits = placement::Limits { may_strand_gpus: true, ..limits };
-            return self.place_service_anywhere(candidate, job, reserved, limits);
+        let assignments = self.place_within_claims(candidate, job, self.slot_filter(candidate), limits);
+        let is_gpu_job = candidate.spec.gpus > 0.0;
+        if !assignments.is_empty() || candidate.is_in_shard {
+            return PlacementAttempt { assignments, may_displace_gpu_jobs: is_gpu_job };
+        }
+        let limits = placement::Limits { may_strand_gpus: true, ..limits };
+        match candidate.spec.kind {
+            JobKind::Service => self.place_service_anywhere(candidate, job, reserved, limits),
+            _ if is_gpu_job => PlacementAttempt { assignments, may_displace_gpu_jobs: true },
+            _ => self.place_beside_gpu_jobs(candidate, job, limits),
         }
-        PlacementAttempt { assignments, may_displace_gpu_jobs: candidate.spec.gpus > 0.0 }
     }
 
-    /// Places a job on free capacity, without using quota that other jobs claim.
-    fn place_within_claims(
+    /// Places a job on free capacity of the machines that satisfy `slot_filter`, without using quota
+    /// that other jobs claim.
+    pub(super) fn place_within_claims(
         &mut self,
         candidate: &Candidate,
         job: &mut JobRecord,
+        slot_filter: impl Fn(&Slot) -> bool,
         limits: placement::Limits,
     ) -> Vec<Assignment> {
         let Candidate { spec, team, is_in_shard, .. } = *candidate;
@@ -168,7 +177,6 @@
         let assignments = if is_in_shard && competes_with_any(self.replica, spec, gangs) {
             Vec::new()
         } else {
-            let slot_filter = self.slot_filter(candidate);
             placement::place(self.replica, self.inventory, job, team, slot_filter, limits)
         };
         release_quota(self.inventory, &spec.team, claimed);
@@ -200,7 +208,7 @@
     }
 
     /// The predicate for the machines that the job may be placed on.
-    fn slot_filter(&self, candidate: &Candidate) -> impl Fn(&Slot) -> bool + use<> {
+    pub(super) fn slot_filter(&self, candidate: &Candidate) -> impl Fn(&Slot) -> bool + use<> {
         let all_shards = self.is_leader && !candidate.is_in_shard;
         let own_incarnation = self.controller.identity.incarnation;
         move |slot| all_shards || slot.owner == own_incarnation
--- a/crates/daemon/tests/unit/fault_days/checker.rs
+++ b/crates/daemon/tests/unit/fault_days/checker.rs
@@ -7,7 +7,7 @@
 
 use super::machines::{CANCEL_MS, Machine};
 use super::users::{Job, UNKNOWN_JOB, is_reverted};
-use super::{Simulation, TEAM_U_MAX_CPUS, cpus, job_of};
+use super::{Simulation, TEAM_U_MAX_CPUS, job_of};
 
 /// The longest time that queries of a job may remain unanswered while there are faults.
 const MAX_UNANSWERED_MS: u64 = 90_000;
@@ -294,8 +294,9 @@
                 .filter(|machine| zone.is_none_or(|z| machine.zone == z));
             suitable
                 .map(|machine| {
-                    ((cpus(&machine.machine_type) - machine.used_cpus() + 1e-6) / spec.cpus).floor().max(0.0)
-                        as u32
+                    ((self.cloud.cpus_of(&machine.machine_type) - machine.used_cpus() + 1e-6) / spec.cpus)
+                        .floor()
+                        .max(0.0) as u32
                 })
                 .sum::<u32>()
         };
--- a/crates/daemon/tests/unit/fault_days/cloud.rs
+++ b/crates/daemon/tests/unit/fault_days/cloud.rs
@@ -24,10 +24,14 @@
 pub(super) const LIST_LAG_MS: u64 = 4000;
 
 pub(super) struct Cloud {
+    /// The machine types that it offers.
+    pub(super) machine_types: Vec<MachineType>,
     rentals_by_request: HashMap<String, Vec<String>>,
     pub(super) rented_count: usize,
     /// The maximum number of machines of one type in one zone, for spot and on-demand each.
     pub(super) capacity: usize,
+    /// As `capacity`, for types that have another.
+    pub(super) capacity_of_types: HashMap<&'static str, usize>,
     /// Until then, machines boot within two seconds.
     pub(super) fast_boots_until: u64,
     /// Until then, machines that are requested never boot.
@@ -75,9 +79,11 @@
 impl Default for Cloud {
     fn default() -> Self {
         Self {
+            machine_types: vec![machine_type("m", 4.0, &["a", "b"]), machine_type("l", 8.0, &["b"])],
             rentals_by_request: HashMap::new(),
             rented_count: 0,
             capacity: CAPACITY,
+            capacity_of_types: HashMap::new(),
             fast_boots_until: 0,
             no_boots_until: 0,
             outage_until: 0,
@@ -96,6 +102,11 @@
 }
 
 impl Cloud {
+    /// The CPUs of a machine of this type; 0 if there is no such type.
+    pub(super) fn cpus_of(&self, machine_type: &str) -> f64 {
+        self.machine_types.iter().find(|t| t.name == machine_type).map_or(0.0, |t| t.cpus)
+    }
+
     /// Calls to release machines that were refused in a period, per second.
     pub(super) fn refused_releases_per_second(&self, from: u64, until: u64) -> f64 {
         let is_refused = |call: &&ReleaseCall| (from..until).contains(&call.at) && call.status != 200;
@@ -115,8 +126,9 @@
     }
 }
 
-pub(super) fn machine_types() -> Vec<MachineType> {
-    let new_machine_type = |name: &str, cpus: f64, zones: &[&str]| MachineType {
+/// A machine type without GPUs.
+pub(super) fn machine_type(name: &str, cpus: f64, zones: &[&str]) -> MachineType {
+    MachineType {
         name: name.into(),
         cpus,
         gpus: 0.0,
@@ -127,8 +139,7 @@
         spot_price: cpus * 0.4,
         boot_s: 4.0,
         zones: zones.iter().map(|z| (*z).to_owned()).collect(),
-    };
-    vec![new_machine_type("m", 4.0, &["a", "b"]), new_machine_type("l", 8.0, &["b"])]
+    }
 }
 
 impl Simulation {
@@ -144,7 +155,9 @@
                 && m.spot == rent_request.spot
         };
         let existing = self.machines.values().filter(is_same_kind).count();
-        let count = (rent_request.count as usize).min(self.cloud.capacity.saturating_sub(existing));
+        let of_type = self.cloud.capacity_of_types.get(rent_request.machine_type.as_str()).copied();
+        let capacity = of_type.unwrap_or(self.cloud.capacity);
+        let count = (rent_request.count as usize).min(capacity.saturating_sub(existing));
         if count == 0 {
             return None;
         }
@@ -254,7 +267,10 @@
         }
         let malformed = || (400, wire::encode(&"malformed"));
         match (request.method.as_str(), path) {
-            ("GET", "/machine_types") => (200, wire::encode(&MachineTypes { types: machine_types() })),
+            ("GET", "/machine_types") => {
+                let types = self.lock().cloud.machine_types.clone();
+                (200, wire::encode(&MachineTypes { types }))
+            }
             ("GET", _) => {
                 let after = query.split('&').find_map(|p| p.strip_prefix("after=")).unwrap_or_default();
                 let machines = self.lock().listed_machines(after);
--- a/crates/daemon/tests/unit/fault_days/controllers.rs
+++ b/crates/daemon/tests/unit/fault_days/controllers.rs
@@ -32,7 +32,7 @@
 }
 
 fn settings(n: usize, simulation: &Simulation) -> Settings {
-    let Simulation { defect, drains, team_t_max_cpus, .. } = *simulation;
+    let Simulation { defect, drains, team_t_max_cpus, team_max_gpus, .. } = *simulation;
     let seconds = |ms: u64| ms as f64 / 1000.0;
     let peers: String = (0..CONTROLLERS)
         .filter(|peer| *peer != n)
@@ -42,7 +42,8 @@
     let excess = if defect == Defect::RaisedTeamLimit { 4.0 } else { 0.0 };
     let team = |name: &str, guaranteed_cpus: f64, max_cpus: f64| {
         format!(
-            "[[facts.teams]]\nname = \"{name}\"\ncpus = {guaranteed_cpus:.1}\ncpus_max = {:.1}\n",
+            "[[facts.teams]]\nname = \"{name}\"\ncpus = {guaranteed_cpus:.1}\ncpus_max = {:.1}\n\
+             gpus_max = {team_max_gpus:.1}\n",
             max_cpus + excess
         )
     };
--- a/crates/daemon/tests/unit/fault_days/large_messages.rs
+++ b/crates/daemon/tests/unit/fault_days/large_messages.rs
@@ -46,11 +46,6 @@
     fn most_tasks_on_a_machine(&self) -> usize {
         self.machines.values().map(|machine| machine.tasks.len()).max().unwrap_or_default()
     }
-
-    fn tasks_on_machines(&self, id: &str) -> usize {
-        let tasks = self.machines.values().flat_map(|machine| machine.tasks.iter());
-        tasks.filter(|((task, _), execution)| job_of(task) == id && execution.is_active()).count()
-    }
 }
 
 /// Start commands beyond the size of a message were repeated unchanged without end, and the machine lost
@@ -87,12 +82,12 @@
             async |site| {
                 let service = site.run_job(service()).await;
                 let id = site.submit_spec(small_tasks(TASKS)).await;
-                let are_many = |s: &Simulation| s.tasks_on_machines(&id) > wire::MAX_TASKS_PER_MACHINE;
+                let are_many = |s: &Simulation| s.active_tasks_of(&id) > wire::MAX_TASKS_PER_MACHINE;
                 assert!(site.advance_until(site.ms() + MAX_WAIT_MS, are_many).await, "many tasks start");
                 site.cancel_with_retries(&id).await;
                 site.restart(restart).await;
                 let until = site.ms() + machines::CANCEL_MS;
-                let all_stopped = |s: &Simulation| s.tasks_on_machines(&id) == 0;
+                let all_stopped = |s: &Simulation| s.active_tasks_of(&id) == 0;
                 assert!(site.advance_until(until, all_stopped).await, "restart of {restart:?}");
                 let simulation = site.lock();
                 assert!(simulation.worker_sessions().iter().all(|session| *session == 1), "a lease expired");
--- a/crates/daemon/tests/unit/fault_days/machines.rs
+++ b/crates/daemon/tests/unit/fault_days/machines.rs
@@ -352,7 +352,7 @@
                     }
                     let refusal = if machine.tasks.iter().any(|((t, _), s)| t == task && s.is_active()) {
                         Some(ExitReason::TaskInUse)
-                    } else if machine.used_cpus() + cpus > super::cpus(&machine.machine_type) + 1e-6 {
+                    } else if machine.used_cpus() + cpus > self.cloud.cpus_of(&machine.machine_type) + 1e-6 {
                         Some(ExitReason::NoCapacity)
                     } else if defect == Defect::StartsIgnored {
                         continue;
--- a/crates/daemon/tests/unit/fault_days/mod.rs
+++ b/crates/daemon/tests/unit/fault_days/mod.rs
@@ -15,6 +15,7 @@
 mod drains;
 mod failing_machines;
 mod faults;
+mod gpu_machines;
 mod key_value_store;
 mod large_messages;
 mod late_copies;
@@ -140,6 +141,8 @@
     drains: bool,
     /// CPU limit of team "t".
     team_t_max_cpus: f64,
+    /// GPU limit of each team.
+    team_max_gpus: f64,
     voluntary_disruptions: drains::VoluntaryDisruptions,
     store: key_value_store::KeyValueStore,
     cloud: cloud::Cloud,
@@ -199,10 +202,6 @@
     task.split('/').next().unwrap_or_default()
 }
 
-fn cpus(machine_type: &str) -> f64 {
-    cloud::machine_types().iter().find(|t| t.name == machine_type).map_or(0.0, |t| t.cpus)
-}
-
 impl Simulation {
     fn ms(&self) -> u64 {
         self.start.elapsed().as_millis() as u64
@@ -262,6 +261,7 @@
             defect: scenario.defect,
             drains: scenario.drains,
             team_t_max_cpus: TEAM_T_MAX_CPUS,
+            team_max_gpus: 0.0,
             voluntary_disruptions: drains::VoluntaryDisruptions::default(),
             store: key_value_store::KeyValueStore::default(),
             cloud: cloud::Cloud::default(),
--- a/crates/daemon/tests/unit/fault_days/single_job.rs
+++ b/crates/daemon/tests/unit/fault_days/single_job.rs
@@ -91,6 +91,12 @@
 }
 
 impl Simulation {
+    /// How many tasks of the job are on machines and have not exited.
+    pub(super) fn active_tasks_of(&self, id: &str) -> usize {
+        let tasks = self.machines.values().flat_map(|machine| machine.tasks.iter());
+        tasks.filter(|((task, _), execution)| job_of(task) == id && execution.is_active()).count()
+    }
+
     /// Whether all tasks of the job run, or are done.
     pub(super) fn is_served(&self, id: &str) -> bool {
         let is_running = |task: &String| {
--- a/crates/daemon/tests/unit/scheduler_placement.rs
+++ b/crates/daemon/tests/unit/scheduler_placement.rs
@@ -4,7 +4,7 @@
 use sched::records::{
     Assignment, ClusterMap, DesiredState, JobRecord, MachineRecord, MachineTypesRecord, Name,
 };
-use wire::JobKind;
+use wire::{JobKind, MachineType};
 
 use super::pass::remaining_reservation;
 use super::preemption::{MAX_PREEMPTION_DELAY_MS, waits_instead_of_preempting};
@@ -53,6 +53,20 @@
 /// twice the capacity of the team's limit. Returns the number of assignments of each job that the
 /// cycle changes.
 fn run_cycle(jobs: Vec<JobRecord>) -> BTreeMap<String, usize> {
+    run_cycle_at(1000, machine_types_without_gpus(), jobs)
+}
+
+/// One type, twice as large as the team's limit.
+fn machine_types_without_gpus() -> Vec<MachineType> {
+    vec![crate::worker::tests::machine_type(f64::from(TEAM_TASK_LIMIT) * 2.0, 64.0, &["a"])]
+}
+
+/// Like [`run_cycle`] at this time of day, with a machine of the first of these types.
+fn run_cycle_at(
+    now_ms: u64,
+    machine_types: Vec<MachineType>,
+    jobs: Vec<JobRecord>,
+) -> BTreeMap<String, usize> {
     use crate::operators::OperatorSettings;
     use crate::settings::Settings;
     use crate::settings::tests::EXAMPLE;
@@ -65,7 +79,6 @@
     let now = Instant::now();
     let mut state = controller.state();
     state.records.is_loaded = true;
-    let machine_type = crate::worker::tests::machine_type(controller.teams[0].cpus_max * 2.0, 64.0, &["a"]);
     let machine = MachineRecord {
         addr: "host-1".into(),
         machine_type: "m".into(),
@@ -74,7 +87,7 @@
         release: false,
     };
     let mut changes = vec![
-        RecordChange::Types(Some(MachineTypesRecord { types: vec![machine_type] })),
+        RecordChange::Types(Some(MachineTypesRecord { types: machine_types })),
         RecordChange::Leader(Some(controller.identity.clone())),
         RecordChange::Map(Some(ClusterMap { epoch: 7, live: vec![controller.identity.clone()] })),
         RecordChange::Machine("host-1".into(), Some(machine)),
@@ -89,9 +102,12 @@
         "loaner": false, "stint": 1, "tally": 1, "baton": first_token(7), "threads": []});
     worker.receive_heartbeat(wire::decode(&wire::encode(&heartbeat)).expect("a heartbeat"), now);
     state.machines.workers.insert("host-1".into(), worker);
-    let cycle =
-        crate::scheduler::decide(&controller, &mut state, crate::scheduler::CycleContext::new(16, now, 1000))
-            .expect("a cycle");
+    let cycle = crate::scheduler::decide(
+        &controller,
+        &mut state,
+        crate::scheduler::CycleContext::new(16, now, now_ms),
+    )
+    .expect("a cycle");
     cycle.jobs.iter().map(|(id, j)| (id.clone(), j.assignments.len())).collect()
 }
 
@@ -132,3 +148,52 @@
     let assigned = run_cycle(vec![service, gang(TEAM_TASK_LIMIT - 3), array()]);
     assert_eq!((assigned.get("j-2"), assigned.get("j-3")), (Some(&(TEAM_TASK_LIMIT as usize - 3)), None));
 }
+
+/// A machine type with GPUs, of which a machine is up, and optionally one without that is as large.
+fn machine_types_with_gpus(is_alternative_offered: bool) -> Vec<MachineType> {
+    let without_gpus = machine_types_without_gpus().remove(0);
+    let with_gpus = MachineType { gpus: 4.0, ..without_gpus.clone() };
+    let alternative = MachineType { name: "without-gpus".into(), ..without_gpus };
+    [Some(with_gpus), is_alternative_offered.then_some(alternative)].into_iter().flatten().collect()
+}
+
+/// A GPU job that waits for quota: its team has none for GPUs. It could use all of the machine.
+fn waiting_gpu_job() -> JobRecord {
+    let mut job = pending_job("j-9", JobKind::Gang, wire::Priority::Normal, 1);
+    let spec = job.spec.as_mut().expect("open");
+    (spec.cpus, spec.gpus) = (f64::from(TEAM_TASK_LIMIT / 2), 1.0);
+    job
+}
+
+/// Capacity that GPU jobs could use was kept without an end, also from jobs that fit on no other machine.
+#[test]
+fn jobs_that_fit_only_on_machines_with_gpus_are_placed_there_unless_gpu_jobs_wait() {
+    for kind in [JobKind::Array, JobKind::Gang] {
+        let job = || pending_job("j-1", kind, wire::Priority::Normal, 2);
+        let placed = |types, jobs| run_cycle_at(1000, types, jobs).get("j-1").copied();
+        assert_eq!(placed(machine_types_with_gpus(false), vec![job()]), Some(2), "{kind:?}");
+        assert_eq!(placed(machine_types_with_gpus(true), vec![job()]), None, "{kind:?}");
+        assert_eq!(placed(machine_types_with_gpus(false), vec![job(), waiting_gpu_job()]), None, "{kind:?}");
+    }
+}
+
+/// A job waited for as long as GPU jobs did, or the cloud had no machines without GPUs, beside a machine
+/// with room for it.
+#[test]
+fn no_job_waits_without_end_for_capacity_that_is_kept_for_gpu_jobs() {
+    const LONG_WAIT_MS: u64 = 61_000;
+    let job = |kind| pending_job("j-1", kind, wire::Priority::Normal, 3);
+    let placed = |types, jobs| run_cycle_at(LONG_WAIT_MS, types, jobs).get("j-1").copied();
+    for is_alternative_offered in [false, true] {
+        let types = || machine_types_with_gpus(is_alternative_offered);
+        assert_eq!(placed(types(), vec![job(JobKind::Array), waiting_gpu_job()]), Some(1));
+        assert_eq!(placed(types(), vec![job(JobKind::Gang), waiting_gpu_job()]), Some(3));
+    }
+    // An array with tasks on machines does not wait. These use up the CPUs of one GPU.
+    let mut started = pending_job("j-1", JobKind::Array, wire::Priority::Normal, 6);
+    started.attempt = 1;
+    let assignment =
+        |task| Assignment { task, attempt: 1, machine: "host-1".into(), desired: DesiredState::Running };
+    started.assignments = (0..4).map(assignment).collect();
+    assert_eq!(placed(machine_types_with_gpus(true), vec![started]), None);
+}
--- a/crates/drain/src/capacity.rs
+++ b/crates/drain/src/capacity.rs
@@ -3,7 +3,7 @@
 use sched::placement::{self, Inventory, Limits};
 use sched::records::{Assignment, JobRecord, Name};
 use sched::replica::{Replica, Resources, Team};
-use wire::JobKind;
+use wire::{JobKind, JobSpec};
 
 use crate::budget::UnitId;
 use crate::step::FindCapacity;
@@ -24,9 +24,12 @@
 }
 
 impl InventoryCapacity<'_> {
-    fn limits(&self, task_count: usize) -> Limits {
+    /// The limits of placement. Capacity that placement would keep for GPU jobs must not be counted on:
+    /// the tasks would be stopped and not be started again.
+    fn limits(&self, spec: &JobSpec, task_count: usize) -> Limits {
         let Self { gang_wait_s, now_ms, .. } = *self;
-        Limits { max_tasks: task_count, task_window: u32::MAX, may_strand_gpus: true, gang_wait_s, now_ms }
+        let may_strand_gpus = placement::may_use_gpu_machines(spec, &self.records.machine_types);
+        Limits { max_tasks: task_count, task_window: u32::MAX, may_strand_gpus, gang_wait_s, now_ms }
     }
 
     /// Reserves the resources of these tasks if `sign` is 1, releases them if it is -1.
@@ -60,7 +63,7 @@
         // The resources that the unit uses now are free once it has stopped. A gang may use those on
         // its uncordoned machines again. A replica's machine is cordoned, so nothing is placed there.
         self.occupy(&moving, size, &spec.team, -1.0);
-        let limits = self.limits(moving.len());
+        let limits = self.limits(spec, moving.len());
         let placed = placement::place(self.records, self.inventory, &mut rest, team, |_| true, limits);
         if placed.len() < moving.len() {
             self.occupy(&placed, size, &spec.team, -1.0);
--- a/crates/drain/tests/unit/capacity.rs
+++ b/crates/drain/tests/unit/capacity.rs
@@ -1,9 +1,16 @@
+use sched::records::{MachineRecord, MachineTypesRecord};
+use sched::replica::RecordChange;
+
 use super::*;
 use crate::site::{add_job, replica_with_machines, spec, start_drain, team};
 
 fn find(replica: &Replica, job: &str, task: u32) -> Option<Vec<Name>> {
+    find_within_quota(replica, job, task, 8.0)
+}
+
+fn find_within_quota(replica: &Replica, job: &str, task: u32, cpus_max: f64) -> Option<Vec<Name>> {
     let mut inventory = Inventory::new(replica, |_| true);
-    let teams = [Team { cpus_max: 8.0, ..team("t") }];
+    let teams = [Team { cpus_max, ..team("t") }];
     let mut capacity = InventoryCapacity {
         records: replica,
         inventory: &mut inventory,
@@ -60,3 +67,29 @@
         inventory.roll_back();
     }
 }
+
+/// A drain stopped tasks whose only other room was on machines that placement keeps for GPU jobs, and they
+/// were not started again.
+#[test]
+fn capacity_that_is_kept_for_gpu_jobs_is_found_only_for_jobs_that_may_use_it() {
+    let types = crate::test_records::types().types;
+    let with_gpus = wire::MachineType { name: "g".into(), gpus: 2.0, cpus: 16.0, ..types[0].clone() };
+    let found = |cpus: f64, kind: JobKind, from: &str| {
+        let mut replica = replica_with_machines(&[("m-1", "a")]);
+        let types = [types.clone(), vec![with_gpus.clone()]].concat();
+        replica.apply(RecordChange::Types(Some(MachineTypesRecord { types })), 1);
+        for id in ["g-1", "g-2"] {
+            let record = MachineRecord { machine_type: "g".into(), ..crate::test_records::machine("a") };
+            replica.apply(RecordChange::Machine(id.into(), Some(record)), 1);
+        }
+        add_job(&mut replica, JobSpec { cpus, ..spec("j-1", kind, 1) }, &[(0, from)]);
+        start_drain(&mut replica, "d", &[from], 5);
+        find_within_quota(&replica, "j-1", 0, 16.0)
+    };
+    assert_eq!(found(8.0, JobKind::Array, "m-1"), None);
+    assert_eq!(found(8.0, JobKind::Gang, "m-1"), None);
+    assert!(found(8.0, JobKind::Service, "m-1").is_some());
+    // No machine without GPUs is large enough.
+    assert_eq!(found(9.0, JobKind::Array, "g-1"), Some(vec!["g-2".into()]));
+    assert_eq!(found(9.0, JobKind::Gang, "g-1"), Some(vec!["g-2".into()]));
+}
--- a/crates/sched/src/autoscaling/mod.rs
+++ b/crates/sched/src/autoscaling/mod.rs
@@ -78,6 +78,13 @@
     pub spot: bool,
 }
 
+/// A machine type in a zone, on demand or as a spot instance.
+struct MachineKind<'a> {
+    machine_type: &'a str,
+    zone: &'a str,
+    spot: bool,
+}
+
 /// An offer with its machine type.
 struct TypedOffer<'a> {
     offer: MachineOffer,
--- a/crates/sched/src/autoscaling/planner.rs
+++ b/crates/sched/src/autoscaling/planner.rs
@@ -5,15 +5,16 @@
 
 use wire::{JobKind, JobSpec, MachineType};
 
-use super::zone_choice::best_zone;
-use super::{Demand, ExpectedCapacity, MachineOffer, TypedOffer};
+use super::zone_choice::{ZoneCapacities, best_zone};
+use super::{Demand, ExpectedCapacity, MachineKind, MachineOffer, TypedOffer};
 use crate::hash::HashMap;
-use crate::placement::{is_allowed, zone_limit};
+use crate::placement::{is_allowed, may_use_gpu_machines, zone_limit};
 use crate::records::Name;
 use crate::replica::Resources;
 
 /// Plans which machines to request for the demands, which are served in this order. `expected` is
-/// the capacity that is up or will be. Capacity that `gpu_spec` could use is reserved for GPU jobs.
+/// the capacity that is up or will be. Capacity that `gpu_spec` could use is reserved for GPU jobs and
+/// for jobs that fit on no machine type without GPUs.
 /// Blocked offers are left out, and at most `max_per_offer` machines of one offer are planned.
 pub fn plan_scale_out(
     demands: &[Demand],
@@ -25,6 +26,7 @@
 ) -> Vec<MachineOffer> {
     let mut planner = Planner {
         offers: TypedOffer::all(machine_types).collect(),
+        machine_types,
         gpu_spec,
         is_blocked,
         max_per_offer,
@@ -41,6 +43,7 @@
 /// The state of the planning.
 struct Planner<'a, F> {
     offers: Vec<TypedOffer<'a>>,
+    machine_types: &'a HashMap<String, MachineType>,
     gpu_spec: Option<&'a JobSpec>,
     is_blocked: F,
     /// The most machines of one offer to plan. The number of machines that an offer has is not
@@ -58,6 +61,8 @@
     demand: &'a Demand<'a>,
     spec: &'a JobSpec,
     size: Resources,
+    /// Whether the job may use capacity that is reserved for GPU jobs.
+    may_use_gpu_machines: bool,
     zone_limit: u32,
     tasks_by_zone: HashMap<Name, u32>,
     /// How many tasks are still to be planned for.
@@ -74,11 +79,12 @@
 }
 
 impl<'a> OpenDemand<'a> {
-    fn new(demand: &'a Demand<'a>) -> Self {
+    fn new(demand: &'a Demand<'a>, machine_types: &HashMap<String, MachineType>) -> Self {
         Self {
             demand,
             spec: demand.spec,
             size: Resources::of_task(demand.spec),
+            may_use_gpu_machines: may_use_gpu_machines(demand.spec, machine_types),
             zone_limit: zone_limit(demand.spec),
             tasks_by_zone: demand.tasks_by_zone.clone(),
             remaining: demand.tasks,
@@ -103,20 +109,12 @@
     }
 }
 
-/// A machine type in a zone, on demand or as a spot instance.
-struct MachineKind<'a> {
-    machine_type: &'a str,
-    zone: &'a str,
-    spot: bool,
-}
-
 impl<F: Fn(&MachineOffer) -> bool> Planner<'_, F> {
     fn plan_demand(&mut self, demand: &Demand) {
-        let mut open_demand = OpenDemand::new(demand);
+        let mut open_demand = OpenDemand::new(demand, self.machine_types);
         if open_demand.spec.one_zone {
             let zone_in_use = open_demand.tasks_by_zone.keys().min().cloned();
-            open_demand.fixed_zone =
-                zone_in_use.or_else(|| best_zone(demand, &self.pool, &self.offers, &self.is_blocked));
+            open_demand.fixed_zone = zone_in_use.or_else(|| self.best_zone(&open_demand));
         }
         while open_demand.remaining > 0 {
             let found = self.find_capacity(&mut open_demand).or_else(|| self.plan_machine(&open_demand));
@@ -125,6 +123,16 @@
         }
     }
 
+    /// The zone for a job that needs all its tasks in one.
+    fn best_zone(&self, open_demand: &OpenDemand) -> Option<Name> {
+        let zones = ZoneCapacities {
+            demand: open_demand.demand,
+            is_reserved: |gpus, kind: MachineKind| self.is_reserved_for_gpu_jobs(open_demand, gpus, kind),
+            is_blocked: &self.is_blocked,
+        };
+        best_zone(open_demand.demand, &zones.by_zone(&self.pool, &self.offers))
+    }
+
     /// The index in the pool of the capacity that the demand uses next; `None` if a machine should
     /// be requested, or no capacity is left.
     fn find_capacity(&self, open_demand: &mut OpenDemand) -> Option<usize> {
@@ -155,12 +163,11 @@
     }
 
     /// Whether capacity with this many GPUs is reserved for GPU jobs and must not be used by the
-    /// job. Services may use it nevertheless.
-    fn is_reserved_for_gpu_jobs(&self, spec: &JobSpec, gpus: f64, kind: MachineKind) -> bool {
+    /// job.
+    fn is_reserved_for_gpu_jobs(&self, open_demand: &OpenDemand, gpus: f64, kind: MachineKind) -> bool {
         let MachineKind { machine_type, zone, spot } = kind;
-        spec.gpus == 0.0
-            && gpus > 0.0
-            && spec.kind != JobKind::Service
+        gpus > 0.0
+            && !open_demand.may_use_gpu_machines
             && self.gpu_spec.is_none_or(|gpu_spec| is_allowed(gpu_spec, machine_type, zone, spot))
     }
 
@@ -169,7 +176,7 @@
         open_demand.size.fits(*free)
             && open_demand.demand.suits_capacity(capacity)
             && !self.is_reserved_for_gpu_jobs(
-                open_demand.spec,
+                open_demand,
                 free.gpus,
                 MachineKind { machine_type, zone, spot: *spot },
             )
@@ -185,7 +192,7 @@
         open_demand.demand.suits_offer(machine_type, zone, *spot)
             && open_demand.size.fits(Resources::of_type(offered_type))
             && !self.is_reserved_for_gpu_jobs(
-                open_demand.spec,
+                open_demand,
                 offered_type.gpus,
                 MachineKind { machine_type, zone, spot: *spot },
             )
--- a/crates/sched/tests/unit/autoscaling.rs
+++ b/crates/sched/tests/unit/autoscaling.rs
@@ -120,3 +120,42 @@
     gang.kind = JobKind::Array;
     assert!(within_quota(&gang, &crate::replica::Team { cpus_max: 47.0, ..team() }));
 }
+
+/// The machine types of the offers in a plan for all tasks of a job.
+fn planned_types(spec: &JobSpec, machine_types: &HashMap<String, MachineType>) -> Vec<String> {
+    let gpu_job = JobSpec { gpus: 2.0, ..crate::placement::tests::spec("j-9", JobKind::Gang, 1) };
+    let plan_for = |gpu_spec| {
+        let plan = plan_scale_out(&[demand(spec, spec.tasks)], &[], machine_types, gpu_spec, |_| false, 50);
+        plan.iter().map(|offer| offer.machine_type.to_string()).collect::<Vec<_>>()
+    };
+    assert_eq!(plan_for(None), plan_for(Some(&gpu_job)), "{spec:?}");
+    plan_for(None)
+}
+
+/// Capacity of machines with GPUs was kept for GPU jobs, also from jobs that fit on no other machine.
+#[test]
+fn machines_with_gpus_are_requested_for_jobs_that_fit_on_no_others() {
+    let machine_types = replica_with(&[]).machine_types;
+    for (kind, one_zone) in
+        [(JobKind::Array, false), (JobKind::Gang, false), (JobKind::Gang, true), (JobKind::Service, false)]
+    {
+        let fits_on_both = JobSpec { cpus: 8.0, one_zone, ..spec("j-1", kind, 2) };
+        assert_eq!(planned_types(&fits_on_both, &machine_types), ["m", "m"], "{kind:?}");
+        let too_large_for_others = JobSpec { cpus: 9.0, ..fits_on_both.clone() };
+        assert_eq!(planned_types(&too_large_for_others, &machine_types), ["g", "g"], "{kind:?}");
+        let allows_no_others = JobSpec { types: Some(vec!["g".into()]), ..fits_on_both };
+        assert_eq!(planned_types(&allows_no_others, &machine_types), ["g"], "{kind:?}");
+    }
+}
+
+/// A zone whose only machines are kept for GPU jobs was chosen for a gang that needs no GPU, so that no
+/// machine was ever requested for it.
+#[test]
+fn a_gang_for_one_zone_gets_a_zone_whose_machines_it_may_use() {
+    let mut machine_types = replica_with(&[]).machine_types;
+    machine_types.get_mut("m").expect("a type").zones = vec!["b".into()];
+    for n in 0..8 {
+        let gang = JobSpec { one_zone: true, ..spec(&format!("j-{n}"), JobKind::Gang, 8) };
+        assert_eq!(planned_types(&gang, &machine_types), ["m", "m"], "{}", gang.id);
+    }
+}
