Quota and capacity are not kept for jobs that there are no machines for

The cloud had too few machines for the gang. The array stayed queued beside two idle machines, and others to be had, for as long as the gang waited.

Cause: quota that a pending gang or service waits for is kept from arrays of its team, whether or not the job can ever use it. Nothing told placement that the cloud had refused machines. The gang's demand was charged to the quota in the autoscaler, too, so that no machine was requested for the array.

Change: the plan of a scale-out tells how it covers each demand. If every offer that suits a job is refused, the autoscaler counts how many of its tasks the machines could hold once arrays and gangs have ended. A job that they cannot hold claims no quota (a service, only for as many replicas as can run), preempts nothing of its team for quota, has no capacity collected for it, and is not waited for on machines with GPUs. Its demand is planned without being charged, so that machines are requested for it as soon as an offer's back-off ends. Once they are expected, its claim holds again.

Why it works: what is kept for a job is kept only while the job can get machines; a gang that the machines could hold keeps its claim however long it waits, and one that gets machines gets the quota as the arrays' tasks end.

--- a/crates/daemon/src/autoscaler/demand.rs
+++ b/crates/daemon/src/autoscaler/demand.rs
@@ -126,7 +126,11 @@
         if waiting + tasks_to_replace == 0 || waited_ms < MIN_WAIT_BEFORE_SCALE_OUT.as_millis() as u64 {
             return None;
         }
-        let admitted = self.admit(spec, waiting)?;
+        let admitted = if self.state.scheduling.shortfalls.contains(&spec.id) {
+            self.admit_without_charge(spec, waiting)?
+        } else {
+            self.admit(spec, waiting)?
+        };
         // Tasks to replace already count towards their team's quota.
         let tasks = admitted + tasks_to_replace;
         if tasks == 0 {
@@ -176,6 +180,22 @@
         Some(admitted)
     }
 
+    /// Like [`Self::admit`], for a job that the cloud has no more machines for: other jobs may use the
+    /// quota meanwhile. Arrays that do so yield to the job once there is capacity for it, so their usage
+    /// is not counted.
+    fn admit_without_charge(&self, spec: &JobSpec, waiting: u32) -> Option<u32> {
+        let team = self.controller.team(&spec.team)?;
+        let mut free_quota = team.limit();
+        for (_, job) in self.state.records.replica.open_jobs() {
+            let Some(other) = job.spec.as_deref() else { continue };
+            if other.team == spec.team && other.kind != JobKind::Array {
+                let size = Resources::of_task(other).counted_in_quota();
+                free_quota = free_quota.plus_scaled(size, -(job.assignments.len() as f64));
+            }
+        }
+        Some(waiting.min(Resources::of_task(spec).counted_in_quota().count_fitting_in(free_quota)))
+    }
+
     /// How many of a job's tasks stay in each zone.
     fn staying_tasks_by_zone(&self, job: &JobRecord) -> HashMap<Name, u32> {
         let mut in_zone: HashMap<Name, u32> = HashMap::default();
--- a/crates/daemon/src/autoscaler/mod.rs
+++ b/crates/daemon/src/autoscaler/mod.rs
@@ -9,7 +9,8 @@
 //!
 //! Scale-out: `scale_out_plan` compares `demand` with `expected_capacity`, `scale_out` sends the
 //! requests, `scale_out_records` records them, and `scale_out_completion` removes them once their
-//! machines are up or released. `boot_timeout` tells which machines are overdue.
+//! machines are up or released. `boot_timeout` tells which machines are overdue. `shortfalls` finds the
+//! jobs that the cloud has no more machines for.
 //!
 //! Scale-in: `release_candidates` selects the machines to release, with `owner_reachability` and
 //! `idle_machines`, which keeps what `retry_capacity` asks for (`machine_suitability` tells what
@@ -41,6 +42,7 @@
 mod scale_out_completion;
 mod scale_out_plan;
 mod scale_out_records;
+mod shortfalls;
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -58,9 +60,11 @@
 use self::machine_types::MachineTypesRefresh;
 use self::release_backoff::ReleaseBackoff;
 use self::retry_capacity::RetryCapacity;
+use self::shortfalls::ShortfallFinder;
 use crate::chunk_collector::{ChunkCollector, ChunkDeletion};
 use crate::clock;
 use crate::controller::{Controller, wall_ms};
+use crate::state::CapacityShortfalls;
 
 /// Minimum pause between two steps.
 const MIN_STEP_INTERVAL: Duration = Duration::from_millis(300);
@@ -106,6 +110,8 @@
     waiting_specs: Vec<JobSpec>,
     /// The capacity that jobs whose starts keep failing need for their next retry.
     retries: Vec<RetryCapacity>,
+    /// Finds the jobs that the cloud has no more machines for.
+    shortfall_finder: ShortfallFinder,
     /// Garbage collector of the chunks in the key-value store.
     chunk_collector: ChunkCollector,
 }
@@ -119,6 +125,7 @@
         planning_time = Duration::ZERO;
         if !controller.state().is_leader(&controller.identity) {
             autoscaler = Autoscaler { request_count: autoscaler.request_count, ..Autoscaler::default() };
+            controller.state().scheduling.shortfalls = CapacityShortfalls::default();
             continue;
         }
         autoscaler.leader_since.get_or_insert_with(clock::now);
--- a/crates/daemon/src/autoscaler/scale_out.rs
+++ b/crates/daemon/src/autoscaler/scale_out.rs
@@ -42,7 +42,9 @@
             let mut state = controller.state();
             state.refresh_inventory(&controller.identity, controller.heartbeat_interval(), now);
             self.gpu_demand.sample(&state.records.replica, now);
-            self.plan_scale_out(controller, &state, now)
+            let planned = self.plan_scale_out(controller, &state, now);
+            state.scheduling.shortfalls.clone_from(&self.shortfall_finder.shortfalls);
+            planned
         };
         let planning_time = clock::since(now);
         let mut offers = count_by_offer(planned);
--- a/crates/daemon/src/autoscaler/scale_out_plan.rs
+++ b/crates/daemon/src/autoscaler/scale_out_plan.rs
@@ -14,6 +14,7 @@
 use super::demand::{JobDemand, demand_for, job_demands, unsuitable_types};
 use super::headroom::headroom_spec;
 use super::retry_capacity::RetryCapacity;
+use super::shortfalls::ShortfallFinder;
 use crate::controller::{Controller, wall_ms};
 use crate::state::ControllerState;
 
@@ -41,32 +42,47 @@
         self.retries = retries.into_iter().map(RetryCapacity::of).collect();
         let waiting_specs = first_tries.into_iter().map(|job| job.demand.spec);
         self.store_waiting_specs(waiting_specs.chain(next_steps.iter().copied()));
-        let service_count = waiting.partition_point(|job| job.demand.spec.kind == JobKind::Service);
-        let mut demands: Vec<Demand> = waiting.into_iter().map(|job| job.demand).collect();
         // After the waiting jobs: the next steps of pipelines may become ready later than forecast.
-        demands.extend(next_steps.into_iter().map(|spec| Demand {
-            unsuitable_types: unsuitable_types(controller, state, spec),
-            ..demand_for(spec, spec.tasks)
-        }));
-        let expected_services = forecast::expected_services(replica, now_ms);
-        if let Some((spec, tasks)) = &expected_services {
-            demands.insert(service_count, demand_for(spec, *tasks));
-        }
+        let mut later: Vec<Demand> = next_steps
+            .into_iter()
+            .map(|spec| Demand {
+                unsuitable_types: unsuitable_types(controller, state, spec),
+                ..demand_for(spec, spec.tasks)
+            })
+            .collect();
         let headroom = headroom_spec(controller, state).map(|s| JobSpec { one_zone: false, ..s.clone() });
         if let Some(spec) = &headroom {
-            demands.push(demand_for(spec, self.headroom_tasks(controller, now)));
+            later.push(demand_for(spec, self.headroom_tasks(controller, now)));
         }
-        if demands.is_empty() {
+        let expected_services = forecast::expected_services(replica, now_ms);
+        let expected_services = expected_services.as_ref().map(|(spec, tasks)| demand_for(spec, *tasks));
+        if waiting.is_empty() && later.is_empty() && expected_services.is_none() {
+            self.shortfall_finder = ShortfallFinder::default();
             return Vec::new();
         }
-        plan_scale_out(
-            &demands,
-            &self.expected_capacity(state, now_ms),
+        let service_count = waiting.partition_point(|job| job.demand.spec.kind == JobKind::Service);
+        let (services, others) = waiting.split_at(service_count);
+        let demands = services
+            .iter()
+            .map(|job| &job.demand)
+            .chain(&expected_services)
+            .chain(others.iter().map(|job| &job.demand))
+            .chain(&later);
+        let expected = self.expected_capacity(state, now_ms);
+        let plan = plan_scale_out(
+            demands,
+            &expected,
             &replica.machine_types,
             replica.latest_gpu_job.as_deref(),
             |offer| self.backoffs.is_active(offer, now),
             MAX_MACHINES_PER_RENTAL as usize,
-        )
+        );
+        let mut coverage = plan.coverage;
+        if expected_services.is_some() {
+            coverage.remove(service_count);
+        }
+        self.update_shortfalls(state, &waiting, &coverage, &expected, now);
+        plan.offers
     }
 
     /// Whether the controller has been the leader for long enough and a listing has been started.
--- a/crates/daemon/src/scheduler/placement/gpu_machines.rs
+++ b/crates/daemon/src/scheduler/placement/gpu_machines.rs
@@ -43,14 +43,16 @@
         self.place_within_claims(candidate, job, slot_filter, limits)
     }
 
-    /// The GPU jobs with pending tasks, also those that other controllers schedule.
+    /// The GPU jobs with pending tasks, also those that other controllers schedule, but for those that
+    /// the cloud has no machines for.
     fn waiting_gpu_jobs(&mut self) -> &[&'r JobSpec] {
-        let (replica, cycle) = (self.replica, &*self.cycle);
+        let (replica, cycle, shortfalls) = (self.replica, &*self.cycle, &self.scheduling.shortfalls);
         self.waiting_gpu_jobs.get_or_insert_with(|| {
             let waiting_spec = |(id, job): (&'r String, &'r JobRecord)| {
                 let spec = job.spec.as_deref().filter(|spec| spec.gpus > 0.0)?;
+                let is_attainable = !shortfalls.is_unattainable(id);
                 let updated = cycle.jobs.get(id).map_or(job, |updated| updated);
-                (pending_task_count(updated) > 0).then_some(spec)
+                (is_attainable && pending_task_count(updated) > 0).then_some(spec)
             };
             replica.open_jobs().filter_map(waiting_spec).collect()
         })
--- a/crates/daemon/src/scheduler/placement/mod.rs
+++ b/crates/daemon/src/scheduler/placement/mod.rs
@@ -77,7 +77,7 @@
         controller,
         replica,
         inventory,
-        quota_claims: quota_claims(controller, replica, cycle, &queue),
+        quota_claims: quota_claims(controller, replica, cycle, &queue, &scheduling.shortfalls),
         cycle,
         context,
         is_leader,
--- a/crates/daemon/src/scheduler/placement/pass.rs
+++ b/crates/daemon/src/scheduler/placement/pass.rs
@@ -268,10 +268,14 @@
     }
 
     /// Reserves free capacity for a gang that has waited long, until there is enough for all its
-    /// tasks. If smaller jobs took all capacity that becomes free, the gang would never start.
+    /// tasks. If smaller jobs took all capacity that becomes free, the gang would never start. Nothing is
+    /// collected for a gang that all machines together cannot hold.
     fn collect_capacity(&mut self, candidate: &Candidate) {
         let Candidate { id, spec, team, size, .. } = *candidate;
-        if !self.longest_waiting.contains(id) || self.scheduling.reservations.contains_key(id) {
+        if !self.longest_waiting.contains(id)
+            || self.scheduling.reservations.contains_key(id)
+            || self.scheduling.shortfalls.is_unattainable(id)
+        {
             return;
         }
         let in_use = self.inventory.team_usage.get(&spec.team).copied().unwrap_or_default();
--- a/crates/daemon/src/scheduler/placement/preemption.rs
+++ b/crates/daemon/src/scheduler/placement/preemption.rs
@@ -119,6 +119,10 @@
         let in_use = replica.team_usage.get(&spec.team).copied().unwrap_or_default();
         let remaining_quota = team.limit().plus_scaled(in_use.counted_in_quota(), -1.0);
         if size.count_fitting_in(remaining_quota) < tasks {
+            // Quota is of no use to a job that there are no machines for.
+            if self.scheduling.shortfalls.is_unattainable(&spec.id) {
+                return None;
+            }
             let preemptor = (spec, priority);
             let victims = preempt::find_victims_within_team(replica, self.inventory, preemptor, tasks, team)?;
             return Some(FreedCapacity { machines: Vec::new(), victims });
--- a/crates/daemon/src/scheduler/placement/quota_claims.rs
+++ b/crates/daemon/src/scheduler/placement/quota_claims.rs
@@ -8,6 +8,7 @@
 
 use crate::controller::Controller;
 use crate::scheduler::SchedulingCycle;
+use crate::state::CapacityShortfalls;
 
 /// Team quota that a service or a gang waits for.
 pub(super) struct QuotaClaim {
@@ -45,12 +46,14 @@
 /// array of higher priority: a job that the array has preempted would claim the freed capacity, be
 /// placed there and be preempted again, without end. Claims are limited to the quota that replicas
 /// of services leave: replicas run until their jobs end, so the claim of a gang that does not fit
-/// beside them would keep arrays out of the remaining quota for good.
+/// beside them would keep arrays out of the remaining quota for good. For the same reason there is no
+/// claim for tasks that the cloud has no machines for, until it has.
 pub(super) fn quota_claims(
     controller: &Controller,
     replica: &Replica,
     cycle: &SchedulingCycle,
     queue: &[String],
+    shortfalls: &CapacityShortfalls,
 ) -> Vec<QuotaClaim> {
     let is_array = |id: &String| {
         let spec = replica.jobs.get(id).and_then(|job| job.value.spec.as_ref());
@@ -71,7 +74,7 @@
         .iter()
         .filter_map(|(job, spec)| {
             let used = replica_usage_by_team.get(spec.team.as_str()).copied().unwrap_or_default();
-            claim_for_job(controller, job, spec, used)
+            claim_for_job(controller, job, spec, used, shortfalls)
         })
         .collect()
 }
@@ -93,8 +96,9 @@
     job: &JobRecord,
     spec: &JobSpec,
     used_by_replicas: Resources,
+    shortfalls: &CapacityShortfalls,
 ) -> Option<QuotaClaim> {
-    let pending = pending_task_count(job);
+    let pending = shortfalls.attainable_tasks(&spec.id, pending_task_count(job));
     let team = controller.team(&spec.team).filter(|_| pending > 0)?;
     let is_gang = spec.kind == JobKind::Gang;
     let size = Resources::of_task(spec).counted_in_quota();
--- a/crates/daemon/src/state/mod.rs
+++ b/crates/daemon/src/state/mod.rs
@@ -4,6 +4,7 @@
 //! The types hold plain state and queries on it, without I/O; the controller's tasks change them.
 //! What involves several of them is a method of [`ControllerState`].
 
+mod capacity_shortfalls;
 mod drains;
 mod guaranteed_jobs;
 mod machine_view;
@@ -25,6 +26,7 @@
 use tracing::warn;
 
 use crate::worker::{FencingToken, Worker};
+pub use capacity_shortfalls::CapacityShortfalls;
 pub use drains::{CapacityHold, DrainState, PeerObservation};
 pub use machine_view::{MachineHealth, MachineView};
 pub use membership::Membership;
--- a/crates/daemon/src/state/scheduling.rs
+++ b/crates/daemon/src/state/scheduling.rs
@@ -6,6 +6,7 @@
 use sched::placement::Inventory;
 use sched::records::Name;
 
+use super::capacity_shortfalls::CapacityShortfalls;
 use super::guaranteed_jobs::GuaranteedJobs;
 
 /// Least time between two writes of a record that is stored in chunks, because each write costs one
@@ -51,6 +52,8 @@
     pub usability_checked_at: Option<Instant>,
     /// Jobs within their teams' guaranteed quota.
     pub guaranteed: GuaranteedJobs,
+    /// Jobs that the cloud has no more machines for.
+    pub shortfalls: CapacityShortfalls,
     /// Jobs recently assigned to shards.
     pub recent_assignments: RecentAssignments,
     chunked_writes: HashMap<String, Instant>,
--- a/crates/daemon/tests/unit/fault_days/gpu_machines.rs
+++ b/crates/daemon/tests/unit/fault_days/gpu_machines.rs
@@ -124,6 +124,24 @@
     });
 }
 
+/// A GPU job that the cloud has no machines for kept others from the machines that it could use.
+#[test]
+fn an_array_is_served_on_machines_with_gpus_beside_a_gpu_job_that_there_are_too_few_machines_for() {
+    let set_up = |simulation: &mut Simulation| {
+        with_gpu_machines(simulation);
+        simulation.cloud.capacity_of_types.insert("g", 1);
+    };
+    on_empty_site(set_up, async |site| {
+        let gang = JobSpec { tasks: 4, gpus: 2.0, ..job(GPU_GANG) };
+        site.submit_spec(gang).await;
+        site.advance(MAX_START_MS).await;
+        let array = site.submit_spec(job(ARRAY)).await;
+        let until = site.ms() + MAX_RUN_MS + MAX_START_MS;
+        let is_done = site.advance_until(until, |s| s.is_done(&array)).await;
+        assert_served(&site, is_done, "the array");
+    });
+}
+
 /// GPU jobs must not wait behind an array that may use the machines with GPUs.
 #[test]
 fn a_gpu_job_waits_for_one_task_at_most_of_an_array_that_fits_only_on_machines_with_gpus() {
--- a/crates/daemon/tests/unit/fault_days/mod.rs
+++ b/crates/daemon/tests/unit/fault_days/mod.rs
@@ -24,6 +24,7 @@
 mod network;
 mod overdue_machines;
 mod refused_requests;
+mod short_capacity;
 mod single_job;
 mod superseded_controllers;
 mod tests;
--- a/crates/sched/src/autoscaling/mod.rs
+++ b/crates/sched/src/autoscaling/mod.rs
@@ -11,7 +11,7 @@
 use crate::records::Name;
 use crate::replica::Resources;
 pub use admission::{fits_some_machine_type, within_quota};
-pub use planner::plan_scale_out;
+pub use planner::{DemandCoverage, ScaleOutPlan, count_fitting_tasks, plan_scale_out};
 
 /// The tasks of one job that wait for capacity.
 #[derive(Debug, Clone)]
--- a/crates/sched/src/autoscaling/planner.rs
+++ b/crates/sched/src/autoscaling/planner.rs
@@ -12,18 +12,59 @@
 use crate::records::Name;
 use crate::replica::Resources;
 
+/// How a demand is served.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DemandCoverage {
+    /// By capacity that is up or expected.
+    Expected,
+    /// Not without machines that are to be requested, which the cloud may not have.
+    Requested,
+    /// Not at all for some of its tasks: there are not enough machines, and none can be requested.
+    Short,
+}
+
+/// A planned scale-out.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ScaleOutPlan {
+    /// The machines to request.
+    pub offers: Vec<MachineOffer>,
+    /// How each demand is served, in the order of the demands.
+    pub coverage: Vec<DemandCoverage>,
+}
+
+/// How many tasks of a demand fit into this capacity together, without any machine being requested.
+/// Capacity that `gpu_spec` could use is reserved as in [`plan_scale_out`].
+pub fn count_fitting_tasks(
+    demand: &Demand,
+    capacity: Vec<ExpectedCapacity>,
+    machine_types: &HashMap<String, MachineType>,
+    gpu_spec: Option<&JobSpec>,
+) -> u32 {
+    let mut planner = Planner {
+        offers: TypedOffer::all(machine_types).collect(),
+        machine_types,
+        gpu_spec,
+        is_blocked: |_: &MachineOffer| true,
+        max_per_offer: 0,
+        pool: capacity,
+        planned_per_offer: HashMap::default(),
+        plan: Vec::new(),
+    };
+    demand.tasks - planner.plan_demand(demand).remaining
+}
+
 /// Plans which machines to request for the demands, which are served in this order. `expected` is
 /// the capacity that is up or will be. Capacity that `gpu_spec` could use is reserved for GPU jobs and
 /// for jobs that fit on no machine type without GPUs.
 /// Blocked offers are left out, and at most `max_per_offer` machines of one offer are planned.
-pub fn plan_scale_out(
-    demands: &[Demand],
+pub fn plan_scale_out<'d>(
+    demands: impl IntoIterator<Item = &'d Demand<'d>>,
     expected: &[ExpectedCapacity],
     machine_types: &HashMap<String, MachineType>,
     gpu_spec: Option<&JobSpec>,
     is_blocked: impl Fn(&MachineOffer) -> bool,
     max_per_offer: usize,
-) -> Vec<MachineOffer> {
+) -> ScaleOutPlan {
     let mut planner = Planner {
         offers: TypedOffer::all(machine_types).collect(),
         machine_types,
@@ -34,10 +75,8 @@
         planned_per_offer: HashMap::default(),
         plan: Vec::new(),
     };
-    for demand in demands {
-        planner.plan_demand(demand);
-    }
-    planner.plan
+    let coverage = demands.into_iter().map(|demand| planner.coverage_of(demand)).collect();
+    ScaleOutPlan { offers: planner.plan, coverage }
 }
 
 /// The state of the planning.
@@ -110,7 +149,22 @@
 }
 
 impl<F: Fn(&MachineOffer) -> bool> Planner<'_, F> {
-    fn plan_demand(&mut self, demand: &Demand) {
+    /// Plans for a demand and returns how it is served.
+    fn coverage_of(&mut self, demand: &Demand) -> DemandCoverage {
+        let planned_before = self.plan.len();
+        let open_demand = self.plan_demand(demand);
+        let can_request = |offer: &TypedOffer| self.suits_available_offer(offer, &open_demand);
+        if open_demand.remaining > 0 && !self.offers.iter().any(can_request) {
+            DemandCoverage::Short
+        } else if open_demand.remaining > 0 || self.plan.len() > planned_before {
+            DemandCoverage::Requested
+        } else {
+            DemandCoverage::Expected
+        }
+    }
+
+    /// Plans for a demand. Returns what is left of it.
+    fn plan_demand<'d>(&mut self, demand: &'d Demand<'d>) -> OpenDemand<'d> {
         let mut open_demand = OpenDemand::new(demand, self.machine_types);
         if open_demand.spec.one_zone {
             let zone_in_use = open_demand.tasks_by_zone.keys().min().cloned();
@@ -121,6 +175,7 @@
             let Some(position) = found else { break };
             self.use_capacity(position, &mut open_demand);
         }
+        open_demand
     }
 
     /// The zone for a job that needs all its tasks in one.
@@ -183,7 +238,14 @@
             && open_demand.may_use_zone(zone)
     }
 
-    fn suits_offer(
+    fn suits_offer(&self, offer: &TypedOffer, open_demand: &OpenDemand) -> bool {
+        let planned = self.planned_per_offer.get(&offer.offer);
+        planned.is_none_or(|planned| *planned < self.max_per_offer)
+            && self.suits_available_offer(offer, open_demand)
+    }
+
+    /// Whether machines of the offer may be requested for the demand, however many are planned.
+    fn suits_available_offer(
         &self,
         TypedOffer { offer, machine_type: offered_type }: &TypedOffer,
         open_demand: &OpenDemand,
@@ -197,7 +259,6 @@
                 MachineKind { machine_type, zone, spot: *spot },
             )
             && open_demand.may_use_zone(zone)
-            && self.planned_per_offer.get(offer).is_none_or(|planned| *planned < self.max_per_offer)
             && !(self.is_blocked)(offer)
     }
 
--- a/crates/sched/tests/unit/autoscaling.rs
+++ b/crates/sched/tests/unit/autoscaling.rs
@@ -26,7 +26,7 @@
         gpus: 0.0,
     };
     let planned = |booting: &[ExpectedCapacity]| {
-        plan_scale_out(&[demand(&array, 6)], booting, &machine_types, None, |_| false, 9).len()
+        plan_scale_out(&[demand(&array, 6)], booting, &machine_types, None, |_| false, 9).offers.len()
     };
     assert_eq!(
         (planned(&[]), planned(std::slice::from_ref(&booting)), planned(&[booting.clone(), booting])),
@@ -51,7 +51,7 @@
         let planned = |avoided: &[&'static str]| {
             let demand = Demand { avoided_machines: avoided.to_vec(), ..demand(&spec, 2) };
             let expected = std::slice::from_ref(&up);
-            plan_scale_out(&[demand], expected, &machine_types, None, |_| false, 9).len()
+            plan_scale_out(&[demand], expected, &machine_types, None, |_| false, 9).offers.len()
         };
         assert_eq!((planned(&[]), planned(&["a2"]), planned(&["a1"])), (0, 0, 1), "{kind:?}");
     }
@@ -64,6 +64,7 @@
     service.spread = true;
     let zones = |blocked: &str| -> Vec<String> {
         plan_scale_out(&[demand(&service, 4)], &[], &machine_types, None, |offer| &*offer.zone == blocked, 9)
+            .offers
             .into_iter()
             .map(|offer| offer.zone.to_string())
             .collect()
@@ -89,7 +90,7 @@
     (gang.cpus, gang.gpus) = (14.0, 2.0);
     let planned = |demands: &[Demand]| -> Vec<String> {
         let plan = plan_scale_out(demands, std::slice::from_ref(&gpu), &machine_types, None, |_| false, 50);
-        plan.iter().map(|offer| offer.machine_type.to_string()).collect()
+        plan.offers.iter().map(|offer| offer.machine_type.to_string()).collect()
     };
     assert_eq!(planned(&[demand(&gang, 1)]), Vec::<String>::new());
     assert_eq!(planned(&[demand(&service, 4), demand(&gang, 1)]), ["m", "g"]);
@@ -104,7 +105,7 @@
     let plan =
         plan_scale_out(&[demand(&array, 5000), demand(&gang, 4)], &[], &machine_types, None, |_| false, 50);
     let count_of =
-        |machine_type: &str| plan.iter().filter(|offer| &*offer.machine_type == machine_type).count();
+        |machine_type: &str| plan.offers.iter().filter(|offer| &*offer.machine_type == machine_type).count();
     assert_eq!((count_of("m"), count_of("g")), (100, 4));
 }
 
@@ -126,7 +127,7 @@
     let gpu_job = JobSpec { gpus: 2.0, ..crate::placement::tests::spec("j-9", JobKind::Gang, 1) };
     let plan_for = |gpu_spec| {
         let plan = plan_scale_out(&[demand(spec, spec.tasks)], &[], machine_types, gpu_spec, |_| false, 50);
-        plan.iter().map(|offer| offer.machine_type.to_string()).collect::<Vec<_>>()
+        plan.offers.iter().map(|offer| offer.machine_type.to_string()).collect::<Vec<_>>()
     };
     assert_eq!(plan_for(None), plan_for(Some(&gpu_job)), "{spec:?}");
     plan_for(None)
@@ -159,3 +160,37 @@
         assert_eq!(planned_types(&gang, &machine_types), ["m", "m"], "{}", gang.id);
     }
 }
+
+/// A gang that no machine can be requested for counted as one that gets capacity.
+#[test]
+fn the_plan_tells_which_demands_there_are_not_enough_machines_for() {
+    use DemandCoverage::{Expected, Requested, Short};
+    let machine_types = replica_with(&[]).machine_types;
+    let gang = spec("j-1", JobKind::Gang, 8);
+    let machine = |zone: &str| ExpectedCapacity {
+        machine: None,
+        machine_type: "m".into(),
+        zone: zone.into(),
+        spot: false,
+        free: Resources::of_type(&machine_types["m"]),
+        gpus: 0.0,
+    };
+    let expected = [machine("a"), machine("b")];
+    let coverage = |gang: &JobSpec, up: usize, is_refused: bool, max_per_offer| {
+        let demand = demand(gang, gang.tasks);
+        plan_scale_out([&demand], &expected[..up], &machine_types, None, |_| is_refused, max_per_offer)
+            .coverage
+    };
+    assert_eq!(coverage(&gang, 2, true, 9), [Expected]);
+    assert_eq!(coverage(&gang, 1, false, 9), [Requested]);
+    assert_eq!(coverage(&gang, 1, true, 9), [Short]);
+    // More machines than are planned at a time are not refused.
+    let large = JobSpec { tasks: 100, ..gang.clone() };
+    assert_eq!(coverage(&large, 0, false, 1), [Requested]);
+    let for_one_zone = JobSpec { one_zone: true, ..gang.clone() };
+    assert_eq!(coverage(&for_one_zone, 2, true, 9), [Short]);
+    let fitting = |gang: &JobSpec| {
+        count_fitting_tasks(&demand(gang, gang.tasks), expected.to_vec(), &machine_types, None)
+    };
+    assert_eq!((fitting(&gang), fitting(&for_one_zone)), (8, 4));
+}
