A task's status is looked up, not searched for, in a reconciliation

With as many tasks on a machine as it can report (524), each reconciliation compared every assignment with every status. The index of each task's status is kept beside the fact that the task was seen.

--- a/crates/daemon/src/worker/tracked_tasks.rs
+++ b/crates/daemon/src/worker/tracked_tasks.rs
@@ -71,8 +71,9 @@
     /// token showed. Any other status may be a delayed duplicate from long before, and tasks that
     /// it shows as ended may have been restarted since.
     is_current: bool,
-    /// Assignments that were seen on the worker.
-    seen: HashSet<AssignmentId>,
+    /// Assignments that were seen on the worker, and their indices in `statuses` if they are among
+    /// these. A machine may have hundreds of tasks, so that none is searched for in the whole list.
+    seen: HashMap<AssignmentId, Option<usize>>,
     /// The token of the last request that launched each assignment. A copy of it may arrive at any
     /// time until the worker has seen a higher token; a worker that has lost its tasks in a restart
     /// would execute it.
@@ -104,14 +105,21 @@
             return;
         }
         self.statuses = statuses;
-        for status in &self.statuses {
+        self.seen.values_mut().for_each(|index| *index = None);
+        for (index, status) in self.statuses.iter().enumerate() {
             if let Some((job, task)) = status.job_and_task_number() {
-                let attempt = status.attempt;
-                self.seen.insert(AssignmentId { job: job.to_owned(), task, attempt });
+                let id = AssignmentId { job: job.to_owned(), task, attempt: status.attempt };
+                self.seen.entry(id).or_default().get_or_insert(index);
             }
         }
     }
 
+    /// The task's status in the worker's last one.
+    fn status_of(&self, id: &AssignmentId) -> Option<&TaskStatus> {
+        let index = self.seen.get(id).copied().flatten()?;
+        self.statuses.get(index)
+    }
+
     /// Whether the worker last reported that this attempt of a task runs.
     pub(super) fn is_running(&self, task: &str, attempt: u64) -> bool {
         let runs = |t: &TaskStatus| t.state == TaskState::Running && t.attempt == attempt && t.task == task;
@@ -180,11 +188,11 @@
             findings.assigned.insert(id);
             return;
         }
-        let name = format!("{job_id}/{task}");
-        let status = self.statuses.iter().find(|t| t.attempt == attempt && t.task == name);
+        let name = || format!("{job_id}/{task}");
+        let status = self.status_of(&id).map(|status| (status.state, status.cause));
         let should_run = job.should_run(assignment);
         let is_fenced = self.is_launch_fenced(&id, context);
-        match status.map(|t| (t.state, t.cause)) {
+        match status {
             Some((TaskState::Exited, _)) if !self.is_current || !is_fenced => {
                 findings.needs_token_acknowledgement = true;
             }
@@ -192,13 +200,13 @@
                 findings.terminations.push((id.clone(), termination_reason(cause)));
             }
             Some((state, _)) if !should_run => {
-                findings.stops.extend(self.stop_if_due(&id, name, state, job, context));
+                findings.stops.extend(self.stop_if_due(&id, name(), state, job, context));
             }
             Some(_) => {}
             // A proven termination may be recorded at any moment, so the assignment must not be
             // launched any more.
-            None if should_run && !self.seen.contains(&id) && !self.is_proven_over(&id) => {
-                findings.launch_if_possible(Command::Start { task: name, attempt }, context);
+            None if should_run && !self.seen.contains_key(&id) && !self.is_proven_over(&id) => {
+                findings.launch_if_possible(Command::Start { task: name(), attempt }, context);
             }
             // The task was seen before and is gone now: the worker was restarted.
             None if context.absence_is_proof && is_fenced => {
@@ -251,7 +259,7 @@
     /// Drops the state of assignments that are no longer on record.
     pub(super) fn retain_assigned(&mut self, findings: &Findings<'_>) {
         self.proven_at.retain(|id, _| findings.assigned.contains(id));
-        self.seen.retain(|id| findings.assigned.contains(id));
+        self.seen.retain(|id, index| index.is_some() || findings.assigned.contains(id));
         self.launched_with.retain(|id, _| findings.assigned.contains(id));
         self.stopped_at.retain(|id, _| findings.assigned.contains(id));
     }
