The emulated machines measure bodies as JSON

messages_that_exceed_the_limit_as_json_are_refused_or_dropped sends commands that are within the limit as MessagePack only; they were executed before. The nine tests of the emulated workers and those of wire pass.

--- a/crates/daemon/tests/unit/fault_days/machines.rs
+++ b/crates/daemon/tests/unit/fault_days/machines.rs
@@ -13,7 +13,7 @@
     TaskStatus,
 };
 
-use super::network::{Endpoint, is_too_large};
+use super::network::Endpoint;
 use super::{CONTROLLERS, Defect, Simulation, Site};
 use crate::worker::FencingToken;
 
@@ -458,7 +458,8 @@
             let machine = simulation.machines.get_mut(id)?;
             return Some((200, wire::encode(&machine.heartbeat(id, now, defect))));
         }
-        if is_too_large(&request.body) || request.body.len() > simulation.max_worker_message_bytes {
+        if wire::exceeds_body_limit(&request.body) || request.body.len() > simulation.max_worker_message_bytes
+        {
             return Some((413, Vec::new()));
         }
         let Ok(commands) = wire::decode::<Commands>(&request.body) else { return Some((400, Vec::new())) };
@@ -518,7 +519,7 @@
             return;
         }
         let max_bytes = site.lock().max_worker_message_bytes;
-        let is_accepted = |body: &[u8]| !is_too_large(body) && body.len() <= max_bytes;
+        let is_accepted = |body: &[u8]| !wire::exceeds_body_limit(body) && body.len() <= max_bytes;
         let answer = answer.filter(|a| site.ms() <= sent_at + 4000 && is_accepted(&a.body));
         let pause = {
             let mut simulation = site.lock();
--- a/crates/daemon/tests/unit/fault_days/network.rs
+++ b/crates/daemon/tests/unit/fault_days/network.rs
@@ -185,7 +185,7 @@
         if matches!((from, to), (Endpoint::Controller(_), Endpoint::Controller(_))) {
             return;
         }
-        if is_too_large(body) {
+        if wire::exceeds_body_limit(body) {
             let detail = format!("{} bytes of MessagePack from {from:?} to {to:?}", body.len());
             self.record_violation("too_large", detail);
         }
@@ -276,17 +276,6 @@
     }
 }
 
-/// Whether a body is larger than the protocol permits, which measures bodies as JSON.
-pub(super) fn is_too_large(body: &[u8]) -> bool {
-    // No value takes more than this many times its bytes in JSON.
-    const MAX_JSON_FACTOR: usize = 6;
-    if body.len() * MAX_JSON_FACTOR <= wire::BODY_LIMIT {
-        return false;
-    }
-    let json = wire::decode::<serde_json::Value>(body).map(|value| value.to_string().len());
-    json.is_ok_and(|bytes| bytes > wire::BODY_LIMIT)
-}
-
 /// Start commands that are sent straight to machines are held up on their way until then.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct HeldStarts {
--- a/crates/emulator/src/emulation/services.rs
+++ b/crates/emulator/src/emulation/services.rs
@@ -156,7 +156,8 @@
     let OutgoingReport { machine, controller, ticket, report } = outgoing;
     let Some(front) = shared.fronts.get(controller) else { return };
     let body = wire::encode(&report);
-    let answer = client.request(front, "POST", "/hello", body, wire::BODY_LIMIT, REPORT_TIMEOUT).await;
+    let answer =
+        client.request(front, "POST", "/hello", body, wire::ENCODED_BODY_LIMIT, REPORT_TIMEOUT).await;
     let (status, body) = match &answer {
         Ok(answer) => (Some(answer.status), &answer.body[..]),
         Err(_) => (None, &[][..]),
@@ -171,7 +172,7 @@
 async fn serve_machine(shared: Arc<Shared>, name: String, listener: TcpListener, stop: CancellationToken) {
     let shared_for_handler = shared.clone();
     let handler = move |request| machine_request(shared_for_handler.clone(), name.clone(), request);
-    serve(listener, connections(), wire::BODY_LIMIT, handler, stop, shared.tasks.clone()).await;
+    serve(listener, connections(), wire::ENCODED_BODY_LIMIT, handler, stop, shared.tasks.clone()).await;
 }
 
 async fn machine_request(shared: Arc<Shared>, name: String, request: Request) -> Reply {
--- a/crates/emulator/src/site.rs
+++ b/crates/emulator/src/site.rs
@@ -151,6 +151,7 @@
         now: Instant,
     ) {
         let outcome = match status {
+            Some(200) if wire::exceeds_body_limit(body) => ReportOutcome::Answer(None),
             Some(200) => ReportOutcome::Answer(wire::decode(body).ok()),
             Some(421) => {
                 let name = wire::decode::<wire::Redirect>(body).ok().and_then(|r| r.report_to);
@@ -172,6 +173,9 @@
         }
         Some(match (request.method.as_str(), request.path.as_str()) {
             ("GET", "/status") => Reply::new(200, &worker.status(&mut self.jobs, now)),
+            ("POST", "/commands") if wire::exceeds_body_limit(&request.body) => {
+                Reply::error(413, "the commands exceed 64 KiB")
+            }
             ("POST", "/commands") => match wire::decode_request::<Commands>(&request.body) {
                 Ok(commands) => {
                     let (status, report) = worker.commands(&commands, &mut self.jobs, now);
--- a/crates/emulator/tests/workers.rs
+++ b/crates/emulator/tests/workers.rs
@@ -353,3 +353,26 @@
     t.advance(9.0);
     assert_eq!(t.site.workers().count(), 0);
 }
+
+/// Bodies were measured as MessagePack, in which more commands fit into 64 KiB than the protocol allows.
+#[test]
+fn messages_that_exceed_the_limit_as_json_are_refused_or_dropped() {
+    /// Start commands that exceed 64 KiB as JSON, by less than a hundred.
+    const EXCESSIVE_COMMANDS: usize = 1300;
+    let mut t = Test::new(1);
+    let incarnation = t.site.worker(FIRST_MACHINE).expect("up").incarnation();
+    let launch = json!({"verb":"launch","thread":"j-000412/1000","try":1});
+    let mut request_with = |commands: usize| {
+        let orders = vec![launch.clone(); commands];
+        let body = json!({"baton":t.token,"stint":incarnation,"orders":orders});
+        assert!(wire::encode(&body).len() < wire::BODY_LIMIT);
+        t.request(FIRST_MACHINE, "POST", "/commands", body).expect("reached").0
+    };
+    assert_eq!((request_with(EXCESSIVE_COMMANDS), request_with(EXCESSIVE_COMMANDS - 100)), (413, 200));
+    let token_before = t.site.worker(FIRST_MACHINE).expect("up").token();
+    t.token += 1;
+    t.commands.insert(FIRST_MACHINE.into(), vec![launch; EXCESSIVE_COMMANDS].into());
+    t.advance(0.6);
+    assert!(t.commands.is_empty(), "a report was answered");
+    assert_eq!(t.site.worker(FIRST_MACHINE).expect("up").token(), token_before, "the answer is dropped");
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -12,6 +12,7 @@
 pub use cloud_and_store::*;
 pub use jobs::*;
 pub use message_size::*;
+pub use scan::json_bytes;
 pub use workers::*;
 
 use std::time::Duration;
--- a/crates/wire/src/message_size.rs
+++ b/crates/wire/src/message_size.rs
@@ -3,7 +3,7 @@
 //! The protocol limits bodies to [`BODY_LIMIT`] bytes, measured as JSON. A receiver refuses a larger
 //! body as a whole, so the sender has to divide what it sends.
 
-use crate::scan::json_bytes_of_text;
+use crate::scan::{json_bytes, json_bytes_of_text};
 use crate::{BODY_LIMIT, Command, TaskStatus};
 
 /// Most bytes of a body with commands besides the commands: names of fields, token and incarnation.
@@ -53,6 +53,11 @@
     commands.split_off(fitting.min(commands.len()))
 }
 
+/// Whether a body is larger than the protocol allows.
+pub fn exceeds_body_limit(body: &[u8]) -> bool {
+    json_bytes(body).is_some_and(|bytes| bytes > BODY_LIMIT)
+}
+
 /// The space in a worker's heartbeat for the statuses of further tasks.
 #[derive(Debug)]
 pub struct HeartbeatSpace {
--- a/crates/wire/src/scan.rs
+++ b/crates/wire/src/scan.rs
@@ -64,6 +64,13 @@
     }
 }
 
+/// The size of a message written as JSON, in bytes; `None` if it is not one complete MessagePack value.
+pub fn json_bytes(message: &[u8]) -> Option<usize> {
+    let mut scanner = Scanner { message, position: 0 };
+    let bytes = scanner.skip(1).ok()?;
+    (scanner.position == message.len()).then_some(bytes)
+}
+
 /// Encodes a map of pairs that are part of a message.
 fn encode_map(message: &[u8], pairs: &[Range<usize>]) -> Vec<u8> {
     let mut encoded = vec![Marker::Map32.to_u8()];
