GPU jobs do not wait behind arrays that could run on other machines

Many arrays together could have kept GPU jobs waiting, which the operators ask to avoid. Such an array is placed there only where no GPU job waits; one that has no other machine type as before.

--- a/crates/daemon/src/scheduler/placement/gpu_machines.rs
+++ b/crates/daemon/src/scheduler/placement/gpu_machines.rs
@@ -10,8 +10,8 @@
     /// Places an array or a gang that has found no capacity but what is kept for GPU jobs.
     ///
     /// A job that fits on no machine type without GPUs may use such capacity where no GPU job waits for
-    /// it. No job waits without end: after a while, one task of an array, or a gang, is placed there
-    /// even if GPU jobs wait.
+    /// it. After a while, one task of an array, or a gang, is placed even if GPU jobs wait, so that it
+    /// does not wait without end; of a job that has other machine types, where none waits.
     pub(super) fn place_beside_gpu_jobs(
         &mut self,
         candidate: &Candidate,
@@ -25,7 +25,11 @@
         }
         if assignments.is_empty() && placement::is_overdue_for_gpu_capacity(job, self.context.now_ms) {
             let limits = Limits { max_tasks: 1, ..limits };
-            assignments = self.place_within_claims(candidate, job, self.slot_filter(candidate), limits);
+            assignments = if has_alternative {
+                self.place_where_no_gpu_job_waits(candidate, job, limits)
+            } else {
+                self.place_within_claims(candidate, job, self.slot_filter(candidate), limits)
+            };
         }
         PlacementAttempt { assignments, may_displace_gpu_jobs: !has_alternative }
     }
