--- a/crates/daemon/tests/unit/fault_days/gpu_machines.rs
+++ b/crates/daemon/tests/unit/fault_days/gpu_machines.rs
@@ -27,19 +27,9 @@
     simulation.team_max_gpus = 8.0;
 }
 
+/// A job whose tasks need so many CPUs that only machines with GPUs have them.
 fn job(number: u64) -> JobSpec {
-    JobSpec {
-        team: "t".into(),
-        tasks: 2,
-        cpus: 10.0,
-        types: None,
-        zone: None,
-        spread: false,
-        one_zone: false,
-        spot: false,
-        priority: Priority::Normal,
-        ..users::spec(number)
-    }
+    JobSpec { tasks: 2, cpus: 10.0, ..unconstrained_job(number) }
 }
 
 /// Jobs without GPUs waited without end if only machines with GPUs were large enough, or allowed.
--- a/crates/daemon/tests/unit/fault_days/large_messages.rs
+++ b/crates/daemon/tests/unit/fault_days/large_messages.rs
@@ -13,26 +13,17 @@
 /// An array of tasks of which one machine could hold all, but for the size of messages.
 fn small_tasks(tasks: u32) -> wire::JobSpec {
     wire::JobSpec {
-        team: "t".into(),
         tasks,
         cpus: 0.002,
         memory_gb: 0.001,
         types: Some(vec!["l".into()]),
-        spot: false,
-        ..users::spec(ARRAY)
+        ..unconstrained_job(ARRAY)
     }
 }
 
 /// A service on the machines that the array will use.
 fn service() -> wire::JobSpec {
-    wire::JobSpec {
-        team: "t".into(),
-        cpus: 1.0,
-        types: Some(vec!["l".into()]),
-        zone: None,
-        spread: false,
-        ..users::spec(SERVICE)
-    }
+    wire::JobSpec { cpus: 1.0, types: Some(vec!["l".into()]), ..unconstrained_job(SERVICE) }
 }
 
 impl Simulation {
--- a/crates/daemon/tests/unit/fault_days/short_capacity.rs
+++ b/crates/daemon/tests/unit/fault_days/short_capacity.rs
@@ -25,19 +25,6 @@
     simulation.cloud.capacity_of_types.insert(SCARCE_TYPE, machines);
 }
 
-fn job(number: u64) -> JobSpec {
-    JobSpec {
-        team: "t".into(),
-        types: None,
-        zone: None,
-        spread: false,
-        one_zone: false,
-        spot: false,
-        priority: Priority::Normal,
-        ..users::spec(number)
-    }
-}
-
 /// A job each of whose tasks needs a machine of the scarce type.
 fn on_scarce_machines(number: u64, priority: Priority) -> JobSpec {
     JobSpec {
@@ -45,12 +32,12 @@
         cpus: SCARCE_TYPE_CPUS,
         types: Some(vec![SCARCE_TYPE.into()]),
         priority,
-        ..job(number)
+        ..unconstrained_job(number)
     }
 }
 
 fn array(tasks: u32) -> JobSpec {
-    JobSpec { tasks, cpus: 2.5, ..job(ARRAY) }
+    JobSpec { tasks, cpus: 2.5, ..unconstrained_job(ARRAY) }
 }
 
 impl Simulation {
@@ -147,7 +134,7 @@
         simulation.cloud.capacity = 0;
     };
     on_empty_site(set_up, async |site| {
-        let other = JobSpec { team: "u".into(), tasks: 200, cpus: 1.0, ..job(OTHER_ARRAY) };
+        let other = JobSpec { team: "u".into(), tasks: 200, cpus: 1.0, ..unconstrained_job(OTHER_ARRAY) };
         let other = site.submit_spec(other).await;
         let of_team = site.submit_spec(array(1000)).await;
         let are_full = |s: &Simulation| s.active_tasks_of(&other) >= 8 && s.active_tasks_of(&of_team) >= 9;
--- a/crates/daemon/tests/unit/fault_days/single_job.rs
+++ b/crates/daemon/tests/unit/fault_days/single_job.rs
@@ -90,6 +90,20 @@
     }
 }
 
+/// The job with this number, of team "t", on machines of any type and zone but spot machines.
+pub(super) fn unconstrained_job(number: u64) -> wire::JobSpec {
+    wire::JobSpec {
+        team: "t".into(),
+        types: None,
+        zone: None,
+        spread: false,
+        one_zone: false,
+        spot: false,
+        priority: wire::Priority::Normal,
+        ..users::spec(number)
+    }
+}
+
 impl Simulation {
     /// How many tasks of the job are on machines and have not exited.
     pub(super) fn active_tasks_of(&self, id: &str) -> usize {
