Test: several jobs that there are too few machines for are all found

With the capacity of the first such job counted again and again, instead of one job after the other, arrays_of_several_teams_are_served_while_the_cloud_has_too_few_machines_for_a_job_of_each fails; no test did before.

--- a/crates/daemon/tests/unit/fault_days/short_capacity.rs
+++ b/crates/daemon/tests/unit/fault_days/short_capacity.rs
@@ -79,6 +79,28 @@
     }
 }
 
+/// The capacity for one job only was counted again and again, so that no other was found short of it.
+#[test]
+fn arrays_of_several_teams_are_served_while_the_cloud_has_too_few_machines_for_a_job_of_each() {
+    on_empty_site(
+        |simulation| with_scarce_machines(simulation, 0),
+        async |site| {
+            let of_team_u = |spec: JobSpec| JobSpec { team: "u".into(), ..spec };
+            let gang_of_u = JobSpec { tasks: 1, ..on_scarce_machines(GANG + 5, Priority::Normal) };
+            site.submit_spec(on_scarce_machines(GANG, Priority::Normal)).await;
+            site.submit_spec(of_team_u(gang_of_u)).await;
+            site.advance(3000).await;
+            let arrays =
+                [array(4), of_team_u(JobSpec { tasks: 2, cpus: 1.0, ..unconstrained_job(OTHER_ARRAY) })];
+            for spec in arrays {
+                let id = site.submit_spec(spec).await;
+                let is_done = site.advance_until(site.ms() + MAX_WAIT_MS, |s| s.is_done(&id)).await;
+                assert_served(&site, is_done, &id);
+            }
+        },
+    );
+}
+
 /// Capacity that is collected for gangs that wait long was collected for one that all machines together
 /// cannot hold, and kept from an array that may use no others.
 #[test]
