Machines that GPU jobs wait for are not filled up again by arrays

Arrays kept one of the two machines in use for five minutes.

Once tasks of arrays are on such a machine, no GPU job fits there, so that further tasks strand none by the rule of placement: each that ended was followed by another. The same would have become of arrays that allow only machines with GPUs.

Change: jobs that have other machine types do not get that room any more. Of those that have none, one task at a time on the site comes between waiting GPU jobs. What is free on a machine that a waiting GPU job gets once arrays and gangs have ended there is held against these. GPU jobs that wait for their team's quota do not count as waiting.

--- a/crates/daemon/src/scheduler/placement/mod.rs
+++ b/crates/daemon/src/scheduler/placement/mod.rs
@@ -85,6 +85,8 @@
         scheduling,
         running: None,
         waiting_gpu_jobs: None,
+        machines_awaited_by_gpu_jobs: None,
+        held_for_gpu_jobs: Vec::new(),
         expected_services: forecast::expected_services(replica, now_ms),
     };
     for id in queue {
--- a/crates/daemon/src/scheduler/placement/pass.rs
+++ b/crates/daemon/src/scheduler/placement/pass.rs
@@ -10,6 +10,7 @@
 use wire::{JobKind, JobSpec, Priority};
 
 use super::gang_capacity::competes_with_any;
+use super::gpu_machines::HeldCapacity;
 use super::quota_claims::{QuotaClaim, claim_quota, release_quota};
 use crate::controller::Controller;
 use crate::scheduler::cycle::{CycleContext, SchedulingCycle};
@@ -38,6 +39,11 @@
     pub(super) running: Option<RunningTasks<'r>>,
     /// The GPU jobs with pending tasks; collected for the first job that could take their capacity.
     pub(super) waiting_gpu_jobs: Option<Vec<&'r JobSpec>>,
+    /// The machines that GPU jobs get once other work has ended there; found for the first job that could
+    /// take their capacity.
+    pub(super) machines_awaited_by_gpu_jobs: Option<Vec<Name>>,
+    /// What is held on these machines now.
+    pub(super) held_for_gpu_jobs: Vec<HeldCapacity>,
     /// Forecast service tasks, as a spec and a count, until capacity is reserved for them. Services
     /// have to start within seconds, so their capacity has to exist when they are submitted.
     pub(super) expected_services: Option<(JobSpec, u32)>,
@@ -147,6 +153,7 @@
             gang_wait_s: self.controller.settings.facts.workers.gang_wait_s,
             now_ms: self.context.now_ms,
         };
+        self.hold_for_gpu_jobs_against(candidate.spec, reserved);
         let assignments = self.place_within_claims(candidate, job, self.slot_filter(candidate), limits);
         let is_gpu_job = candidate.spec.gpus > 0.0;
         if !assignments.is_empty() || candidate.is_in_shard {
--- a/crates/daemon/tests/unit/fault_days/gpu_machines.rs
+++ b/crates/daemon/tests/unit/fault_days/gpu_machines.rs
@@ -140,16 +140,24 @@
         with_gpu_machines(simulation);
         simulation.cloud.capacity = 1;
     };
-    on_empty_site(set_up, async |site| {
-        let array = site.submit_spec(JobSpec { tasks: TASKS, ..job(ARRAY) }).await;
-        let runs_everywhere = |s: &Simulation| s.active_tasks_of(&array) == 2;
-        assert!(site.advance_until(MAX_WAIT_MS, runs_everywhere).await, "the array starts");
-        let gang = site.submit_spec(JobSpec { gpus: 2.0, ..job(GPU_GANG) }).await;
-        let until = site.ms() + MAX_RUN_MS + MAX_START_MS;
-        let is_served = site.advance_until(until, |s| s.is_served(&gang)).await;
-        assert_served(&site, is_served, "the GPU job");
-        assert!(!site.lock().is_done(&array), "the array has further tasks");
-        let until = site.ms() + u64::from(TASKS) * (MAX_RUN_MS + MAX_START_MS);
-        assert!(site.advance_until(until, |s| s.is_done(&array)).await, "the array goes on");
-    });
+    for array in [JobSpec { tasks: TASKS, ..job(ARRAY) }, small_tasks_on_gpu_machines(10 * TASKS)] {
+        on_empty_site(set_up, async |site| {
+            let tasks_on_both = 2 * (GPU_MACHINE_CPUS / array.cpus) as usize;
+            let array = site.submit_spec(array).await;
+            let runs_everywhere = |s: &Simulation| s.active_tasks_of(&array) == tasks_on_both;
+            assert!(site.advance_until(MAX_WAIT_MS, runs_everywhere).await, "the array starts");
+            let gang = site.submit_spec(JobSpec { gpus: 2.0, ..job(GPU_GANG) }).await;
+            let until = site.ms() + MAX_RUN_MS + MAX_START_MS;
+            let is_served = site.advance_until(until, |s| s.is_served(&gang)).await;
+            assert_served(&site, is_served, "the GPU job");
+            assert!(!site.lock().is_done(&array), "the array has further tasks");
+            let until = site.ms() + u64::from(TASKS) * (MAX_RUN_MS + MAX_START_MS);
+            assert!(site.advance_until(until, |s| s.is_done(&array)).await, "the array goes on");
+        });
+    }
+}
+
+/// An array whose tasks end at different times, so that its machines are never empty.
+fn small_tasks_on_gpu_machines(tasks: u32) -> JobSpec {
+    JobSpec { tasks, cpus: 2.0, types: Some(vec!["g".into()]), ..job(ARRAY) }
 }
--- a/crates/daemon/tests/unit/scheduler_placement.rs
+++ b/crates/daemon/tests/unit/scheduler_placement.rs
@@ -157,7 +157,7 @@
     [Some(with_gpus), is_alternative_offered.then_some(alternative)].into_iter().flatten().collect()
 }
 
-/// A GPU job that waits for quota: its team has none for GPUs. It could use all of the machine.
+/// A GPU job that comes after the others in the queue, and takes the CPUs of one GPU.
 fn waiting_gpu_job() -> JobRecord {
     let mut job = pending_job("j-9", JobKind::Gang, wire::Priority::Normal, 1);
     let spec = job.spec.as_mut().expect("open");
@@ -177,8 +177,8 @@
     }
 }
 
-/// A job waited for as long as GPU jobs did, or the cloud had no machines without GPUs, beside a machine
-/// with room for it. Where GPU jobs wait, only those come between them that have no other machine type.
+/// A job that has no other machine type waited for as long as GPU jobs did, beside a machine with room for
+/// it.
 #[test]
 fn no_job_waits_without_end_for_capacity_that_is_kept_for_gpu_jobs() {
     const LONG_WAIT_MS: u64 = 61_000;
@@ -187,15 +187,55 @@
     for (kind, tasks) in [(JobKind::Array, 1), (JobKind::Gang, 3)] {
         let without_alternative = || machine_types_with_gpus(false);
         assert_eq!(placed(without_alternative(), vec![job(kind), waiting_gpu_job()]), Some(tasks));
-        let with_alternative = || machine_types_with_gpus(true);
-        assert_eq!(placed(with_alternative(), vec![job(kind)]), Some(tasks));
-        assert_eq!(placed(with_alternative(), vec![job(kind), waiting_gpu_job()]), None);
+        // Those that could run elsewhere do not come between GPU jobs.
+        assert_eq!(placed(machine_types_with_gpus(true), vec![job(kind), waiting_gpu_job()]), None);
     }
-    // An array with tasks on machines does not wait. These use up the CPUs of one GPU.
-    let mut started = pending_job("j-1", JobKind::Array, wire::Priority::Normal, 6);
-    started.attempt = 1;
+    // One task of these at a time comes between GPU jobs, whichever array it is of.
+    let second = || pending_job("j-2", JobKind::Array, wire::Priority::Normal, 3);
+    let jobs = vec![job(JobKind::Array), second(), waiting_gpu_job()];
+    let assigned = run_cycle_at(LONG_WAIT_MS, machine_types_with_one_gpu(), jobs);
+    assert_eq!((assigned.get("j-1"), assigned.get("j-2")), (Some(&1), None));
+    let started = with_assignments(second(), 1);
+    let jobs = vec![job(JobKind::Array), started, waiting_gpu_job()];
+    assert_eq!(run_cycle_at(LONG_WAIT_MS, machine_types_with_one_gpu(), jobs).get("j-1"), None);
+}
+
+/// A machine type of which one task of [`waiting_gpu_job`] takes all.
+fn machine_types_with_one_gpu() -> Vec<MachineType> {
+    let cpus = f64::from(TEAM_TASK_LIMIT / 2);
+    vec![MachineType { gpus: 1.0, ..crate::worker::tests::machine_type(cpus, 64.0, &["a"]) }]
+}
+
+/// The job with its first tasks on the machine.
+fn with_assignments(mut job: JobRecord, tasks: u32) -> JobRecord {
     let assignment =
         |task| Assignment { task, attempt: 1, machine: "host-1".into(), desired: DesiredState::Running };
-    started.assignments = (0..4).map(assignment).collect();
-    assert_eq!(placed(machine_types_with_gpus(true), vec![started]), None);
+    job.attempt = 1;
+    job.assignments = (0..tasks).map(assignment).collect();
+    job
+}
+
+/// Tasks of arrays took the place of others on a machine that a GPU job needs as a whole, so that it
+/// waited for as long as there were any.
+#[test]
+fn a_machine_that_a_gpu_job_gets_once_arrays_have_ended_is_not_filled_up_again() {
+    let array = |tasks| pending_job("j-1", JobKind::Array, wire::Priority::Normal, tasks);
+    let placed = |jobs| run_cycle_at(1000, machine_types_with_one_gpu(), jobs).get("j-1").copied();
+    // The machine has four CPUs; one is free.
+    assert_eq!(placed(vec![with_assignments(array(4), 3), waiting_gpu_job()]), None);
+    assert_eq!(placed(vec![with_assignments(array(4), 3)]), Some(4), "no GPU job waits");
+    // The GPU job does not fit beside a service either.
+    let service = || with_assignments(pending_job("j-2", JobKind::Service, wire::Priority::Normal, 3), 3);
+    let elsewhere = || {
+        let mut job = array(1);
+        job.spec.as_mut().expect("open").types = Some(vec!["m".into(), "without-gpus".into()]);
+        job
+    };
+    let types = || {
+        let alternative = machine_types_without_gpus().remove(0);
+        let alternative = MachineType { name: "without-gpus".into(), ..alternative };
+        [machine_types_with_one_gpu(), vec![alternative]].concat()
+    };
+    let jobs = vec![elsewhere(), service(), waiting_gpu_job()];
+    assert_eq!(run_cycle_at(1000, types(), jobs).get("j-1"), Some(&1));
 }
--- a/crates/sched/src/placement/gpu_capacity.rs
+++ b/crates/sched/src/placement/gpu_capacity.rs
@@ -9,8 +9,8 @@
 use crate::records::JobRecord;
 use crate::replica::{Replica, Resources};
 
-/// How long capacity is kept from a job of which nothing runs, in seconds. A job must not wait for 90 s
-/// while a machine has room for it; the rest is for handing it over to the leader and placing it.
+/// How long capacity is kept from a job that fits on no other machines, in seconds. A job must not wait
+/// for 90 s while a machine has room for it; the rest is for handing it over to the leader and placing it.
 const MAX_WAIT_FOR_GPU_CAPACITY_S: f64 = 60.0;
 
 /// Whether a task of the job fits on a machine type without GPUs that the job allows. A job that has no
@@ -38,10 +38,9 @@
     is_allowed_on(spec, slot) && Resources::of_task(spec).fits(slot.capacity)
 }
 
-/// Whether a job has waited so long, with nothing of it on a machine, that capacity is no longer kept
-/// from it.
+/// Whether a job has waited so long that capacity is no longer kept from it for GPU jobs.
 pub fn is_overdue_for_gpu_capacity(job: &JobRecord, now_ms: u64) -> bool {
-    job.assignments.is_empty() && waited_s(job, now_ms) >= MAX_WAIT_FOR_GPU_CAPACITY_S
+    waited_s(job, now_ms) >= MAX_WAIT_FOR_GPU_CAPACITY_S
 }
 
 /// How many fewer tasks of the latest GPU job fit on a machine once a task that needs no GPU is
