--- a/crates/daemon/tests/unit/scheduler_placement.rs
+++ b/crates/daemon/tests/unit/scheduler_placement.rs
@@ -239,3 +239,16 @@
     let jobs = vec![elsewhere(), service(), waiting_gpu_job()];
     assert_eq!(run_cycle_at(1000, types(), jobs).get("j-1"), Some(&1));
 }
+
+/// A GPU job that waits for its team's quota kept others from machines that it cannot use yet.
+#[test]
+fn nothing_is_kept_for_a_gpu_job_that_waits_for_quota() {
+    let mut gpu_job = waiting_gpu_job();
+    gpu_job.spec.as_mut().expect("open").tasks = 2;
+    let array = || pending_job("j-1", JobKind::Array, wire::Priority::High, 2);
+    let placed = |jobs| run_cycle_at(1000, machine_types_with_gpus(false), jobs).get("j-1").copied();
+    assert_eq!(placed(vec![array(), gpu_job.clone()]), None, "the quota suffices for the GPU job");
+    // It takes half of the quota, and the CPUs of one GPU.
+    let service = with_assignments(pending_job("j-2", JobKind::Service, wire::Priority::Normal, 4), 4);
+    assert_eq!(placed(vec![array(), gpu_job, service]), Some(2));
+}
